Add the design, build, interfaces and test fakes

Cause: the project starts from nothing; every later part needs one agreed design, a build with formatter and linter, and the interfaces it meets. Ruled out: one Maven module (the library must not see the stand-ins); modules in the root folder (the launcher has the library's name). Conclusion: parts can be built beside each other against these interfaces.

--- /dev/null
+++ b/modules/banyantally-daemon/src/main/java/io/banyantally/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Daemon processes and the command line. */
+package io.banyantally.daemon;
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ClientAccountParameters.java
@@ -0,0 +1,40 @@
+package io.banyantally.internal.configuration;
+
+import io.banyantally.model.AdapterName;
+import io.banyantally.model.ClientAccountId;
+import io.banyantally.model.ModelName;
+import io.banyantally.model.ServiceName;
+import java.util.Set;
+
+/**
+ * What operators fill in for one client account. Limits hold over all entry VMs together.
+ *
+ * @param models the models that the account may ask for
+ * @param services the plain services that the account may call
+ * @param priority higher goes first among requests that wait
+ * @param weight the account's share of a busy fleet, relative to the others
+ */
+public record ClientAccountParameters(
+        ClientAccountId account,
+        Set<ModelName> models,
+        Set<AdapterName> adapters,
+        Set<ServiceName> services,
+        int priority,
+        double weight,
+        double requestsPerSecond,
+        double tokensPerSecond,
+        int concurrentRequests) {
+
+    /** Copies the sets and rejects limits that would refuse every request. */
+    public ClientAccountParameters {
+        models = Set.copyOf(models);
+        adapters = Set.copyOf(adapters);
+        services = Set.copyOf(services);
+        if (!(weight > 0) || !(requestsPerSecond > 0) || !(tokensPerSecond > 0) || concurrentRequests < 1) {
+            throw new IllegalArgumentException("limits of client account " + account
+                    + " are not valid: weight " + weight + ", requestsPerSecond " + requestsPerSecond
+                    + ", tokensPerSecond " + tokensPerSecond + ", concurrentRequests " + concurrentRequests
+                    + "; use numbers above 0");
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/KnownUpstream.java
@@ -0,0 +1,20 @@
+package io.banyantally.internal.routing;
+
+import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.ServiceName;
+import io.banyantally.model.UpstreamId;
+import java.net.InetSocketAddress;
+
+/**
+ * An upstream that this VM knows of.
+ *
+ * @param cheap whether the platform may reclaim it at a few seconds' notice
+ * @param leaving whether it must get no new work
+ */
+public record KnownUpstream(
+        UpstreamId id,
+        ServiceName service,
+        AvailabilityZone zone,
+        InetSocketAddress address,
+        boolean cheap,
+        boolean leaving) {}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Routing: which upstream gets a request. */
+package io.banyantally.internal.routing;
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/model/UpstreamId.java
@@ -0,0 +1,20 @@
+package io.banyantally.model;
+
+/** Identifies one upstream: a replica of an engine or of a plain service. */
+public record UpstreamId(String value) implements Comparable<UpstreamId> {
+
+    /** Checks the value; see {@link Identifiers#check}. */
+    public UpstreamId {
+        Identifiers.check("upstream id", value);
+    }
+
+    @Override
+    public int compareTo(UpstreamId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/model/VmId.java
@@ -0,0 +1,20 @@
+package io.banyantally.model;
+
+/** Identifies one VM of the system, as named in its settings and in the platform's list of VMs. */
+public record VmId(String value) implements Comparable<VmId> {
+
+    /** Checks the identifier; see {@link Identifiers#check}. */
+    public VmId {
+        Identifiers.check("VM id", value);
+    }
+
+    @Override
+    public int compareTo(VmId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/model/package-info.java
@@ -0,0 +1,2 @@
+/** Value types shared by all packages: identifiers, revisions and numbers with units. */
+package io.banyantally.model;
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/platform/VersionedValue.java
@@ -0,0 +1,29 @@
+package io.banyantally.platform;
+
+import java.util.Arrays;
+
+/** A stored value with the revision that wrote it. The bytes are copied in and out. */
+public record VersionedValue(byte[] value, StoreRevision revision) {
+
+    /** Copies the bytes, so that later changes by the caller have no effect. */
+    public VersionedValue {
+        value = value.clone();
+    }
+
+    @Override
+    public byte[] value() {
+        return value.clone();
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof VersionedValue that
+                && Arrays.equals(value, that.value)
+                && revision.equals(that.revision);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * Arrays.hashCode(value) + revision.hashCode();
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/upstream/HeaderField.java
@@ -0,0 +1,4 @@
+package io.banyantally.upstream;
+
+/** One HTTP header field. */
+public record HeaderField(String name, String value) {}
