--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of a process: JSON, checked as a whole before anything starts. */
+package io.banyantally.internal.settings;
