--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/peer/FrameConnection.java
@@ -0,0 +1,74 @@
+package io.banyantally.internal.peer;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One TCP connection. Frames are queued and written by a task of their own, so that a peer that does not read can't block
+ * the tasks that send to it.
+ */
+final class FrameConnection implements AutoCloseable {
+
+    private static final int QUEUE_CAPACITY = 1_024;
+
+    private final Socket socket;
+    private final DataInputStream input;
+    private final DataOutputStream output;
+    private final BlockingQueue<Frame> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
+    private final Thread writer;
+
+    FrameConnection(Socket socket, String name) throws IOException {
+        this.socket = socket;
+        socket.setTcpNoDelay(true);
+        this.input = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+        this.output = new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()));
+        this.writer = Thread.ofVirtual().name("peer-writer-" + name).start(this::writeQueued);
+    }
+
+    Frame read() throws IOException {
+        return FrameCodec.read(input);
+    }
+
+    /** Limits how long {@link #read} waits; zero for no limit. */
+    void setReadTimeout(Duration timeout) throws IOException {
+        socket.setSoTimeout((int) timeout.toMillis());
+    }
+
+    /** Queues a frame; returns false if the queue stays full for {@code timeout}. */
+    boolean send(Frame frame, Duration timeout) throws InterruptedException {
+        return queue.offer(frame, timeout.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    private void writeQueued() {
+        try {
+            while (!socket.isClosed()) {
+                FrameCodec.write(output, queue.take());
+                if (queue.isEmpty()) {
+                    output.flush();
+                }
+            }
+        } catch (IOException closed) {
+            close();
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() {
+        writer.interrupt();
+        try {
+            socket.close();
+        } catch (IOException ignored) {
+            // The socket is not used again, whether its close succeeded or not.
+        }
+    }
+}
