Add membership and the callers' HTTP interface

Cause: callers ask the system which address to use, and every request needs its key checked, admission, an upstream and recorded usage. Ruled out: servlets, which hide when the first byte leaves; a deny list for headers towards upstreams, which lets a key pass in a header that nobody thought of. Change: heartbeats and caller addresses; Jetty endpoints for completions, plain services, calls, models, addresses, health and metrics; typed errors with notRun; requests that carry their key outside the Authorization header are refused. Conclusion: parts behind interfaces can be wired now.

--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/AddressesEndpoint.java
@@ -0,0 +1,49 @@
+package io.banyantally.internal.http;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.banyantally.internal.membership.CallerAddress;
+import io.banyantally.internal.membership.Membership;
+import io.banyantally.model.AvailabilityZone;
+import java.io.IOException;
+import java.util.Optional;
+
+/** Tells callers which addresses to use, nearest availability zone first; {@code ?zone=} names the caller's zone. */
+final class AddressesEndpoint implements Endpoint {
+
+    private static final int OK = 200;
+
+    private final Membership membership;
+    private final int timeToLiveMillis;
+
+    AddressesEndpoint(Membership membership, int timeToLiveMillis) {
+        this.membership = membership;
+        this.timeToLiveMillis = timeToLiveMillis;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) throws RequestRefusedException, IOException {
+        ObjectNode answer = JsonNodeFactory.instance.objectNode().put("timeToLiveMillis", timeToLiveMillis);
+        ArrayNode addresses = answer.putArray("addresses");
+        for (CallerAddress address : membership.addresses(zone(exchange))) {
+            addresses
+                    .addObject()
+                    .put(
+                            "address",
+                            address.address().getAddress().getHostAddress() + ":"
+                                    + address.address().getPort())
+                    .put("zone", address.zone().value())
+                    .put("vm", address.vm().value());
+        }
+        exchange.sendJson(OK, answer);
+    }
+
+    private static Optional<AvailabilityZone> zone(HttpExchange exchange) throws RequestRefusedException {
+        try {
+            return exchange.queryParameter("zone").map(AvailabilityZone::new);
+        } catch (IllegalArgumentException invalid) {
+            throw RequestRefusedException.notRun(ErrorType.INVALID_REQUEST, invalid.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/CallsEndpoint.java
@@ -0,0 +1,43 @@
+package io.banyantally.internal.http;
+
+import io.banyantally.internal.configuration.ClientAccountParameters;
+import io.banyantally.internal.idempotency.CallIdentity;
+import io.banyantally.internal.idempotency.CallLedger;
+import io.banyantally.model.ServiceName;
+import java.io.IOException;
+
+/** Tells the outcome of an earlier call under {@code /v1/calls/{service}/{idempotency key}}. */
+final class CallsEndpoint implements Endpoint {
+
+    static final String PREFIX = "/v1/calls/";
+
+    private final KeyCheck keys;
+    private final CallLedger ledger;
+
+    CallsEndpoint(KeyCheck keys, CallLedger ledger) {
+        this.keys = keys;
+        this.ledger = ledger;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) throws RequestRefusedException, IOException, InterruptedException {
+        ClientAccountParameters account = keys.check(exchange.authorization());
+        String rest = exchange.path().substring(PREFIX.length());
+        int slash = rest.indexOf('/');
+        if (slash < 1) {
+            throw RequestRefusedException.notRun(
+                    ErrorType.INVALID_REQUEST, "use " + PREFIX + "{service}/{idempotency key}");
+        }
+        CallIdentity identity =
+                CallOutcomes.identity(account.account(), service(rest.substring(0, slash)), rest.substring(slash + 1));
+        ServiceAnswerWriter.write(exchange, CallOutcomes.answerOf(ledger.find(identity), identity));
+    }
+
+    private static ServiceName service(String name) throws RequestRefusedException {
+        try {
+            return new ServiceName(name);
+        } catch (IllegalArgumentException invalid) {
+            throw RequestRefusedException.notRun(ErrorType.UNKNOWN_SERVICE, "no plain service has this name");
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/Generation.java
@@ -0,0 +1,145 @@
+package io.banyantally.internal.http;
+
+import io.banyantally.internal.admission.AdmissionTicket;
+import io.banyantally.internal.configuration.ClientAccountParameters;
+import io.banyantally.internal.routing.NoUpstreamException;
+import io.banyantally.internal.routing.Route;
+import io.banyantally.internal.routing.RoutingRequest;
+import io.banyantally.internal.timeline.EventField;
+import io.banyantally.internal.timeline.EventKind;
+import io.banyantally.model.ServiceName;
+import io.banyantally.model.UpstreamId;
+import io.banyantally.platform.UsageFigures;
+import io.banyantally.upstream.AnswerChunk;
+import io.banyantally.upstream.AnswerStream;
+import io.banyantally.upstream.GenerationRequest;
+import io.banyantally.upstream.UpstreamException;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Runs one admitted generation: chooses an engine, passes tokens on after their usage is recorded, and goes on at another
+ * engine after a failure.
+ */
+final class Generation {
+
+    private static final Duration NO_UPSTREAM_RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final UpstreamAccess services;
+    private final ClientAccountParameters account;
+    private final ServiceName service;
+    private final GenerationBody body;
+    private final AdmissionTicket ticket;
+    private final AnswerWriter writer;
+    private final Set<UpstreamId> failed = new HashSet<>();
+    private final StringBuilder delivered = new StringBuilder();
+    private int nextIndex;
+
+    Generation(
+            UpstreamAccess services,
+            ClientAccountParameters account,
+            ServiceName service,
+            GenerationBody body,
+            AdmissionTicket ticket,
+            AnswerWriter writer) {
+        this.services = services;
+        this.account = account;
+        this.service = service;
+        this.body = body;
+        this.ticket = ticket;
+        this.writer = writer;
+    }
+
+    /** Runs to the end of the answer or to its final failure. */
+    void run() throws RequestRefusedException, IOException, InterruptedException {
+        boolean ended = false;
+        while (!ended) {
+            try (Route route = chooseRoute()) {
+                ended = runOn(route);
+            }
+        }
+        ticket.finish(nextIndex);
+    }
+
+    private Route chooseRoute() throws RequestRefusedException {
+        RoutingRequest request =
+                new RoutingRequest(service, Optional.of(body.model()), body.prompt(), body.work(), failed);
+        try {
+            return services.router().choose(request);
+        } catch (NoUpstreamException none) {
+            throw failed.isEmpty()
+                    ? RequestRefusedException.notRun(ErrorType.NO_UPSTREAM, NO_UPSTREAM_RETRY_AFTER, none.getMessage())
+                    : RequestRefusedException.mayHaveRun(ErrorType.UPSTREAM_FAILED, "every upstream tried has failed");
+        }
+    }
+
+    /** Returns true when the answer has ended, false when another upstream should go on. */
+    private boolean runOn(Route route) throws RequestRefusedException, IOException, InterruptedException {
+        try (AnswerStream answer = services.connector().engine(route.upstream()).generate(nextRequest())) {
+            while (true) {
+                AnswerChunk chunk = answer.next();
+                if (chunk.last()) {
+                    deliverEnd(chunk);
+                    return true;
+                }
+                deliver(chunk, route);
+            }
+        } catch (UpstreamException failure) {
+            route.failed();
+            prepareResume(route.upstream().id(), failure);
+            return false;
+        }
+    }
+
+    private GenerationRequest nextRequest() {
+        return new GenerationRequest(
+                services.exchangeIds().next(),
+                body.model(),
+                body.adapter(),
+                body.prompt(),
+                body.maximumOutputTokens(),
+                account.priority(),
+                delivered.toString(),
+                nextIndex);
+    }
+
+    private void deliver(AnswerChunk chunk, Route route) throws IOException, InterruptedException {
+        route.tokenReceived();
+        if (nextIndex == 0) {
+            ticket.firstTokenSent();
+        }
+        services.usage().recordBeforeDelivery(account.account(), new UsageFigures(0, 1, 0));
+        writer.token(chunk.text());
+        delivered.append(chunk.text());
+        nextIndex++;
+    }
+
+    private void deliverEnd(AnswerChunk chunk) throws IOException, InterruptedException {
+        services.usage().recordBeforeDelivery(account.account(), new UsageFigures(chunk.promptTokens(), 0, 1));
+        writer.end(new GenerationResult(chunk.promptTokens(), chunk.cachedTokens(), nextIndex));
+    }
+
+    private void prepareResume(UpstreamId upstream, UpstreamException failure) throws RequestRefusedException {
+        failed.add(upstream);
+        if (!ticket.tryRetry()) {
+            services.timeline()
+                    .record(
+                            EventKind.REQUEST_FAILED,
+                            EventField.of("account", account.account()),
+                            EventField.of("upstream", upstream),
+                            EventField.of("reason", failure.getMessage()));
+            throw RequestRefusedException.mayHaveRun(
+                    ErrorType.UPSTREAM_FAILED, "the upstream failed and the retry budget is used up");
+        }
+        services.timeline()
+                .record(
+                        EventKind.REQUEST_RESUMED,
+                        EventField.of("account", account.account()),
+                        EventField.of("from", upstream),
+                        EventField.of("tokens", nextIndex),
+                        EventField.of("reason", failure.getMessage()));
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/GenerationBody.java
@@ -0,0 +1,106 @@
+package io.banyantally.internal.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.banyantally.internal.admission.WorkEstimate;
+import io.banyantally.model.AdapterName;
+import io.banyantally.model.ModelName;
+import java.util.Optional;
+
+/**
+ * The body of a completion request.
+ *
+ * @param chat whether the answer has the form of a chat completion
+ */
+record GenerationBody(
+        ModelName model,
+        Optional<AdapterName> adapter,
+        String prompt,
+        int maximumOutputTokens,
+        boolean stream,
+        boolean chat) {
+
+    private static final int DEFAULT_OUTPUT_TOKENS = 256;
+    private static final int LARGEST_OUTPUT_TOKENS = 32_768;
+
+    static GenerationBody chat(JsonNode body) throws RequestRefusedException {
+        JsonNode messages = body.get("messages");
+        if (messages == null || !messages.isArray() || messages.isEmpty()) {
+            throw invalid("messages", "a list with at least one message");
+        }
+        StringBuilder prompt = new StringBuilder();
+        for (JsonNode message : messages) {
+            if (!message.path("role").isTextual() || !message.path("content").isTextual()) {
+                throw invalid("messages", "objects with the texts role and content");
+            }
+            prompt.append(message.get("role").textValue())
+                    .append(": ")
+                    .append(message.get("content").textValue())
+                    .append('\n');
+        }
+        return read(body, prompt.toString(), true);
+    }
+
+    static GenerationBody completion(JsonNode body) throws RequestRefusedException {
+        if (!body.path("prompt").isTextual()) {
+            throw invalid("prompt", "a text");
+        }
+        return read(body, body.get("prompt").textValue(), false);
+    }
+
+    private static GenerationBody read(JsonNode body, String prompt, boolean chat) throws RequestRefusedException {
+        if (!body.path("model").isTextual()) {
+            throw invalid("model", "the name of a model");
+        }
+        JsonNode stream = body.path("stream");
+        if (!stream.isMissingNode() && !stream.isBoolean()) {
+            throw invalid("stream", "true or false");
+        }
+        return new GenerationBody(
+                modelName(body.get("model").textValue()),
+                adapterName(body.path("adapter")),
+                prompt,
+                outputTokens(body),
+                stream.asBoolean(false),
+                chat);
+    }
+
+    private static ModelName modelName(String text) throws RequestRefusedException {
+        try {
+            return new ModelName(text);
+        } catch (IllegalArgumentException invalid) {
+            throw RequestRefusedException.notRun(ErrorType.UNKNOWN_MODEL, "no model has this name");
+        }
+    }
+
+    private static Optional<AdapterName> adapterName(JsonNode adapter) throws RequestRefusedException {
+        if (adapter.isMissingNode() || adapter.isNull()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new AdapterName(adapter.asText()));
+        } catch (IllegalArgumentException invalid) {
+            throw invalid("adapter", "the name of an adapter");
+        }
+    }
+
+    private static int outputTokens(JsonNode body) throws RequestRefusedException {
+        JsonNode limit =
+                body.has("max_completion_tokens") ? body.get("max_completion_tokens") : body.path("max_tokens");
+        if (limit.isMissingNode() || limit.isNull()) {
+            return DEFAULT_OUTPUT_TOKENS;
+        }
+        if (!limit.isIntegralNumber() || limit.asLong() < 1 || limit.asLong() > LARGEST_OUTPUT_TOKENS) {
+            throw invalid("max_tokens", "a whole number from 1 to " + LARGEST_OUTPUT_TOKENS);
+        }
+        return limit.intValue();
+    }
+
+    WorkEstimate work() {
+        return WorkEstimate.ofPrompt(prompt, maximumOutputTokens);
+    }
+
+    private static RequestRefusedException invalid(String field, String allowed) {
+        return RequestRefusedException.notRun(
+                ErrorType.INVALID_REQUEST, "field '" + field + "' is missing or not valid; allowed: " + allowed);
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/GenerationEndpoint.java
@@ -0,0 +1,100 @@
+package io.banyantally.internal.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.banyantally.internal.admission.AdmissionRequest;
+import io.banyantally.internal.admission.AdmissionTicket;
+import io.banyantally.internal.configuration.ClientAccountParameters;
+import io.banyantally.internal.configuration.ConfigurationView;
+import io.banyantally.internal.configuration.ServiceTemplate;
+import io.banyantally.model.AdapterName;
+import io.banyantally.model.ModelName;
+import io.banyantally.model.ServiceName;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+
+/** Answers completion requests. */
+final class GenerationEndpoint implements Endpoint {
+
+    private final BodyReader reader;
+    private final KeyCheck keys;
+    private final ConfigurationView configuration;
+    private final AdmissionGate admission;
+    private final UpstreamAccess services;
+    private final int maximumPromptTokens;
+
+    GenerationEndpoint(
+            BodyReader reader,
+            KeyCheck keys,
+            ConfigurationView configuration,
+            AdmissionGate admission,
+            UpstreamAccess services,
+            int maximumPromptTokens) {
+        this.reader = reader;
+        this.keys = keys;
+        this.configuration = configuration;
+        this.admission = admission;
+        this.services = services;
+        this.maximumPromptTokens = maximumPromptTokens;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) throws RequestRefusedException, IOException, InterruptedException {
+        ClientAccountParameters account = keys.check(exchange.authorization());
+        byte[] bytes = exchange.body();
+        KeyExposure.of(exchange.authorization()).check(exchange.rawPathAndQuery(), bytes);
+        GenerationBody body = reader.read(HttpExchange.parseJson(bytes));
+        ServiceName service = serviceOf(account, body);
+        Duration timeLimit = TimeLimit.of(exchange);
+        CompletionJson json = new CompletionJson(services.exchangeIds().next(), body);
+        AnswerWriter writer =
+                body.stream() ? new EventStreamWriter(exchange, json) : new WholeAnswerWriter(exchange, json);
+        AdmissionRequest request = new AdmissionRequest(account, service, body.work(), timeLimit);
+        try (AdmissionTicket ticket = admission.admit(request)) {
+            new Generation(services, account, service, body, ticket, writer).run();
+        } catch (RequestRefusedException refused) {
+            if (!writer.hasStarted()) {
+                throw refused;
+            }
+            writer.fail(refused);
+        }
+    }
+
+    private ServiceName serviceOf(ClientAccountParameters account, GenerationBody body) throws RequestRefusedException {
+        ServiceTemplate template = serving(body.model())
+                .orElseThrow(() -> RequestRefusedException.notRun(
+                        ErrorType.UNKNOWN_MODEL, "no service serves model '" + body.model() + "'"));
+        if (!account.models().contains(body.model())) {
+            throw RequestRefusedException.notRun(
+                    ErrorType.NOT_ALLOWED, "this client account may not use model '" + body.model() + "'");
+        }
+        Optional<AdapterName> adapter = body.adapter();
+        if (adapter.isPresent()
+                && !(template.adapters().contains(adapter.get())
+                        && account.adapters().contains(adapter.get()))) {
+            throw RequestRefusedException.notRun(
+                    ErrorType.NOT_ALLOWED, "this client account may not use adapter '" + adapter.get() + "'");
+        }
+        if (body.work().promptTokens() > maximumPromptTokens) {
+            throw RequestRefusedException.notRun(
+                    ErrorType.PROMPT_TOO_LARGE,
+                    "the prompt has about " + body.work().promptTokens() + " tokens; at most " + maximumPromptTokens
+                            + " are allowed");
+        }
+        return template.service();
+    }
+
+    private Optional<ServiceTemplate> serving(ModelName model) {
+        return configuration.current().services().values().stream()
+                .filter(template -> template.models().contains(model))
+                .findFirst();
+    }
+
+    /** Reads the body of one of the completion paths. */
+    @FunctionalInterface
+    interface BodyReader {
+
+        /** Returns the body or refuses it. */
+        GenerationBody read(JsonNode body) throws RequestRefusedException;
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/KeyCheck.java
@@ -0,0 +1,38 @@
+package io.banyantally.internal.http;
+
+import io.banyantally.internal.configuration.ClientAccountParameters;
+import io.banyantally.internal.configuration.KeyRefusedException;
+import io.banyantally.internal.configuration.KeyVerifier;
+import java.time.Duration;
+import java.util.Optional;
+
+/** Verifies the key of a request and turns refusals into typed errors. */
+final class KeyCheck {
+
+    /** About the time in which a VM that lost its proof gets a new one, or its addresses are no longer given. */
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(2);
+
+    private final KeyVerifier verifier;
+
+    KeyCheck(KeyVerifier verifier) {
+        this.verifier = verifier;
+    }
+
+    ClientAccountParameters check(Optional<String> authorization) throws RequestRefusedException {
+        try {
+            return verifier.verify(authorization);
+        } catch (KeyRefusedException refused) {
+            throw switch (refused.reason()) {
+                case MISSING ->
+                    RequestRefusedException.notRun(
+                            ErrorType.INVALID_KEY, "the request has no key; send it as 'Authorization: Bearer'");
+                case NOT_VALID -> RequestRefusedException.notRun(ErrorType.INVALID_KEY, "the key is not valid");
+                case NOT_PROVEN ->
+                    RequestRefusedException.notRun(
+                            ErrorType.CONFIGURATION_NOT_PROVEN,
+                            RETRY_AFTER,
+                            "this VM can't prove that it knows all withdrawn keys; use another address");
+            };
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/membership/Membership.java
@@ -0,0 +1,91 @@
+package io.banyantally.internal.membership;
+
+import io.banyantally.internal.peer.Peer;
+import io.banyantally.internal.peer.PeerNetwork;
+import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.internal.timeline.Timeline;
+import io.banyantally.model.AvailabilityZone;
+import java.net.InetSocketAddress;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/** Knows the entry VMs that are alive and gives callers their addresses, nearest availability zone first. */
+public final class Membership {
+
+    private final Peer self;
+    private final Map<AvailabilityZone, Double> distances;
+    private final Heartbeats heartbeats;
+    private volatile InetSocketAddress callers;
+    private volatile boolean draining;
+
+    /** Creates the membership of {@code self}; distances are one-way milliseconds from its zone. */
+    public Membership(
+            Peer self,
+            Map<AvailabilityZone, Double> distances,
+            PeerNetwork network,
+            MonotonicClock clock,
+            Timeline timeline) {
+        this.self = self;
+        this.distances = Map.copyOf(distances);
+        this.heartbeats = new Heartbeats(network, clock, timeline, this::heartbeat);
+    }
+
+    /** Starts heartbeats; callers connect at {@code callersAddress}. */
+    public void start(InetSocketAddress callersAddress) {
+        callers = callersAddress;
+        heartbeats.start();
+    }
+
+    /** Stops heartbeats. */
+    public void stop() {
+        heartbeats.stop();
+    }
+
+    /** Takes this VM out of the addresses that it and its peers give. */
+    public void startDraining() {
+        draining = true;
+    }
+
+    /** Returns whether this VM is draining. */
+    public boolean isDraining() {
+        return draining;
+    }
+
+    private HeartbeatMessage heartbeat() {
+        InetSocketAddress address = callers;
+        return address == null
+                ? new HeartbeatMessage("0.0.0.0", 0, true)
+                : new HeartbeatMessage(address.getAddress().getHostAddress(), address.getPort(), draining);
+    }
+
+    /**
+     * Returns the addresses of the VMs that are alive and not draining.
+     *
+     * @param near the zone to start from; this VM's own if empty
+     */
+    public List<CallerAddress> addresses(Optional<AvailabilityZone> near) {
+        Stream<CallerAddress> others = heartbeats.alive().stream()
+                .filter(member -> !member.draining())
+                .map(member ->
+                        new CallerAddress(member.peer().vm(), member.peer().zone(), member.callers()));
+        Stream<CallerAddress> own = draining || callers == null
+                ? Stream.empty()
+                : Stream.of(new CallerAddress(self.vm(), self.zone(), callers));
+        AvailabilityZone origin = near.orElse(self.zone());
+        return Stream.concat(own, others)
+                .sorted(Comparator.comparingDouble((CallerAddress address) -> distance(origin, address.zone()))
+                        .thenComparing(CallerAddress::vm))
+                .toList();
+    }
+
+    /** Distances are known from this VM's own zone; from another zone, only "the same" and "not the same" are told apart. */
+    private double distance(AvailabilityZone from, AvailabilityZone to) {
+        if (from.equals(to)) {
+            return 0;
+        }
+        return from.equals(self.zone()) ? distances.getOrDefault(to, 1.0) : 1.0;
+    }
+}
