Add configuration, keys, freshness proofs and operators' interface

Change: a change writes its bucket and then the manifest by compare-and-swap; the manifest remembers the last 32 writes so that a writer with a lost answer finds its own. Readers watch the manifest, other VMs ask peers. A proof is the platform's, a peer's with its age, or a majority's. A change is accepted after two rounds of answers from one set of incarnations. The operators' handler reads and changes templates, account parameters and keys, and shows the roster and registered status.

--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ConfigurationOutcomeUnknownException.java
@@ -0,0 +1,12 @@
+package io.banyantally.internal.configuration;
+
+/** A change may have taken effect; read the configuration before repeating it. */
+public final class ConfigurationOutcomeUnknownException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    /** Creates the failure with its cause. */
+    public ConfigurationOutcomeUnknownException(String message, Throwable cause) {
+        super(message, cause);
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/configuration/FetchQuery.java
@@ -0,0 +1,6 @@
+package io.banyantally.internal.configuration;
+
+import java.util.List;
+
+/** Asks a peer for buckets by their hashes. */
+record FetchQuery(List<String> hashes) {}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/configuration/Jitter.java
@@ -0,0 +1,16 @@
+package io.banyantally.internal.configuration;
+
+import java.time.Duration;
+import java.util.concurrent.ThreadLocalRandom;
+
+/** Spreads the actions of many VMs that would otherwise happen at the same moment. */
+final class Jitter {
+
+    private Jitter() {}
+
+    /** Returns a random duration between half and one and a half times {@code mean}. */
+    static Duration around(Duration mean) {
+        long nanos = mean.toNanos();
+        return Duration.ofNanos(nanos / 2 + ThreadLocalRandom.current().nextLong(nanos + 1));
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/configuration/Sha256.java
@@ -0,0 +1,27 @@
+package io.banyantally.internal.configuration;
+
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** SHA-256 over one or more pieces. */
+final class Sha256 {
+
+    private Sha256() {}
+
+    static byte[] of(byte[]... pieces) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            for (byte[] piece : pieces) {
+                digest.update(piece);
+            }
+            return digest.digest();
+        } catch (NoSuchAlgorithmException missing) {
+            throw new IllegalStateException("this JDK has no SHA-256, which every JDK must have", missing);
+        }
+    }
+
+    static String hex(byte[] bytes) {
+        return HexFormat.of().formatHex(of(bytes));
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/configuration/StoredFormat.java
@@ -0,0 +1,94 @@
+package io.banyantally.internal.configuration;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import com.fasterxml.jackson.databind.ser.std.ToStringSerializer;
+import io.banyantally.model.AdapterName;
+import io.banyantally.model.ClientAccountId;
+import io.banyantally.model.Incarnation;
+import io.banyantally.model.KeyId;
+import io.banyantally.model.ModelName;
+import io.banyantally.model.Revision;
+import io.banyantally.model.ServiceName;
+import io.banyantally.model.VmId;
+import java.io.IOException;
+import java.util.function.Function;
+
+/**
+ * Reads and writes the stored values as JSON. Unknown fields are ignored, so that two versions of the system can share a
+ * configuration during a rolling replacement.
+ */
+final class StoredFormat {
+
+    private static final ObjectMapper MAPPER = mapper();
+
+    private StoredFormat() {}
+
+    static byte[] encode(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (JsonProcessingException failure) {
+            throw new IllegalArgumentException(
+                    "cannot encode a " + value.getClass().getSimpleName(), failure);
+        }
+    }
+
+    static Manifest manifest(byte[] bytes) throws ConfigurationDamagedException {
+        return decode(bytes, Manifest.class);
+    }
+
+    static Bucket bucket(byte[] bytes) throws ConfigurationDamagedException {
+        return decode(bytes, Bucket.class);
+    }
+
+    private static <T> T decode(byte[] bytes, Class<T> type) throws ConfigurationDamagedException {
+        try {
+            return MAPPER.readValue(bytes, type);
+        } catch (IOException failure) {
+            throw new ConfigurationDamagedException(
+                    "a " + type.getSimpleName() + " of " + bytes.length + " bytes can't be read", failure);
+        }
+    }
+
+    private static ObjectMapper mapper() {
+        SimpleModule identifiers = new SimpleModule();
+        text(identifiers, VmId.class, VmId::new);
+        text(identifiers, Incarnation.class, Incarnation::parse);
+        text(identifiers, ServiceName.class, ServiceName::new);
+        text(identifiers, ClientAccountId.class, ClientAccountId::new);
+        text(identifiers, KeyId.class, KeyId::new);
+        text(identifiers, ModelName.class, ModelName::new);
+        text(identifiers, AdapterName.class, AdapterName::new);
+        text(identifiers, Revision.class, number -> new Revision(Long.parseLong(number)));
+        return new ObjectMapper()
+                .registerModule(identifiers)
+                .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+    }
+
+    private static <T> void text(SimpleModule module, Class<T> type, Function<String, T> parse) {
+        module.addSerializer(new ToStringSerializer(type));
+        module.addDeserializer(type, new TextDeserializer<>(type, parse));
+    }
+
+    private static final class TextDeserializer<T> extends StdDeserializer<T> {
+
+        private static final long serialVersionUID = 1L;
+
+        private final transient Function<String, T> parse;
+
+        TextDeserializer(Class<T> type, Function<String, T> parse) {
+            super(type);
+            this.parse = parse;
+        }
+
+        @Override
+        public T deserialize(JsonParser parser, DeserializationContext context) throws IOException {
+            return parse.apply(parser.getValueAsString());
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/configuration/TestVm.java
@@ -0,0 +1,135 @@
+package io.banyantally.internal.configuration;
+
+import com.codahale.metrics.MetricRegistry;
+import io.banyantally.internal.invariant.Invariants;
+import io.banyantally.internal.invariant.Promise;
+import io.banyantally.internal.peer.Peer;
+import io.banyantally.internal.peer.PeerException;
+import io.banyantally.internal.peer.PeerNetwork;
+import io.banyantally.internal.peer.PeerRequestHandler;
+import io.banyantally.internal.peer.Topic;
+import io.banyantally.internal.timeline.Timeline;
+import io.banyantally.model.VmId;
+import io.banyantally.testing.FaultyKeyValueStore;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/** One incarnation of a VM in a {@link TestSite}; the test drives its tasks step by step. */
+final class TestVm {
+
+    private final TestSite site;
+    private final Peer self;
+    private final Timeline timeline;
+    private final Invariants invariants;
+    final FaultyKeyValueStore store;
+    final ConfigurationPart part;
+    private boolean paused;
+
+    TestVm(TestSite site, Peer self, long clockOffset) {
+        this.site = site;
+        this.self = self;
+        store = new FaultyKeyValueStore(site.store);
+        timeline = new Timeline(self.vm(), self.incarnation(), 100, event -> {});
+        invariants = new Invariants(new MetricRegistry(), timeline);
+        part = new ConfigurationPart(
+                self,
+                store,
+                new PausableNetwork(site.hub.join(self)),
+                () -> site.clock.nanoTime() + clockOffset,
+                timeline,
+                invariants,
+                Runnable::run,
+                duration -> site.passTime());
+    }
+
+    VmId id() {
+        return self.vm();
+    }
+
+    Peer self() {
+        return self;
+    }
+
+    ConfigurationReplica replica() {
+        return part.replica();
+    }
+
+    void setPaused(boolean nowPaused) {
+        paused = nowPaused;
+    }
+
+    boolean isPaused() {
+        return paused;
+    }
+
+    long reverts() {
+        return invariants.violations(Promise.CONFIGURATION_NEVER_REVERTS);
+    }
+
+    /** Runs each task of the VM once. */
+    void step() {
+        if (paused) {
+            return;
+        }
+        part.tasks().observePeers();
+        if (part.tasks().isReader()) {
+            part.watch().step(Duration.ZERO);
+        }
+        for (Peer peer : part.exchange().peers()) {
+            if (part.tasks().isSource(peer.vm())) {
+                part.exchange().ask(peer.vm());
+            }
+        }
+    }
+
+    /** Returns whether the VM would serve a request with a key now. */
+    boolean serves(String key) {
+        try {
+            part.keyVerifier().verify(Optional.of("Bearer " + key));
+            return true;
+        } catch (KeyRefusedException refused) {
+            return false;
+        }
+    }
+
+    KeyRefusedException.Reason refusal(String key) {
+        try {
+            part.keyVerifier().verify(Optional.of("Bearer " + key));
+            throw new AssertionError(id() + " serves the key");
+        } catch (KeyRefusedException refused) {
+            return refused.reason();
+        }
+    }
+
+    /** Neither sends nor answers while the VM is paused. */
+    private final class PausableNetwork implements PeerNetwork {
+
+        private final PeerNetwork network;
+
+        PausableNetwork(PeerNetwork network) {
+            this.network = network;
+        }
+
+        @Override
+        public void handle(Topic topic, PeerRequestHandler handler) {
+            network.handle(topic, (sender, payload) -> {
+                if (paused) {
+                    throw new PeerException(id() + " is paused");
+                }
+                return handler.handle(sender, payload);
+            });
+        }
+
+        @Override
+        public byte[] request(VmId peer, Topic topic, byte[] payload, Duration timeout) throws PeerException {
+            site.beforeRequest.accept(id(), topic);
+            return network.request(peer, topic, payload, timeout);
+        }
+
+        @Override
+        public List<Peer> peers() {
+            return network.peers();
+        }
+    }
+}
