Add the ledger of calls that may not be repeated

A claim that ended as certainly not run may be claimed again by compare-and-swap on the revision at which it was read, so only one of several takers sends.

Ruled out: taking over claims whose claimer is gone (it may wake and send), and writing "unknown" on behalf of another VM (only the claimer writes).

Found by the matrix: a request paused for 26 h while it read the record found the key absent again and claimed it anew.

--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/idempotency/ClaimWriter.java
@@ -0,0 +1,128 @@
+package io.banyantally.internal.idempotency;
+
+import io.banyantally.internal.peer.MessagePackCodec;
+import io.banyantally.internal.peer.PeerException;
+import io.banyantally.platform.KeyValueStore;
+import io.banyantally.platform.LeaseId;
+import io.banyantally.platform.LeaseLapsedException;
+import io.banyantally.platform.OutcomeUnknownException;
+import io.banyantally.platform.RevisionConflictException;
+import io.banyantally.platform.StoreException;
+import io.banyantally.platform.StoreKey;
+import io.banyantally.platform.StoreRevision;
+import io.banyantally.platform.StoreUnavailableException;
+import io.banyantally.platform.VersionedValue;
+import java.util.Optional;
+
+/** Reads and writes idempotency records, and finds out what became of writes whose answer was lost. */
+final class ClaimWriter {
+
+    /** A claim is given up after this many writes without a known outcome; each may take the 500 ms of one call. */
+    private static final int MAXIMUM_WRITES = 3;
+
+    private static final MessagePackCodec<CallRecord> CODEC = MessagePackCodec.of(CallRecord.class);
+
+    private final KeyValueStore store;
+    private final RetentionLeases leases;
+
+    ClaimWriter(KeyValueStore store, RetentionLeases leases) {
+        this.store = store;
+        this.leases = leases;
+    }
+
+    /**
+     * Writes a claim where the key has the revision {@code expected}. Repeating the same write is safe: only one of the
+     * repeats can find that revision.
+     *
+     * @return whether the record is now this claim; false if another record is there
+     * @throws StoreException if the claim is not known to be written; the caller must never send this attempt
+     */
+    boolean write(ActiveClaim claim, StoreRevision expected) throws StoreException {
+        StoreException lastFailure = null;
+        for (int writes = 0; writes < MAXIMUM_WRITES; writes++) {
+            LeaseId lease = leases.forNewClaim();
+            try {
+                claim.attachTo(lease);
+                claim.storedAt(store.compareAndSwap(claim.key(), expected, CODEC.encode(claim.latest()), lease));
+                return true;
+            } catch (LeaseLapsedException lapsed) {
+                leases.discard(lease);
+                lastFailure = lapsed;
+            } catch (OutcomeUnknownException unknown) {
+                lastFailure = unknown;
+            } catch (RevisionConflictException conflict) {
+                // The conflict may be with an earlier write of this loop whose answer was lost.
+                return writes > 0 && isOwn(claim, read(claim.key()));
+            }
+            Optional<Boolean> found = readBack(claim, expected);
+            if (found.isPresent()) {
+                return found.get();
+            }
+        }
+        throw lastFailure;
+    }
+
+    private Optional<Boolean> readBack(ActiveClaim claim, StoreRevision expected) {
+        try {
+            Optional<StoredCall> stored = read(claim.key());
+            boolean unchanged = stored.map(StoredCall::revision)
+                    .orElse(StoreRevision.ABSENT)
+                    .equals(expected);
+            return unchanged ? Optional.empty() : Optional.of(isOwn(claim, stored));
+        } catch (StoreException unreadable) {
+            return Optional.empty();
+        }
+    }
+
+    private static boolean isOwn(ActiveClaim claim, Optional<StoredCall> stored) {
+        Optional<StoredCall> own = stored.filter(call -> call.call().isClaimedBy(claim.id()));
+        own.ifPresent(call -> claim.storedAt(call.revision()));
+        return own.isPresent();
+    }
+
+    /** Reads a record. */
+    Optional<StoredCall> read(StoreKey key) throws StoreException {
+        Optional<VersionedValue> value = store.get(key);
+        if (value.isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new StoredCall(
+                    CODEC.decode(value.get().value()), value.get().revision()));
+        } catch (PeerException malformed) {
+            throw new StoreUnavailableException("the record at " + key + " cannot be read", malformed);
+        }
+    }
+
+    /**
+     * Stores the outcome of a claim, unless the record is no longer this claim.
+     *
+     * @return whether the outcome needs no further write
+     */
+    boolean writeOutcome(ActiveClaim claim) throws StoreException {
+        if (claim.revision().isEmpty()) {
+            Optional<StoredCall> stored = read(claim.key());
+            if (!isOwn(claim, stored)) {
+                // A claim whose request was delayed may still be written while the key is absent.
+                return stored.isPresent();
+            }
+        }
+        try {
+            store.compareAndSwap(
+                    claim.key(),
+                    claim.revision().get(),
+                    CODEC.encode(claim.latest()),
+                    claim.lease().orElseThrow());
+            return true;
+        } catch (RevisionConflictException conflict) {
+            // Either an earlier write of this outcome took effect, or the record lapsed or was claimed again after
+            // this attempt had ended as not run. None of these is to be overwritten.
+            return true;
+        } catch (LeaseLapsedException lapsed) {
+            return true;
+        }
+    }
+
+    /** A record with the revision that it was read at. */
+    record StoredCall(CallRecord call, StoreRevision revision) {}
+}
