Add HTTP adapters, stand-ins for the outside, and the load tool

The library had interfaces to the platform and the upstreams and nothing that speaks to either, so no process could run against anything.

Each outside interface gets one adapter on a shared HTTP client, with JSON over HTTP as the wire format. Calls with an effect open a connection of their own, since a pooled one may be stale and a failure on it would leave the outcome unknown. Reads share pooled connections. A failure before the request begins maps to "certainly not happened"; anything later maps to "unknown". Generation answers are lines of JSON whose exchange id, index and end mark are verified.

The stand-ins run the platform, an engine and a plain service on loopback, with faults on request and a report of what they saw. The load tool sends the traffic of both deployments and verifies every answer.

Ruled out: redirects, cookies, authentication and content decoding of the HTTP client, which could repeat or change a call.

--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/SeenHeader.java
@@ -0,0 +1,6 @@
+package io.banyantally.standins;
+
+import java.util.List;
+
+/** A header that an upstream has seen, with its different values. */
+public record SeenHeader(String name, List<String> values) {}
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/StandInHandler.java
@@ -0,0 +1,11 @@
+package io.banyantally.standins;
+
+import java.io.IOException;
+
+/** Answers the requests to a stand-in; each call runs in a virtual thread of its own. */
+@FunctionalInterface
+public interface StandInHandler {
+
+    /** Answers one request through {@code exchange}. */
+    void handle(StandInExchange exchange) throws IOException, InterruptedException;
+}
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/engine/EngineStandIn.java
@@ -0,0 +1,173 @@
+package io.banyantally.standins.engine;
+
+import io.banyantally.internal.adapter.CacheTransferRequest;
+import io.banyantally.internal.adapter.HttpEngine;
+import io.banyantally.model.ExchangeId;
+import io.banyantally.model.ModelName;
+import io.banyantally.standins.BadRequestException;
+import io.banyantally.standins.SeenHeaders;
+import io.banyantally.standins.StandInExchange;
+import io.banyantally.standins.StandInServer;
+import io.banyantally.upstream.EngineOrder;
+import io.banyantally.upstream.EngineTarget;
+import io.banyantally.upstream.GenerationRequest;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** A model engine. */
+public final class EngineStandIn implements AutoCloseable {
+
+    /** Generations that a report lists. */
+    public static final int KEPT_GENERATIONS = 20_000;
+
+    private static final int NOT_FOUND = 404;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final Duration SAMPLE_INTERVAL = Duration.ofMillis(100);
+
+    private final PrefixCache cache;
+    private final OrderBook orders;
+    private final LoadBoard load;
+    private final GenerationLog log = new GenerationLog(KEPT_GENERATIONS);
+    private final GenerationRunner runner;
+    private final SeenHeaders headers = new SeenHeaders();
+    private final AtomicLong orderBodiesTimedOut = new AtomicLong();
+    private final Runnable crash;
+    private final Thread sampler;
+    private final StandInServer server;
+
+    private EngineStandIn(int port, EngineOptions options, Runnable crash) throws IOException {
+        this.crash = crash;
+        cache = new PrefixCache(
+                options.blocks, options.cacheEventLagMillis * NANOS_PER_MILLI, options.cacheEventLoss, options.seed);
+        EngineTarget initial = new EngineTarget(new ModelName(options.model), options.version, List.of(), options.role);
+        orders = new OrderBook(initial, options.ignoreFencing, options.changeMillis);
+        load = new LoadBoard(options.loadLagMillis * NANOS_PER_MILLI);
+        load.sample(cache, orders.role());
+        runner = new GenerationRunner(options, cache, orders, load, log);
+        server = StandInServer.start(port, Duration.ofMillis(options.idleTimeoutMillis), this::handle);
+        sampler = Thread.ofVirtual().name("load-sampler").start(this::sample);
+    }
+
+    /**
+     * Starts an engine; port 0 takes any free port.
+     *
+     * @param crash what {@code POST /control/crash} does
+     */
+    public static EngineStandIn start(int port, EngineOptions options, Runnable crash) throws IOException {
+        return new EngineStandIn(port, options, crash);
+    }
+
+    /** Returns where it listens. */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    StandInServer server() {
+        return server;
+    }
+
+    /** Returns what it ran and saw, as {@code GET /control/report} does. */
+    public EngineReport report() {
+        return new EngineReport(
+                orders.state(),
+                log.startedCount(),
+                log.finishedCount(),
+                log.tokenCount(),
+                load.present().get(),
+                log.generations(),
+                orders.received(),
+                orders.violations(),
+                orderBodiesTimedOut.get(),
+                headers.all());
+    }
+
+    private void sample() {
+        try {
+            while (true) {
+                Thread.sleep(SAMPLE_INTERVAL);
+                load.sample(cache, orders.role());
+            }
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void handle(StandInExchange exchange) throws IOException, InterruptedException {
+        String path = exchange.path();
+        if (!path.startsWith("/control/")) {
+            headers.add(exchange);
+        }
+        switch (path) {
+            case "/generate" -> runner.run(exchange.body(GenerationRequest.class), exchange);
+            case "/cancel" -> {
+                runner.cancel(exchange.body(ExchangeId.class).toString());
+                exchange.answer(200, "cancelled");
+            }
+            case "/load" -> exchange.answer(200, load.report());
+            case "/cache-events" -> exchange.answer(200, cache.eventsAfter(after(exchange)));
+            case "/orders" -> order(exchange);
+            case "/state" -> exchange.answer(200, orders.state());
+            case "/cache/transfer" -> transfer(exchange);
+            case "/cache/import" -> {
+                cache.store(Long.parseLong(exchange.requiredParameter("prefix")));
+                exchange.answer(200, "stored");
+            }
+            case "/control/report" -> exchange.answer(200, report());
+            case "/control/crash" -> crash.run();
+            default -> exchange.answer(NOT_FOUND, "an engine has no path " + path);
+        }
+    }
+
+    private static long after(StandInExchange exchange) throws BadRequestException {
+        return Long.parseLong(exchange.requiredParameter("after"));
+    }
+
+    private void order(StandInExchange exchange) throws IOException {
+        EngineOrder order;
+        try {
+            order = exchange.body(EngineOrder.class);
+        } catch (BadRequestException failure) {
+            throw failure;
+        } catch (IOException lateBody) {
+            orderBodiesTimedOut.incrementAndGet();
+            exchange.dropConnection();
+            return;
+        }
+        if (orders.take(order)) {
+            exchange.answer(200, orders.state());
+        } else {
+            exchange.answer(HttpEngine.STALE_FENCING_NUMBER, "a higher fencing number was seen");
+        }
+    }
+
+    private void transfer(StandInExchange exchange) throws IOException, InterruptedException {
+        CacheTransferRequest request = exchange.body(CacheTransferRequest.class);
+        if (!cache.holds(request.prefixHash())) {
+            exchange.answer(HttpEngine.NOT_RUN, "the prefix is not held");
+            return;
+        }
+        URI destination =
+                URI.create("http://" + request.destination() + "/cache/import?prefix=" + request.prefixHash());
+        HttpRequest copy = HttpRequest.newBuilder(destination)
+                .POST(HttpRequest.BodyPublishers.noBody())
+                .build();
+        try (HttpClient client = HttpClient.newHttpClient()) {
+            int status =
+                    client.send(copy, HttpResponse.BodyHandlers.discarding()).statusCode();
+            exchange.answer(status, "sent");
+        }
+    }
+
+    @Override
+    public void close() {
+        sampler.interrupt();
+        server.close();
+    }
+}
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/engine/ExpectedText.java
@@ -0,0 +1,63 @@
+package io.banyantally.standins.engine;
+
+import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
+import java.util.regex.MatchResult;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.zip.CRC32C;
+
+/**
+ * The text that every engine stand-in generates for a prompt, so that whoever knows the prompt can verify an answer, also
+ * one that a second engine went on with.
+ */
+public final class ExpectedText {
+
+    /** What a prompt may carry, so that the text does not depend on how a chat is turned into a prompt. */
+    private static final Pattern MARKER = Pattern.compile("#answer-seed=([0-9a-f]{1,16})#");
+
+    private static final long INDEX_STEP = 0x9E3779B97F4A7C15L;
+    private static final int WORDS = 1 << 20;
+
+    private final long seed;
+
+    private ExpectedText(long seed) {
+        this.seed = seed;
+    }
+
+    /** Returns the text for a prompt: by its last marker, or else by the whole prompt. */
+    public static ExpectedText ofPrompt(String prompt) {
+        Matcher matcher = MARKER.matcher(prompt);
+        return matcher.results()
+                .reduce((first, second) -> second)
+                .map(MatchResult::group)
+                .map(ExpectedText::ofText)
+                .orElseGet(() -> ofText(prompt));
+    }
+
+    /** Returns a marker to put at the end of a prompt. */
+    public static String marker(long answerSeed) {
+        return "#answer-seed=" + Long.toHexString(answerSeed) + "#";
+    }
+
+    private static ExpectedText ofText(String text) {
+        CRC32C checksum = new CRC32C();
+        checksum.update(text.getBytes(StandardCharsets.UTF_8));
+        return new ExpectedText(checksum.getValue());
+    }
+
+    /** Returns the token at an index, from 0 on. */
+    public String token(int index) {
+        int word = new SplittableRandom(seed + INDEX_STEP * (index + 1)).nextInt(WORDS);
+        return "w" + Integer.toString(word, Character.MAX_RADIX) + " ";
+    }
+
+    /** Returns the text of the first {@code count} tokens. */
+    public String text(int count) {
+        StringBuilder text = new StringBuilder();
+        for (int index = 0; index < count; index++) {
+            text.append(token(index));
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for a model engine. */
+package io.banyantally.standins.engine;
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/PlannedCall.java
@@ -0,0 +1,17 @@
+package io.banyantally.standins.load;
+
+/**
+ * A call to a plain service.
+ *
+ * @param idempotencyKey empty for a call that only reads
+ * @param orderId what the service counts executions by; empty for a call that only reads
+ */
+public record PlannedCall(
+        LoadAccount account, String service, String method, String path, String idempotencyKey, String orderId)
+        implements PlannedRequest {
+
+    /** Returns whether the call may run at most once. */
+    public boolean isOrder() {
+        return !orderId.isEmpty();
+    }
+}
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/package-info.java
@@ -0,0 +1,2 @@
+/** Load tool: callers of both deployments, with verification of every answer. */
+package io.banyantally.standins.load;
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/platform/OrderingOptions.java
@@ -0,0 +1,28 @@
+package io.banyantally.standins.platform;
+
+import picocli.CommandLine.Option;
+
+/** Settings of the upstream ordering. */
+public final class OrderingOptions {
+
+    @Option(names = "--ignore-fencing", description = "Accept orders with an old fencing number and flag them.")
+    boolean ignoreFencing;
+
+    @Option(names = "--ignore-tokens", description = "Order again when a token is repeated.")
+    boolean ignoreTokens;
+
+    @Option(names = "--start-delay-millis", defaultValue = "5000", description = "From an order to a running upstream.")
+    long startDelayMillis = 5000;
+
+    @Option(names = "--price", defaultValue = "4.0", description = "Price of an upstream an hour.")
+    double price = 4.0;
+
+    @Option(names = "--cheap-price", defaultValue = "1.2", description = "Price of a cheap upstream an hour.")
+    double cheapPrice = 1.2;
+
+    /** Makes the interface accept old fencing numbers, for tests. */
+    public OrderingOptions ignoringFencing() {
+        ignoreFencing = true;
+        return this;
+    }
+}
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/platform/PlatformInterface.java
@@ -0,0 +1,22 @@
+package io.banyantally.standins.platform;
+
+import java.util.Locale;
+
+/** One interface of the platform; each has its own faults and call counts. */
+public enum PlatformInterface {
+    /** The key-value service. */
+    KEY_VALUE,
+    /** Orders for upstreams. */
+    UPSTREAMS,
+    /** Usage reports. */
+    USAGE_REPORTS,
+    /** The weight store. */
+    WEIGHTS,
+    /** The list of VMs. */
+    DIRECTORY;
+
+    /** Returns the first segment of the paths of this interface. */
+    public String segment() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/platform/PlatformStandIn.java
@@ -0,0 +1,159 @@
+package io.banyantally.standins.platform;
+
+import io.banyantally.standins.BadRequestException;
+import io.banyantally.standins.StandInExchange;
+import io.banyantally.standins.StandInServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** The platform with its five interfaces on one port, and its faults under {@code /control}. */
+public final class PlatformStandIn implements AutoCloseable {
+
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
+    private static final String FAULT_PATH = "/control/faults/";
+
+    private final Map<PlatformInterface, InterfaceFaults> faults = new EnumMap<>(PlatformInterface.class);
+    private final CallCounts counts = new CallCounts();
+    private final ViolationLog violations = new ViolationLog();
+    private final KeyValueHandler keyValue = new KeyValueHandler();
+    private final UsageHandler usage = new UsageHandler(violations);
+    private final OrderingHandler ordering;
+    private final WeightHandler weights;
+    private final DirectoryHandler directory;
+    private final StandInServer server;
+
+    private PlatformStandIn(int port, OrderingOptions ordering, double weightReadsPerSecond, long directoryLagMillis)
+            throws IOException {
+        for (PlatformInterface part : PlatformInterface.values()) {
+            faults.put(part, new InterfaceFaults());
+        }
+        this.ordering = new OrderingHandler(ordering, violations);
+        this.weights = new WeightHandler(weightReadsPerSecond);
+        this.directory = new DirectoryHandler(directoryLagMillis);
+        this.server = StandInServer.start(port, IDLE_TIMEOUT, this::handle);
+    }
+
+    /** Starts the platform; port 0 takes any free port. */
+    public static PlatformStandIn start(
+            int port, OrderingOptions ordering, double weightReadsPerSecond, long directoryLagMillis)
+            throws IOException {
+        return new PlatformStandIn(port, ordering, weightReadsPerSecond, directoryLagMillis);
+    }
+
+    /** Returns where it listens. */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    StandInServer server() {
+        return server;
+    }
+
+    /** Sets the faults of an interface, as {@code POST /control/faults/<interface>} does. */
+    public void setFaults(PlatformInterface part, FaultSettings settings) {
+        faults.get(part).set(settings);
+    }
+
+    /** Returns what was seen, as {@code GET /control/report} does. */
+    public PlatformReport report() {
+        return new PlatformReport(
+                counts.all(), ordering.log(), ordering.all(), usage.log(), directory.list(), violations.all());
+    }
+
+    private void handle(StandInExchange exchange) throws IOException, InterruptedException {
+        if (exchange.path().startsWith("/control/")) {
+            control(exchange);
+            return;
+        }
+        Optional<PlatformInterface> part = interfaceOf(exchange.path());
+        if (part.isEmpty()) {
+            exchange.answer(404, "no interface of the platform has path " + exchange.path());
+            return;
+        }
+        counts.count(exchange.method() + " " + exchange.path());
+        serve(part.get(), exchange);
+    }
+
+    private void serve(PlatformInterface part, StandInExchange exchange) throws IOException, InterruptedException {
+        InterfaceFaults fault = faults.get(part);
+        FaultSettings settings = fault.settings();
+        if (settings.down()) {
+            exchange.dropConnection();
+            return;
+        }
+        Thread.sleep(settings.delayMillis());
+        Answer answer = switch (part) {
+            case KEY_VALUE -> keyValue.handle(exchange);
+            case UPSTREAMS -> ordering.handle(exchange);
+            case USAGE_REPORTS -> usage.handle(exchange);
+            case WEIGHTS -> weights.handle(exchange);
+            case DIRECTORY -> directory.handle(exchange);
+        };
+        Thread.sleep(settings.answerDelayMillis());
+        if (fault.losesAnswer()) {
+            exchange.dropConnection();
+            return;
+        }
+        exchange.answer(answer.status(), answer.message());
+    }
+
+    private static Optional<PlatformInterface> interfaceOf(String path) {
+        return Arrays.stream(PlatformInterface.values())
+                .filter(part -> path.equals("/" + part.segment()) || path.startsWith("/" + part.segment() + "/"))
+                .findFirst();
+    }
+
+    private void control(StandInExchange exchange) throws IOException {
+        String path = exchange.path();
+        if (path.equals("/control/report")) {
+            exchange.answer(200, report());
+            return;
+        }
+        if (path.startsWith(FAULT_PATH)) {
+            PlatformInterface part = interfaceOf("/" + path.substring(FAULT_PATH.length()))
+                    .orElseThrow(() -> new BadRequestException("interface in " + path + " is unknown; use one of "
+                            + Arrays.stream(PlatformInterface.values())
+                                    .map(PlatformInterface::segment)
+                                    .toList()));
+            setFaults(part, exchange.body(FaultSettings.class));
+        } else {
+            set(exchange);
+        }
+        exchange.answer(200, "set");
+    }
+
+    private void set(StandInExchange exchange) throws IOException {
+        switch (exchange.path()) {
+            case "/control/cheap" ->
+                ordering.setCheapAvailable(
+                        exchange.requiredParameter("zone"),
+                        Boolean.parseBoolean(exchange.requiredParameter("available")));
+            case "/control/directory-lag" -> directory.setLagMillis(number(exchange.requiredParameter("millis")));
+            case "/control/weights" ->
+                weights.setVersions(
+                        exchange.requiredParameter("model"),
+                        Arrays.asList(exchange.requiredParameter("versions").split(",", -1)));
+            default ->
+                throw new BadRequestException("path " + exchange.path() + " is unknown; use /control/report, "
+                        + "/control/faults/<interface>, /control/cheap, /control/directory-lag or /control/weights");
+        }
+    }
+
+    private static long number(String text) throws BadRequestException {
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException failure) {
+            throw new BadRequestException("'" + text + "' is not a number");
+        }
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+}
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/service/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for a plain service. */
+package io.banyantally.standins.service;
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -0,0 +1,145 @@
+package io.banyantally.internal.adapter;
+
+import io.banyantally.upstream.HeaderField;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InterruptedIOException;
+import java.util.List;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.eclipse.jetty.client.Connection;
+import org.eclipse.jetty.client.InputStreamResponseListener;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpStatus;
+
+/** One HTTP call on its way. Closing it before the end of the answer closes the connection. */
+public final class HttpExchange implements AutoCloseable {
+
+    private static final int COPY_BYTES = 8192;
+
+    private final HttpCall call;
+    private final Request request;
+    private final InputStreamResponseListener listener = new InputStreamResponseListener();
+    private final AtomicBoolean begun = new AtomicBoolean();
+    private Connection connection;
+    private Response response;
+    private boolean whole;
+
+    HttpExchange(HttpCall call, Request request) {
+        this.call = call;
+        this.request = request;
+        // Fires before the first byte is written; what fails earlier certainly did not leave.
+        request.onRequestBegin(started -> begun.set(true));
+    }
+
+    InputStreamResponseListener listener() {
+        return listener;
+    }
+
+    void owns(Connection ownConnection) {
+        connection = ownConnection;
+    }
+
+    /** Waits for the headers of the answer, at most the call's time limit. */
+    void awaitHeaders() throws ExchangeException, InterruptedException {
+        try {
+            response = listener.get(call.timeLimit().toMillis(), TimeUnit.MILLISECONDS);
+        } catch (ExecutionException failure) {
+            throw failed("failed", failure.getCause());
+        } catch (TimeoutException failure) {
+            abort(failure);
+            throw failed("no answer in time", failure);
+        }
+    }
+
+    /** Returns the status of the answer. */
+    public int status() {
+        return response.getStatus();
+    }
+
+    /** Returns the headers of the answer. */
+    public List<HeaderField> headers() {
+        return response.getHeaders().stream()
+                .map(field -> new HeaderField(field.getName(), field.getValue()))
+                .toList();
+    }
+
+    /** The body of the answer as it comes; at most one network buffer is held for a slow reader. */
+    public InputStream body() {
+        return listener.getInputStream();
+    }
+
+    /** Tells that the answer was read to its end, so that a pooled connection may be used again. */
+    public void markWhole() {
+        whole = true;
+    }
+
+    /** Reads the rest of the answer, of at most {@code maximumBytes}. */
+    public HttpReply readWhole(int maximumBytes) throws ExchangeException, InterruptedException {
+        if (response == null) {
+            awaitHeaders();
+        }
+        if (!hasEnd()) {
+            throw new NoWholeReplyException(call + ": the answer states neither a length nor chunks, so it has no end");
+        }
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        byte[] buffer = new byte[COPY_BYTES];
+        try (InputStream body = body()) {
+            for (int count = body.read(buffer); count >= 0; count = body.read(buffer)) {
+                if (bytes.size() + count > maximumBytes) {
+                    throw new NoWholeReplyException(
+                            call + ": the answer is longer than the " + maximumBytes + " bytes allowed");
+                }
+                bytes.write(buffer, 0, count);
+            }
+        } catch (InterruptedIOException interrupted) {
+            throw interruption(interrupted);
+        } catch (IOException failure) {
+            throw new NoWholeReplyException(call + ": the answer was cut", failure);
+        }
+        markWhole();
+        return new HttpReply(status(), headers(), bytes.toByteArray());
+    }
+
+    private boolean hasEnd() {
+        return request.getMethod().equals("HEAD")
+                || status() == HttpStatus.NO_CONTENT_204
+                || status() == HttpStatus.NOT_MODIFIED_304
+                || response.getHeaders().contains(HttpHeader.CONTENT_LENGTH)
+                || response.getHeaders().contains(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
+    }
+
+    private ExchangeException failed(String what, Throwable cause) {
+        return begun.get()
+                ? new NoWholeReplyException(call + ": " + what, cause)
+                : new NothingSentException(call + ": " + what + " before it was sent", cause);
+    }
+
+    private void abort(Throwable cause) {
+        CompletableFuture<Boolean> _ = request.abort(cause);
+    }
+
+    static InterruptedException interruption(InterruptedIOException cause) {
+        InterruptedException interrupted = new InterruptedException("interrupted while reading an answer");
+        interrupted.initCause(cause);
+        return interrupted;
+    }
+
+    @Override
+    public void close() {
+        if (!whole) {
+            abort(new CancellationException(call + " was given up"));
+        }
+        if (connection != null) {
+            connection.close();
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpReply.java
@@ -0,0 +1,22 @@
+package io.banyantally.internal.adapter;
+
+import io.banyantally.upstream.HeaderField;
+import java.util.List;
+import java.util.Optional;
+
+/** The whole answer to an HTTP call. */
+public record HttpReply(int status, List<HeaderField> headers, byte[] body) {
+
+    /** Returns whether the status is 200. */
+    public boolean isOk() {
+        return status == 200;
+    }
+
+    /** Returns the first value of a header. */
+    public Optional<String> header(String name) {
+        return headers.stream()
+                .filter(field -> field.name().equalsIgnoreCase(name))
+                .map(HeaderField::value)
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpUpstreamOrdering.java
@@ -0,0 +1,66 @@
+package io.banyantally.internal.adapter;
+
+import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.FencingNumber;
+import io.banyantally.model.ServiceName;
+import io.banyantally.model.UpstreamId;
+import io.banyantally.platform.OrderToken;
+import io.banyantally.platform.OrderedUpstream;
+import io.banyantally.platform.PlatformException;
+import io.banyantally.platform.UpstreamOrdering;
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/** The platform's upstream ordering over HTTP. */
+public final class HttpUpstreamOrdering implements UpstreamOrdering {
+
+    private final AdapterHttpClient client;
+    private final InetSocketAddress address;
+    private final boolean honoursTokens;
+
+    /**
+     * Creates an adapter to the interface at {@code address}.
+     *
+     * @param honoursTokens what the settings say of the interface
+     */
+    public HttpUpstreamOrdering(AdapterHttpClient client, InetSocketAddress address, boolean honoursTokens) {
+        this.client = client;
+        this.address = address;
+        this.honoursTokens = honoursTokens;
+    }
+
+    @Override
+    public boolean honoursTokens() {
+        return honoursTokens;
+    }
+
+    @Override
+    public List<OrderedUpstream> list(ServiceName service, AvailabilityZone zone) throws PlatformException {
+        // Identifiers hold no character that needs escaping in a query.
+        String target = OrderingRequest.PATH + "?service=" + service + "&zone=" + zone;
+        return PlatformCalls.read(
+                client,
+                HttpCall.read(address, target, PlatformCalls.TIME_LIMIT),
+                body -> WireFormat.decodeList(body, OrderedUpstream.class));
+    }
+
+    @Override
+    public UpstreamId order(
+            ServiceName service, AvailabilityZone zone, boolean cheap, OrderToken token, FencingNumber fencingNumber)
+            throws PlatformException {
+        OrderingRequest request = new OrderingRequest(service, zone, cheap, token, fencingNumber);
+        return PlatformCalls.write(
+                client,
+                HttpCall.write(address, OrderingRequest.PATH, request, PlatformCalls.TIME_LIMIT),
+                body -> WireFormat.decode(body, UpstreamId.class));
+    }
+
+    @Override
+    public void giveBack(UpstreamId upstream, FencingNumber fencingNumber) throws PlatformException {
+        GiveBackRequest request = new GiveBackRequest(upstream, fencingNumber);
+        PlatformCalls.write(
+                client,
+                HttpCall.write(address, GiveBackRequest.PATH, request, PlatformCalls.TIME_LIMIT),
+                body -> upstream);
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpVmDirectory.java
@@ -0,0 +1,31 @@
+package io.banyantally.internal.adapter;
+
+import io.banyantally.platform.DirectoryEntry;
+import io.banyantally.platform.PlatformException;
+import io.banyantally.platform.VmDirectory;
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/** The platform's list of VMs over HTTP. */
+public final class HttpVmDirectory implements VmDirectory {
+
+    /** Where the list is. */
+    public static final String PATH = "/directory";
+
+    private final AdapterHttpClient client;
+    private final InetSocketAddress address;
+
+    /** Creates an adapter to the list at {@code address}. */
+    public HttpVmDirectory(AdapterHttpClient client, InetSocketAddress address) {
+        this.client = client;
+        this.address = address;
+    }
+
+    @Override
+    public List<DirectoryEntry> list() throws PlatformException {
+        return PlatformCalls.read(
+                client,
+                HttpCall.read(address, PATH, PlatformCalls.TIME_LIMIT),
+                body -> WireFormat.decodeList(body, DirectoryEntry.class));
+    }
+}
