Test every failure mapping of the adapters

A wrong mapping would let a caller repeat a call that ran, or trust an answer that is cut or belongs to another exchange, and nothing guarded against it.

A scripted server on a raw socket answers byte for byte: connection refused, closed or reset before, inside and after the headers, cut body and chunk, no HTTP, no length, status 500, silence. Each adapter is run against them, and the server counts requests, so that a hidden second try shows. Answers of engines with a foreign exchange id, an index gap or repeat and a missing end mark are refused; a slow reader stops the sender. Time limits of three adapters can be set by the tests, so that a busy machine changes no verdict.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpEngine.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpEngine.java
@@ -42,16 +42,22 @@
 
     private final AdapterHttpClient client;
     private final InetSocketAddress address;
+    private final Duration longestSilence;
 
     /** Creates an adapter to the engine at {@code address}. */
     public HttpEngine(AdapterHttpClient client, InetSocketAddress address) {
+        this(client, address, LONGEST_SILENCE);
+    }
+
+    HttpEngine(AdapterHttpClient client, InetSocketAddress address, Duration longestSilence) {
         this.client = client;
         this.address = address;
+        this.longestSilence = longestSilence;
     }
 
     @Override
     public AnswerStream generate(GenerationRequest request) throws UpstreamException, InterruptedException {
-        HttpCall call = HttpCall.query(address, "/generate", request, LONGEST_SILENCE);
+        HttpCall call = HttpCall.query(address, "/generate", request, longestSilence);
         HttpExchange exchange;
         try {
             exchange = client.open(call);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpKeyValueStore.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpKeyValueStore.java
@@ -28,16 +28,22 @@
 
     private final AdapterHttpClient client;
     private final InetSocketAddress address;
+    private final Duration timeLimit;
 
     /** Creates an adapter to the service at {@code address}. */
     public HttpKeyValueStore(AdapterHttpClient client, InetSocketAddress address) {
+        this(client, address, TIME_LIMIT);
+    }
+
+    HttpKeyValueStore(AdapterHttpClient client, InetSocketAddress address, Duration timeLimit) {
         this.client = client;
         this.address = address;
+        this.timeLimit = timeLimit;
     }
 
     @Override
     public Optional<VersionedValue> get(StoreKey key) throws StoreException {
-        return value(read("get", StoreRequest.ofKey(key.path()), TIME_LIMIT));
+        return value(read("get", StoreRequest.ofKey(key.path()), timeLimit));
     }
 
     @Override
@@ -96,7 +102,7 @@
     public ChangeNotice awaitChange(StoreKey key, StoreRevision known, Duration timeout) throws StoreException {
         StoreRequest request =
                 new StoreRequest(key.path(), known.value(), new byte[0], Optional.empty(), timeout.toMillis());
-        StoreReply reply = read("watch", request, timeout.plus(TIME_LIMIT));
+        StoreReply reply = read("watch", request, timeout.plus(timeLimit));
         return new ChangeNotice(reply.changed(), value(reply));
     }
 
@@ -131,7 +137,7 @@
     }
 
     private StoreReply write(String operation, StoreRequest request) throws StoreException {
-        HttpCall call = HttpCall.write(address, StoreRequest.PATH + operation, request, TIME_LIMIT);
+        HttpCall call = HttpCall.write(address, StoreRequest.PATH + operation, request, timeLimit);
         try {
             HttpReply reply = client.send(call, MAXIMUM_ANSWER_BYTES);
             if (reply.status() == SERVICE_UNAVAILABLE) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpPlainService.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpPlainService.java
@@ -45,11 +45,17 @@
 
     private final AdapterHttpClient client;
     private final InetSocketAddress address;
+    private final Duration timeLimit;
 
     /** Creates an adapter to the service at {@code address}. */
     public HttpPlainService(AdapterHttpClient client, InetSocketAddress address) {
+        this(client, address, TIME_LIMIT);
+    }
+
+    HttpPlainService(AdapterHttpClient client, InetSocketAddress address, Duration timeLimit) {
         this.client = client;
         this.address = address;
+        this.timeLimit = timeLimit;
     }
 
     @Override
@@ -58,7 +64,7 @@
         List<HeaderField> headers = new ArrayList<>(forwarded(call.headers()));
         headers.add(new HeaderField(EXCHANGE_HEADER, exchange));
         HttpCall http =
-                new HttpCall(address, call.method(), call.path(), headers, call.body(), true, TIME_LIMIT, () -> true);
+                new HttpCall(address, call.method(), call.path(), headers, call.body(), true, timeLimit, () -> true);
         HttpReply reply = send(http);
         if (!reply.header(EXCHANGE_HEADER).orElse("").equals(exchange)) {
             throw new WrongAnswerException(
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/adapter/HttpEngineTest.java
@@ -0,0 +1,286 @@
+package io.banyantally.internal.adapter;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.banyantally.internal.invariant.Promise;
+import io.banyantally.model.ExchangeId;
+import io.banyantally.model.FencingNumber;
+import io.banyantally.model.Incarnation;
+import io.banyantally.model.ModelName;
+import io.banyantally.model.VmId;
+import io.banyantally.testing.FaultRow;
+import io.banyantally.upstream.AnswerChunk;
+import io.banyantally.upstream.AnswerStream;
+import io.banyantally.upstream.AnswerTruncatedException;
+import io.banyantally.upstream.EngineOrder;
+import io.banyantally.upstream.EngineRole;
+import io.banyantally.upstream.EngineTarget;
+import io.banyantally.upstream.GenerationRequest;
+import io.banyantally.upstream.NotSentException;
+import io.banyantally.upstream.StaleFencingNumberException;
+import io.banyantally.upstream.UpstreamException;
+import io.banyantally.upstream.UpstreamRefusedException;
+import io.banyantally.upstream.WrongAnswerException;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Guards against cut, crossed or incomplete answers being given out, and against orders sent without authority. */
+final class HttpEngineTest {
+
+    private static final Duration AMPLE_TIME = Duration.ofSeconds(20);
+    private static final String OWN = "quito-n-1/a/7";
+    private static final GenerationRequest REQUEST = new GenerationRequest(
+            new ExchangeId(new VmId("quito-n-1"), new Incarnation(10), 7),
+            new ModelName("m"),
+            Optional.empty(),
+            "prompt",
+            8,
+            0,
+            "",
+            0);
+    private static final EngineOrder ORDER = new EngineOrder(
+            new FencingNumber(3), 1, new EngineTarget(new ModelName("m"), "1", List.of(), EngineRole.PREFILL));
+    private static final String STREAM_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private final AdapterHttpClient client = AdapterHttpClient.start();
+
+    @AfterEach
+    void closeClient() {
+        client.close();
+    }
+
+    private HttpEngine engine(ScriptedServer server) {
+        return new HttpEngine(client, server.address(), AMPLE_TIME);
+    }
+
+    private static String line(String exchange, int index, boolean last) {
+        return "{\"exchange\":\"" + exchange + "\",\"index\":" + index + ",\"text\":\"t\",\"last\":" + last
+                + ",\"promptTokens\":0,\"cachedTokens\":0}\n";
+    }
+
+    private static String stream(String... lines) {
+        return STREAM_HEAD + chunks(lines) + "0\r\n\r\n";
+    }
+
+    private static String chunks(String... lines) {
+        StringBuilder text = new StringBuilder();
+        for (String line : lines) {
+            text.append(Integer.toHexString(line.length()))
+                    .append("\r\n")
+                    .append(line)
+                    .append("\r\n");
+        }
+        return text.toString();
+    }
+
+    private static void readToEnd(HttpEngine engine) throws UpstreamException, InterruptedException {
+        try (AnswerStream answer = engine.generate(REQUEST)) {
+            AnswerChunk chunk = answer.next();
+            while (!chunk.last()) {
+                chunk = answer.next();
+            }
+        }
+    }
+
+    private <T extends Exception> void assertAnswerFails(String answer, Class<T> expected) throws IOException {
+        try (ScriptedServer server = ScriptedServer.start((request, socket, output) -> {
+            output.write(answer.getBytes(StandardCharsets.UTF_8));
+            return false;
+        })) {
+            assertThrows(expected, () -> readToEnd(engine(server)));
+            assertEquals(
+                    1,
+                    server.requests().stream()
+                            .filter(request -> request.contains("/generate"))
+                            .count());
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    @FaultRow(promise = Promise.COMPLETE_OWN_ANSWER, step = "start of an answer", fault = "no whole answer")
+    void generationWithoutAnswerIsTruncatedAndNotRepeated(WireFault fault) throws IOException {
+        try (ScriptedServer server = fault.server()) {
+            HttpEngine engine = new HttpEngine(client, server.address(), fault.timeLimit());
+            assertThrows(AnswerTruncatedException.class, () -> readToEnd(engine));
+            assertEquals(
+                    1,
+                    server.requests().stream()
+                            .filter(request -> request.contains("/generate"))
+                            .count());
+        }
+    }
+
+    @Test
+    @FaultRow(promise = Promise.TRUE_NOT_RUN, step = "start of a generation", fault = "connection refused")
+    void refusedConnectionMeansNotSent() throws IOException {
+        HttpEngine engine = new HttpEngine(client, ScriptedServer.refusingAddress());
+        assertThrows(NotSentException.class, () -> engine.generate(REQUEST));
+        assertThrows(NotSentException.class, () -> engine.apply(ORDER, () -> true));
+    }
+
+    @Test
+    @FaultRow(promise = Promise.COMPLETE_OWN_ANSWER, step = "middle of an answer", fault = "connection closed")
+    void streamClosedInTheMiddleIsTruncated() throws IOException {
+        assertAnswerFails(
+                STREAM_HEAD + chunks(line(OWN, 0, false), line(OWN, 1, false)), AnswerTruncatedException.class);
+    }
+
+    @Test
+    @FaultRow(promise = Promise.COMPLETE_OWN_ANSWER, step = "end of an answer", fault = "end mark missing")
+    void streamWithoutEndMarkIsTruncated() throws IOException {
+        assertAnswerFails(stream(line(OWN, 0, false), line(OWN, 1, false)), AnswerTruncatedException.class);
+    }
+
+    @Test
+    @FaultRow(promise = Promise.COMPLETE_OWN_ANSWER, step = "middle of an answer", fault = "chunk of another exchange")
+    void chunkOfAnotherExchangeIsWrong() throws IOException {
+        assertAnswerFails(
+                stream(line(OWN, 0, false), line("quito-n-1/a/8", 1, false), line(OWN, 2, true)),
+                WrongAnswerException.class);
+        assertAnswerFails(stream(line("quito-n-1/b/7", 0, true)), WrongAnswerException.class);
+    }
+
+    @Test
+    @FaultRow(promise = Promise.COMPLETE_OWN_ANSWER, step = "middle of an answer", fault = "index gap or repeat")
+    void gapAndRepeatOfTheIndexAreWrong() throws IOException {
+        assertAnswerFails(stream(line(OWN, 0, false), line(OWN, 2, true)), WrongAnswerException.class);
+        assertAnswerFails(stream(line(OWN, 0, false), line(OWN, 0, true)), WrongAnswerException.class);
+        assertAnswerFails(stream(line(OWN, 1, true)), WrongAnswerException.class);
+    }
+
+    @Test
+    void lineThatIsNoChunkIsWrong() throws IOException {
+        assertAnswerFails(stream("{\"exchange\":\n"), WrongAnswerException.class);
+        assertAnswerFails(stream("{\"exchange\":\"" + OWN + "\"}\n"), WrongAnswerException.class);
+        assertAnswerFails(stream("\n"), WrongAnswerException.class);
+    }
+
+    @Test
+    void endlessLineIsCutOff() throws IOException {
+        assertAnswerFails(stream("x".repeat(100_000)), AnswerTruncatedException.class);
+    }
+
+    @Test
+    void refusalsAreTyped() throws IOException {
+        assertAnswerFails(ScriptedServer.status(503), UpstreamRefusedException.class);
+        assertAnswerFails(ScriptedServer.status(500), AnswerTruncatedException.class);
+    }
+
+    @Test
+    @FaultRow(promise = Promise.COMPLETE_OWN_ANSWER, step = "next answer on a connection", fault = "rest of an answer")
+    void restOfAnAbandonedAnswerNeverReachesTheNextExchange() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start((request, socket, output) -> {
+            output.write(stream(line(OWN, 0, false), line(OWN, 1, true)).getBytes(StandardCharsets.UTF_8));
+            return true;
+        })) {
+            HttpEngine engine = engine(server);
+            try (AnswerStream answer = engine.generate(REQUEST)) {
+                assertEquals(0, answer.next().index());
+            }
+            readToEnd(engine);
+            assertTrue(server.connections() >= 2, "the abandoned connection is not used again");
+        }
+    }
+
+    @Test
+    @FaultRow(promise = Promise.AT_MOST_ONCE, step = "start of a generation", fault = "stale pooled connection")
+    void generationOnAStaleConnectionIsNotSentAgain() throws Exception {
+        AtomicLong generations = new AtomicLong();
+        try (ScriptedServer server = ScriptedServer.start((request, socket, output) -> {
+            if (generations.incrementAndGet() == 1) {
+                output.write(stream(line(OWN, 0, true)).getBytes(StandardCharsets.UTF_8));
+                return true;
+            }
+            return false;
+        })) {
+            HttpEngine engine = engine(server);
+            readToEnd(engine);
+            assertThrows(AnswerTruncatedException.class, () -> readToEnd(engine));
+            assertEquals(2, generations.get());
+            assertEquals(1, server.connections());
+        }
+    }
+
+    @Test
+    void closingBeforeTheEndTellsTheEngine() throws Exception {
+        CountDownLatch cancelled = new CountDownLatch(1);
+        try (ScriptedServer server = ScriptedServer.start((request, socket, output) -> {
+            if (request.startsWith("POST /cancel")) {
+                cancelled.countDown();
+            }
+            output.write((STREAM_HEAD + chunks(line(OWN, 0, false))).getBytes(StandardCharsets.UTF_8));
+            return true;
+        })) {
+            try (AnswerStream answer = engine(server).generate(REQUEST)) {
+                answer.next();
+            }
+            assertTrue(cancelled.await(10, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void slowReaderStopsTheSender() throws Exception {
+        long limit = 256L << 20;
+        AtomicLong written = new AtomicLong();
+        byte[] part = chunks(line(OWN, 0, false).repeat(100)).getBytes(StandardCharsets.UTF_8);
+        try (ScriptedServer server = ScriptedServer.start((request, socket, output) -> {
+            output.write(STREAM_HEAD.getBytes(StandardCharsets.UTF_8));
+            while (written.get() < limit) {
+                output.write(part);
+                written.addAndGet(part.length);
+            }
+            return false;
+        })) {
+            HttpEngine engine = new HttpEngine(client, server.address());
+            try (AnswerStream answer = engine.generate(REQUEST)) {
+                answer.next();
+                long before = -1;
+                while (before != written.get()) {
+                    before = written.get();
+                    Thread.sleep(300);
+                }
+                assertTrue(before < limit / 4, "the sender got rid of " + before + " bytes without a reader");
+            }
+        }
+    }
+
+    @Test
+    @FaultRow(promise = Promise.STALE_AUTHORITY_HARMLESS, step = "order", fault = "authority lost before the send")
+    void orderWithoutPermissionIsNotSent() throws Exception {
+        try (ScriptedServer server = ScriptedServer.answering(ScriptedServer.ok("{}"))) {
+            assertThrows(NotSentException.class, () -> engine(server).apply(ORDER, () -> false));
+            engine(server).apply(ORDER, () -> server.connections() == 2);
+            assertEquals(1, server.requests().size());
+        }
+    }
+
+    @Test
+    void staleFencingNumberIsTyped() throws IOException {
+        try (ScriptedServer server = ScriptedServer.answering(ScriptedServer.status(409))) {
+            assertThrows(StaleFencingNumberException.class, () -> engine(server).apply(ORDER, () -> true));
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "SILENCE")
+    @FaultRow(promise = Promise.NO_CONFLICTING_ORDERS, step = "order", fault = "no whole answer")
+    void orderWithoutWholeAnswerIsUnknownAndNotRepeated(WireFault fault) throws IOException {
+        try (ScriptedServer server = fault.server()) {
+            assertThrows(AnswerTruncatedException.class, () -> engine(server).apply(ORDER, () -> true));
+            assertEquals(1, server.requests().size());
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/adapter/HttpPlainServiceTest.java
@@ -0,0 +1,126 @@
+package io.banyantally.internal.adapter;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.banyantally.internal.invariant.Promise;
+import io.banyantally.model.ExchangeId;
+import io.banyantally.model.Incarnation;
+import io.banyantally.model.VmId;
+import io.banyantally.testing.FaultRow;
+import io.banyantally.upstream.AnswerTruncatedException;
+import io.banyantally.upstream.HeaderField;
+import io.banyantally.upstream.NotSentException;
+import io.banyantally.upstream.ServiceAnswer;
+import io.banyantally.upstream.ServiceCall;
+import io.banyantally.upstream.WrongAnswerException;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against a second send of a call that may not be repeated, and against answers of other calls. */
+final class HttpPlainServiceTest {
+
+    private static final ServiceCall CALL = new ServiceCall(
+            new ExchangeId(new VmId("sfax-port-2"), new Incarnation(11), 5),
+            "POST",
+            "/packs/orders?lane=a%20b",
+            List.of(
+                    new HeaderField("Authorization", "Bearer secret-key"),
+                    new HeaderField("Cookie", "session=secret-cookie"),
+                    new HeaderField("Order-Id", "order-1")),
+            "{}".getBytes(StandardCharsets.UTF_8));
+    private static final String OWN = "Exchange-Id: sfax-port-2/b/5\r\n";
+
+    private final AdapterHttpClient client = AdapterHttpClient.start();
+
+    @AfterEach
+    void closeClient() {
+        client.close();
+    }
+
+    private HttpPlainService service(ScriptedServer server) {
+        return new HttpPlainService(client, server.address(), Duration.ofSeconds(20));
+    }
+
+    private static String answer(String status, String headers, String body) {
+        return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "SERVER_ERROR")
+    @FaultRow(promise = Promise.AT_MOST_ONCE, step = "call", fault = "no whole answer")
+    void callWithoutWholeAnswerIsSentOnce(WireFault fault) throws IOException {
+        try (ScriptedServer server = fault.server()) {
+            HttpPlainService service = new HttpPlainService(client, server.address(), fault.timeLimit());
+            assertThrows(AnswerTruncatedException.class, () -> service.call(CALL));
+            assertEquals(1, server.requests().size());
+        }
+    }
+
+    @Test
+    @FaultRow(promise = Promise.TRUE_NOT_RUN, step = "call", fault = "connection refused")
+    void refusedConnectionMeansNotSent() throws IOException {
+        HttpPlainService service = new HttpPlainService(client, ScriptedServer.refusingAddress());
+        assertThrows(NotSentException.class, () -> service.call(CALL));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"307 Temporary Redirect", "301 Moved", "401 Unauthorized", "408 Timeout", "503 Busy"})
+    @FaultRow(promise = Promise.AT_MOST_ONCE, step = "call", fault = "answer that invites a second try")
+    void answerThatInvitesASecondTryIsPassedOn(String status) throws Exception {
+        String headers = OWN + "Location: /packs/orders\r\nWWW-Authenticate: Basic realm=a\r\nRetry-After: 0\r\n";
+        try (ScriptedServer server = ScriptedServer.answering(answer(status, headers, "no"))) {
+            ServiceAnswer answer = service(server).call(CALL);
+            assertEquals(Integer.parseInt(status.substring(0, 3)), answer.status());
+            assertEquals(1, server.requests().size());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "Exchange-Id: sfax-port-2/b/6\r\n", "Exchange-Id: sfax-port-2/c/5\r\n"})
+    @FaultRow(promise = Promise.COMPLETE_OWN_ANSWER, step = "answer of a call", fault = "answer of another call")
+    void answerOfAnotherCallIsWrong(String header) throws IOException {
+        try (ScriptedServer server = ScriptedServer.answering(answer("200 OK", header, "ok"))) {
+            assertThrows(WrongAnswerException.class, () -> service(server).call(CALL));
+        }
+    }
+
+    @Test
+    void eachCallOpensItsOwnConnection() throws Exception {
+        try (ScriptedServer server = ScriptedServer.answering(answer("200 OK", OWN, "ok"))) {
+            service(server).call(CALL);
+            service(server).call(CALL);
+            assertEquals(2, server.connections());
+        }
+    }
+
+    @Test
+    @FaultRow(promise = Promise.TENANT_ISOLATION, step = "call", fault = "caller's key among the headers")
+    void headersThatCarryKeysAreNotForwarded() throws Exception {
+        try (ScriptedServer server = ScriptedServer.answering(answer("200 OK", OWN + "Lane: a\r\n", "ok"))) {
+            ServiceAnswer answer = service(server).call(CALL);
+            String request = server.requests().getFirst();
+            assertFalse(request.contains("secret"), request);
+            assertTrue(request.startsWith("POST /packs/orders?lane=a%20b HTTP/1.1"), request);
+            assertTrue(request.contains("Order-Id: order-1"), request);
+            assertTrue(answer.headers().contains(new HeaderField("Lane", "a")));
+        }
+    }
+
+    @Test
+    void overlongAnswerCountsAsCut() throws IOException {
+        try (ScriptedServer server = ScriptedServer.answering(answer("200 OK", OWN, "x".repeat(5 << 20)))) {
+            assertThrows(AnswerTruncatedException.class, () -> service(server).call(CALL));
+            assertEquals(1, server.requests().size());
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/adapter/ScriptedServer.java
@@ -0,0 +1,138 @@
+package io.banyantally.internal.adapter;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A server on a raw socket that answers byte for byte as a test says, and counts what arrives. */
+final class ScriptedServer implements AutoCloseable {
+
+    private static final Socket BOUND = new Socket();
+
+    private final ServerSocket listener;
+    private final Script script;
+    private final List<Socket> open = new CopyOnWriteArrayList<>();
+    private final List<String> requests = new CopyOnWriteArrayList<>();
+    private final AtomicInteger connections = new AtomicInteger();
+
+    /** What the server does after it has read a request. It returns whether the connection stays open. */
+    @FunctionalInterface
+    interface Script {
+        boolean answer(String request, Socket socket, OutputStream output) throws IOException, InterruptedException;
+    }
+
+    private ScriptedServer(ServerSocket listener, Script script) {
+        this.listener = listener;
+        this.script = script;
+    }
+
+    static ScriptedServer start(Script script) throws IOException {
+        ScriptedServer server = new ScriptedServer(new ServerSocket(0, 128, InetAddress.getLoopbackAddress()), script);
+        Thread.ofVirtual().start(server::accept);
+        return server;
+    }
+
+    /** A server that writes a text after each request and keeps the connection. */
+    static ScriptedServer answering(String text) throws IOException {
+        return start((request, socket, output) -> {
+            output.write(text.getBytes(StandardCharsets.UTF_8));
+            output.flush();
+            return true;
+        });
+    }
+
+    /** An address where nothing listens; its port stays bound, so that nobody else takes it. */
+    static InetSocketAddress refusingAddress() throws IOException {
+        synchronized (BOUND) {
+            if (!BOUND.isBound()) {
+                BOUND.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            }
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), BOUND.getLocalPort());
+        }
+    }
+
+    static String ok(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body;
+    }
+
+    static String status(int status) {
+        return "HTTP/1.1 " + status + " Status\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.getLocalPort());
+    }
+
+    /** The requests that arrived whole, headers and body. */
+    List<String> requests() {
+        return requests;
+    }
+
+    int connections() {
+        return connections.get();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                connections.incrementAndGet();
+                open.add(socket);
+                Thread.ofVirtual().start(() -> serve(socket));
+            }
+        } catch (IOException closed) {
+            // The test has ended.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream input = new BufferedInputStream(socket.getInputStream());
+            boolean goOn = true;
+            while (goOn) {
+                String request = readRequest(input);
+                requests.add(request);
+                goOn = script.answer(request, socket, socket.getOutputStream());
+            }
+        } catch (IOException | InterruptedException ended) {
+            // The other side closed, or the test has ended.
+        }
+    }
+
+    private static String readRequest(InputStream input) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = input.read();
+            if (next < 0) {
+                throw new IOException("closed before the end of a request");
+            }
+            head.append((char) next);
+        }
+        int length = 0;
+        for (String line : head.toString().split("\r\n", -1)) {
+            if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+                length = Integer.parseInt(
+                        line.substring("content-length:".length()).trim());
+            }
+        }
+        return head + new String(input.readNBytes(length), StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket socket : open) {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/adapter/WireFault.java
@@ -0,0 +1,49 @@
+package io.banyantally.internal.adapter;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+
+/** What a receiver may do after a request has reached it, so that its effect is unknown. */
+enum WireFault {
+    CLOSE_WITHOUT_ANSWER(""),
+    CLOSE_IN_STATUS_LINE("HTTP/1.1 2"),
+    CLOSE_IN_HEADERS("HTTP/1.1 200 OK\r\nContent-Le"),
+    CLOSE_IN_BODY("HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{\"outcome\":\"DONE\""),
+    CLOSE_IN_CHUNK("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n{\"outc"),
+    NO_HTTP("not an HTTP answer\r\n\r\n"),
+    NO_LENGTH("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{}"),
+    SERVER_ERROR(ScriptedServer.status(500)),
+    RESET(""),
+    SILENCE("");
+
+    private final String answer;
+
+    WireFault(String answer) {
+        this.answer = answer;
+    }
+
+    boolean answer(String request, Socket socket, OutputStream output) throws IOException, InterruptedException {
+        if (this == SILENCE) {
+            new CountDownLatch(1).await();
+        }
+        if (this == RESET) {
+            socket.setSoLinger(true, 0);
+        }
+        output.write(answer.getBytes(StandardCharsets.UTF_8));
+        output.flush();
+        return false;
+    }
+
+    /** Short where the limit is what ends the call; ample elsewhere, so that a busy machine changes no verdict. */
+    Duration timeLimit() {
+        return this == SILENCE ? Duration.ofMillis(400) : Duration.ofSeconds(20);
+    }
+
+    ScriptedServer server() throws IOException {
+        return ScriptedServer.start(this::answer);
+    }
+}
