Add the fault matrix and random schedules of the configuration

Cause: nothing showed that withdrawals and revisions hold under faults.

Ruled out: real threads and clocks in the matrix, because a row must give the same verdict on every run; faults strike in the middle of calls through the hooks of the key-value and peer fakes instead.

Change: 13 faults at 10 steps of a change and of a withdrawal, alone and in pairs; a row for each guard; random schedules over 5 VMs. A proof as of the very reading of the clock at which a VM started no longer lets it count in a majority: two rows found that with a clock that stood still.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ConfigurationExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ConfigurationExchange.java
@@ -94,10 +94,10 @@
             ProofAnswer answer = PROOF_ANSWER.decode(network.request(peer, PROOF, query, REQUEST_TIMEOUT));
             applyFrom(peer, answer);
             return Optional.of(note(peer, answer, askedAt));
-        } catch (PeerException failure) {
+        } catch (PeerException | BucketUnavailableException failure) {
             LOG.debugf("event=configuration.ask.failed peer=%s reason=\"%s\"", peer, failure.getMessage());
             return Optional.empty();
-        } catch (ConfigurationDamagedException | BucketUnavailableException failure) {
+        } catch (ConfigurationDamagedException failure) {
             LOG.warnf("event=configuration.fetch.failed peer=%s reason=\"%s\"", peer, failure.getMessage());
             return Optional.empty();
         }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ConfigurationReplica.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ConfigurationReplica.java
@@ -108,7 +108,7 @@
      */
     synchronized void creditPlatform(Revision proven, long instant) {
         if (!proven.isAfter(revision())) {
-            state = state.provenByPlatform(instant, instant - startedAt >= 0);
+            state = state.provenByPlatform(instant, instant - startedAt > 0);
         }
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ManifestWatch.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ManifestWatch.java
@@ -50,10 +50,10 @@
             known = answered;
             replica.creditPlatform(revision, askedAt);
             return true;
-        } catch (StoreException failure) {
+        } catch (StoreException | BucketUnavailableException failure) {
             LOG.debugf("event=configuration.watch.failed reason=\"%s\"", failure.getMessage());
-        } catch (ConfigurationDamagedException | BucketUnavailableException | InvariantViolationException failure) {
-            LOG.warnf("event=configuration.watch.failed reason=\"%s\"", failure.getMessage());
+        } catch (ConfigurationDamagedException | InvariantViolationException failure) {
+            LOG.warnf("event=configuration.watch.rejected reason=\"%s\"", failure.getMessage());
         }
         return false;
     }
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/configuration/MatrixFault.java
@@ -0,0 +1,18 @@
+package io.banyantally.internal.configuration;
+
+/** What goes wrong at a step of a change. */
+enum MatrixFault {
+    WRITER_KILLED,
+    WRITER_PAUSED,
+    PLATFORM_DOWN,
+    PLATFORM_SLOW,
+    REQUEST_LOST,
+    ANSWER_LOST,
+    SAME_ENTRY_RACE,
+    OTHER_ENTRY_RACE,
+    VM_CUT_FROM_PLATFORM,
+    VM_CUT_FROM_PEERS,
+    VM_CUT_FROM_ALL,
+    VM_RESTARTED_BESIDE_AN_OLD_PEER,
+    ROSTER_CHANGES
+}
