Add the operators' command line

Cause: operators need commands for templates, client accounts, keys, roster and status against any entry daemon.

The handler names the scheme in a 401, without which HTTP clients report a broken protocol instead of the refusal.

--- /dev/null
+++ b/modules/banyantally-daemon/src/main/java/io/banyantally/daemon/operator/ServiceCommands.java
@@ -0,0 +1,15 @@
+package io.banyantally.daemon.operator;
+
+import picocli.CommandLine.Command;
+
+/** Commands for the templates of services. */
+@Command(
+        name = "service",
+        mixinStandardHelpOptions = true,
+        description = "Reads and changes the templates of services.")
+final class ServiceCommands extends EntryCommands {
+
+    ServiceCommands() {
+        super("services");
+    }
+}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/operator/OperatorHandler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/operator/OperatorHandler.java
@@ -67,6 +67,9 @@
         }
         OperatorAnswer answer = answer(request, path.substring(PREFIX.length()));
         response.setStatus(answer.status());
+        if (answer.status() == HttpStatus.UNAUTHORIZED_401) {
+            response.getHeaders().put(HttpHeader.WWW_AUTHENTICATE, "Bearer");
+        }
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
         // An answer may hold a new key, which no cache may keep.
         response.getHeaders().put(HttpHeader.CACHE_CONTROL, "no-store");
