Write identifiers as plain texts on the wire

Cause: the platform stand-in answered 400 to a directory entry with "zone": "quito-n", because identifiers were objects with one field. Ruled out: sending {"value": ...} from the demo, which no user would expect; Jackson annotations on the value types, which have no other need of a JSON library.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/WireFormat.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/WireFormat.java
@@ -12,6 +12,7 @@
 
     private static final ObjectMapper MAPPER = new ObjectMapper()
             .registerModule(new Jdk8Module())
+            .registerModule(new IdentifierModule())
             .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false)
             .configure(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES, true);
 
