Wire the entry daemon and its command line

Cause: the parts behind their interfaces did not run as one process. Ruled out: running Dagger through the compiler plugin, whose incremental build removed the committed sources after a failed build; a SIGTERM handler outside a shutdown hook, which needs an unsupported JDK class. Change: facade and builder; Dagger modules with committed sources and tools/generate, checked by the test command; commands entry and timeline; the graceful shutdown; status sections for operators. Admission and routing are still the simple ones, usage is not recorded. Conclusion: a request is served from caller to engine by separate processes.

--- /dev/null
+++ b/modules/banyantally-daemon/src/main/java/io/banyantally/daemon/Main.java
@@ -0,0 +1,21 @@
+package io.banyantally.daemon;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** The command line of banyantally. */
+@Command(
+        name = "banyantally",
+        mixinStandardHelpOptions = true,
+        version = "banyantally 0.1.0",
+        description = "Serves language models and the services around them on a limited fleet.",
+        subcommands = {EntryCommand.class, TimelineCommand.class})
+public final class Main {
+
+    private Main() {}
+
+    /** Runs a command and exits with its code. */
+    public static void main(String[] arguments) {
+        System.exit(new CommandLine(new Main()).execute(arguments));
+    }
+}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/Generation.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/Generation.java
@@ -13,7 +13,9 @@
 import io.banyantally.upstream.AnswerChunk;
 import io.banyantally.upstream.AnswerStream;
 import io.banyantally.upstream.GenerationRequest;
+import io.banyantally.upstream.NotSentException;
 import io.banyantally.upstream.UpstreamException;
+import io.banyantally.upstream.UpstreamRefusedException;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.HashSet;
@@ -26,7 +28,7 @@
  */
 final class Generation {
 
-    private static final Duration NO_UPSTREAM_RETRY_AFTER = Duration.ofSeconds(1);
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
     private final UpstreamAccess services;
     private final ClientAccountParameters account;
@@ -37,6 +39,7 @@
     private final Set<UpstreamId> failed = new HashSet<>();
     private final StringBuilder delivered = new StringBuilder();
     private int nextIndex;
+    private boolean mayHaveRun;
 
     Generation(
             UpstreamAccess services,
@@ -70,9 +73,7 @@
         try {
             return services.router().choose(request);
         } catch (NoUpstreamException none) {
-            throw failed.isEmpty()
-                    ? RequestRefusedException.notRun(ErrorType.NO_UPSTREAM, NO_UPSTREAM_RETRY_AFTER, none.getMessage())
-                    : RequestRefusedException.mayHaveRun(ErrorType.UPSTREAM_FAILED, "every upstream tried has failed");
+            throw failure(ErrorType.NO_UPSTREAM, none.getMessage());
         }
     }
 
@@ -124,6 +125,7 @@
 
     private void prepareResume(UpstreamId upstream, UpstreamException failure) throws RequestRefusedException {
         failed.add(upstream);
+        mayHaveRun |= !(failure instanceof NotSentException || failure instanceof UpstreamRefusedException);
         if (!ticket.tryRetry()) {
             services.timeline()
                     .record(
@@ -131,8 +133,7 @@
                             EventField.of("account", account.account()),
                             EventField.of("upstream", upstream),
                             EventField.of("reason", failure.getMessage()));
-            throw RequestRefusedException.mayHaveRun(
-                    ErrorType.UPSTREAM_FAILED, "the upstream failed and the retry budget is used up");
+            throw failure(ErrorType.UPSTREAM_FAILED, "the upstream failed and the retry budget is used up");
         }
         services.timeline()
                 .record(
@@ -142,4 +143,10 @@
                         EventField.of("tokens", nextIndex),
                         EventField.of("reason", failure.getMessage()));
     }
+
+    private RequestRefusedException failure(ErrorType typeIfNotRun, String message) {
+        return mayHaveRun
+                ? RequestRefusedException.mayHaveRun(ErrorType.UPSTREAM_FAILED, message)
+                : RequestRefusedException.notRun(typeIfNotRun, RETRY_AFTER, message);
+    }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/membership/Membership.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/membership/Membership.java
@@ -6,6 +6,7 @@
 import io.banyantally.internal.timeline.Timeline;
 import io.banyantally.model.AvailabilityZone;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,9 @@
 /** Knows the entry VMs that are alive and gives callers their addresses, nearest availability zone first. */
 public final class Membership {
 
+    /** How long it takes at most until no peer gives a draining VM's address: one heartbeat and its answer. */
+    public static final Duration SPREAD_TIME = Heartbeats.INTERVAL.multipliedBy(2);
+
     private final Peer self;
     private final Map<AvailabilityZone, Double> distances;
     private final Heartbeats heartbeats;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/settings/EntrySettings.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/settings/EntrySettings.java
@@ -20,6 +20,7 @@
  * @param callers where callers and operators connect
  * @param peers where other entry VMs connect
  * @param seeds entry VMs to connect to before the platform's list is known
+ * @param usageWindowSeconds how long a usage window stays open
  * @param addressTimeToLiveMillis how long callers keep the addresses that they were given
  * @param drainLimitSeconds how long a graceful shutdown waits for running requests
  */
@@ -34,12 +35,14 @@
         List<ZoneDistance> distances,
         PlatformSettings platform,
         OperatorTokenSettings operatorToken,
+        int usageWindowSeconds,
         int addressTimeToLiveMillis,
         int drainLimitSeconds,
         int maximumHeaderBytes,
         int maximumBodyBytes,
         int maximumPromptTokens) {
 
+    private static final int DEFAULT_USAGE_WINDOW_SECONDS = 60;
     private static final int DEFAULT_ADDRESS_TIME_TO_LIVE_MILLIS = 5_000;
     private static final int DEFAULT_DRAIN_LIMIT_SECONDS = 600;
     private static final int DEFAULT_HEADER_BYTES = 16 * 1024;
@@ -103,6 +106,7 @@
                 fields.objects("distances", ZoneDistance::read),
                 PlatformSettings.read(fields.object("platform")),
                 OperatorTokenSettings.read(fields.object("operatorToken")),
+                fields.integer("usageWindowSeconds", 1, 3_600, DEFAULT_USAGE_WINDOW_SECONDS),
                 fields.integer("addressTimeToLiveMillis", 100, 60_000, DEFAULT_ADDRESS_TIME_TO_LIVE_MILLIS),
                 fields.integer("drainLimitSeconds", 1, 86_400, DEFAULT_DRAIN_LIMIT_SECONDS),
                 fields.integer("maximumHeaderBytes", 1_024, 65_536, DEFAULT_HEADER_BYTES),
--- a/modules/banyantally/src/main/java/io/banyantally/internal/settings/JsonFields.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/settings/JsonFields.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.net.InetSocketAddress;
-import java.net.URI;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -87,6 +86,17 @@
                 .orElse(defaultValue);
     }
 
+    /** Reads true or false, or takes the default when the field is absent. */
+    public boolean flag(String name, boolean defaultValue) {
+        if (!has(name)) {
+            return defaultValue;
+        }
+        return value(name, "true or false")
+                .map(value ->
+                        value.isBoolean() ? value.booleanValue() : problem(name, value, "true or false", defaultValue))
+                .orElse(defaultValue);
+    }
+
     /** Reads an address such as {@code 10.0.0.1:8080}; host names are not looked up. */
     public InetSocketAddress address(String name) {
         return text(
@@ -96,17 +106,6 @@
                 JsonFields::parseAddress);
     }
 
-    /** Reads the address of an HTTP interface such as {@code http://10.0.0.1:9000}. */
-    public URI uri(String name) {
-        return text(name, "an address such as http://10.0.0.1:9000", URI.create("http://0.0.0.0"), text -> {
-            URI uri = URI.create(text);
-            if (uri.getHost() == null || !("http".equals(uri.getScheme()) || "https".equals(uri.getScheme()))) {
-                throw new IllegalArgumentException(text);
-            }
-            return uri;
-        });
-    }
-
     /** Reads a nested object. */
     public JsonFields object(String name) {
         Optional<JsonNode> value = value(name, "an object");
--- a/modules/banyantally/src/main/java/io/banyantally/internal/settings/PlatformSettings.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/settings/PlatformSettings.java
@@ -1,19 +1,29 @@
 package io.banyantally.internal.settings;
 
-import java.net.URI;
+import java.net.InetSocketAddress;
 
-/** Where the platform's interfaces are. */
+/**
+ * Where the platform's interfaces are.
+ *
+ * @param orderTokens whether the ordering interface recognises a repeated order by its token
+ */
 public record PlatformSettings(
-        URI keyValueStore, URI upstreamOrdering, URI usageReports, URI vmDirectory, URI weightStore) {
+        InetSocketAddress keyValueStore,
+        InetSocketAddress upstreamOrdering,
+        InetSocketAddress usageReports,
+        InetSocketAddress vmDirectory,
+        InetSocketAddress weightStore,
+        boolean orderTokens) {
 
     /** Reads the settings; problems are collected by {@code fields}. */
     static PlatformSettings read(JsonFields fields) {
         PlatformSettings settings = new PlatformSettings(
-                fields.uri("keyValueStore"),
-                fields.uri("upstreamOrdering"),
-                fields.uri("usageReports"),
-                fields.uri("vmDirectory"),
-                fields.uri("weightStore"));
+                fields.address("keyValueStore"),
+                fields.address("upstreamOrdering"),
+                fields.address("usageReports"),
+                fields.address("vmDirectory"),
+                fields.address("weightStore"),
+                fields.flag("orderTokens", true));
         fields.finish();
         return settings;
     }
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/EntryDaemon.java
@@ -0,0 +1,127 @@
+package io.banyantally.internal.wiring;
+
+import io.banyantally.StartFailedException;
+import io.banyantally.internal.configuration.ConfigurationTasks;
+import io.banyantally.internal.http.EntryServer;
+import io.banyantally.internal.http.ServerException;
+import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.membership.DirectoryWatcher;
+import io.banyantally.internal.membership.Membership;
+import io.banyantally.internal.operator.OperatorHandler;
+import io.banyantally.internal.peer.TcpPeerNetwork;
+import io.banyantally.internal.routing.DirectoryCatalogue;
+import io.banyantally.internal.settings.EntrySettings;
+import io.banyantally.internal.timeline.EventField;
+import io.banyantally.internal.timeline.EventKind;
+import io.banyantally.internal.timeline.Timeline;
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+/** Starts the parts of an entry daemon in order, and shuts them down gracefully. */
+@Singleton
+public final class EntryDaemon {
+
+    private static final EventLog LOG = EventLog.of(EntryDaemon.class);
+
+    private final EntrySettings settings;
+    private final TcpPeerNetwork network;
+    private final Membership membership;
+    private final DirectoryWatcher directory;
+    private final DirectoryCatalogue catalogue;
+    private final ConfigurationTasks configuration;
+    private final EntryServer server;
+    private final BackgroundTasks background;
+    private final KnownPeers knownPeers;
+    private final Timeline timeline;
+
+    @Inject
+    EntryDaemon(
+            EntrySettings settings,
+            TcpPeerNetwork network,
+            Membership membership,
+            DirectoryWatcher directory,
+            DirectoryCatalogue catalogue,
+            ConfigurationTasks configuration,
+            EntryServer server,
+            BackgroundTasks background,
+            KnownPeers knownPeers,
+            StatusSections sections,
+            OperatorHandler operators,
+            Timeline timeline) {
+        sections.register(operators);
+        this.settings = settings;
+        this.network = network;
+        this.membership = membership;
+        this.directory = directory;
+        this.catalogue = catalogue;
+        this.configuration = configuration;
+        this.server = server;
+        this.background = background;
+        this.knownPeers = knownPeers;
+        this.timeline = timeline;
+    }
+
+    /** Starts everything; callers can connect when it returns. */
+    public void start() throws StartFailedException {
+        try {
+            network.start();
+            server.start();
+        } catch (IOException failure) {
+            throw new StartFailedException("cannot listen for peers at " + settings.peers(), failure);
+        } catch (ServerException failure) {
+            throw new StartFailedException(failure.getMessage(), failure);
+        }
+        timeline.record(
+                EventKind.VM_STARTED,
+                EventField.of("zone", settings.zone()),
+                EventField.of("callers", server.address()));
+        knownPeers.useSeeds();
+        directory.addListener(knownPeers::update);
+        directory.addListener(catalogue::update);
+        directory.start();
+        membership.start(server.address());
+        configuration.start();
+        background.start();
+    }
+
+    /** Returns where callers connect. */
+    public InetSocketAddress callersAddress() {
+        return server.address();
+    }
+
+    /** Returns where peers connect. */
+    public InetSocketAddress peersAddress() {
+        return new InetSocketAddress(settings.peers().getAddress(), network.port());
+    }
+
+    /**
+     * Leaves the addresses, goes on until callers' copies of them have run out, finishes running requests, then stops.
+     *
+     * @return false if requests still ran at the drain limit
+     */
+    public boolean drainAndStop() throws InterruptedException {
+        timeline.record(EventKind.VM_DRAINING);
+        membership.startDraining();
+        Thread.sleep(Duration.ofMillis(settings.addressTimeToLiveMillis()).plus(Membership.SPREAD_TIME));
+        boolean finished = server.inFlight().closeAndAwaitEmpty(Duration.ofSeconds(settings.drainLimitSeconds()));
+        background.stop();
+        configuration.stop();
+        directory.stop();
+        timeline.record(EventKind.VM_STOPPED, EventField.of("finished", finished));
+        membership.stop();
+        stopServers();
+        return finished;
+    }
+
+    private void stopServers() {
+        try {
+            server.stop();
+            network.close();
+        } catch (ServerException | IOException failure) {
+            LOG.error("stop_failed", failure);
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/RequestModule.java
@@ -0,0 +1,114 @@
+package io.banyantally.internal.wiring;
+
+import com.codahale.metrics.MetricRegistry;
+import dagger.Binds;
+import dagger.Module;
+import dagger.Provides;
+import io.banyantally.internal.admission.Admission;
+import io.banyantally.internal.admission.UnlimitedAdmission;
+import io.banyantally.internal.configuration.ConfigurationReplica;
+import io.banyantally.internal.configuration.ConfigurationView;
+import io.banyantally.internal.configuration.KeyVerifier;
+import io.banyantally.internal.http.EntryServer;
+import io.banyantally.internal.http.ExchangeIds;
+import io.banyantally.internal.http.UpstreamAccess;
+import io.banyantally.internal.idempotency.CallLedger;
+import io.banyantally.internal.idempotency.StoredCallLedger;
+import io.banyantally.internal.invariant.Invariants;
+import io.banyantally.internal.membership.Membership;
+import io.banyantally.internal.operator.OperatorHandler;
+import io.banyantally.internal.peer.Peer;
+import io.banyantally.internal.peer.PeerNetwork;
+import io.banyantally.internal.routing.DirectoryCatalogue;
+import io.banyantally.internal.routing.RoundRobinRouter;
+import io.banyantally.internal.routing.Router;
+import io.banyantally.internal.routing.UpstreamCatalogue;
+import io.banyantally.internal.routing.UpstreamConnector;
+import io.banyantally.internal.settings.EntrySettings;
+import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.internal.timeline.Timeline;
+import io.banyantally.internal.usage.UsageRecorder;
+import io.banyantally.platform.Platform;
+import jakarta.inject.Singleton;
+import java.util.Optional;
+
+/** Everything that a request passes through. */
+@Module
+abstract class RequestModule {
+
+    @Provides
+    @Singleton
+    static DirectoryCatalogue directoryCatalogue(Timeline timeline) {
+        return new DirectoryCatalogue(timeline);
+    }
+
+    @Binds
+    abstract UpstreamCatalogue catalogue(DirectoryCatalogue catalogue);
+
+    @Provides
+    @Singleton
+    static Router router(UpstreamCatalogue catalogue) {
+        return new RoundRobinRouter(catalogue);
+    }
+
+    @Provides
+    @Singleton
+    static Admission admission() {
+        return new UnlimitedAdmission();
+    }
+
+    @Provides
+    @Singleton
+    static UsageRecorder usage() {
+        return (account, added) -> {};
+    }
+
+    @Provides
+    @Singleton
+    static StoredCallLedger storedLedger(
+            Platform platform,
+            PeerNetwork network,
+            Peer self,
+            MonotonicClock clock,
+            Invariants invariants,
+            Timeline timeline) {
+        return new StoredCallLedger(platform.keyValueStore(), network, self, clock, invariants, timeline);
+    }
+
+    @Binds
+    abstract CallLedger ledger(StoredCallLedger ledger);
+
+    @Provides
+    @Singleton
+    static UpstreamAccess upstreams(
+            Router router, UpstreamConnector connector, UsageRecorder usage, Peer self, Timeline timeline) {
+        return new UpstreamAccess(router, connector, usage, new ExchangeIds(self), timeline);
+    }
+
+    @Provides
+    @Singleton
+    static EntryServer server(
+            EntrySettings settings,
+            MetricRegistry metrics,
+            ConfigurationView configuration,
+            ConfigurationReplica replica,
+            KeyVerifier keys,
+            Admission admission,
+            UpstreamAccess upstreams,
+            CallLedger ledger,
+            Membership membership,
+            OperatorHandler operators) {
+        return new EntryServer(
+                settings,
+                new EntryServer.Services(
+                        metrics,
+                        configuration,
+                        keys,
+                        admission,
+                        upstreams,
+                        ledger,
+                        membership,
+                        () -> replica.isProven() && !membership.isDraining(),
+                        Optional.of(operators)));
+    }
+}
