Run the whole path as separate processes in a demo and a feature

Cause: only separate processes show that a request is served from one end to the other, and what a kill, a drain and a withdrawn key do to it. Ruled out: starting the processes from a daemon, which the system must not do; fixed ports, which collide on a shared machine. Change: ./banyantally demo starts a platform, 6 engines, 3 plain services and 6 entry daemons, runs 20 s of load and checks the result; a Cucumber feature calls every endpoint with its error cases.

--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/Main.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/Main.java
@@ -1,5 +1,6 @@
 package io.banyantally.standins;
 
+import io.banyantally.standins.demo.DemoStepCommand;
 import io.banyantally.standins.engine.EngineCommand;
 import io.banyantally.standins.load.LoadCommand;
 import io.banyantally.standins.platform.PlatformCommand;
@@ -11,7 +12,7 @@
 @Command(
         name = "banyantally",
         mixinStandardHelpOptions = true,
-        subcommands = {Main.StandIn.class, LoadCommand.class},
+        subcommands = {Main.StandIn.class, LoadCommand.class, DemoStepCommand.class},
         description = "Stand-ins for the outside of the system, and the load tool. All listen on loopback only.")
 public final class Main implements Runnable {
 
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/demo/OperatorClient.java
@@ -0,0 +1,49 @@
+package io.banyantally.standins.demo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.banyantally.standins.demo.DemoClient.Answer;
+
+/** Changes the configuration through one entry daemon. */
+final class OperatorClient {
+
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+
+    private final DemoClient client;
+    private final String address;
+    private final String token;
+
+    OperatorClient(DemoClient client, String address, String token) {
+        this.client = client;
+        this.address = address;
+        this.token = token;
+    }
+
+    void put(String collection, String name, ObjectNode document) throws DemoFailedException {
+        change("PUT", "/operator/v1/" + collection + "/" + name, document);
+    }
+
+    /** Gives a key and returns its text. */
+    String giveKey(String account) throws DemoFailedException {
+        ObjectNode document = DemoClient.MAPPER.createObjectNode().put("account", account);
+        return change("POST", "/operator/v1/keys", document).body().get("key").textValue();
+    }
+
+    Answer withdraw(String keyId) throws DemoFailedException {
+        return change("DELETE", "/operator/v1/keys/" + keyId, null);
+    }
+
+    private Answer change(String method, String path, JsonNode document) throws DemoFailedException {
+        long revision = client.get(address, "/operator/v1/status", token)
+                .expect(OK, "status")
+                .body()
+                .get("revision")
+                .asLong();
+        Answer answer = client.send(method, address, path + "?basedOn=" + revision, token, document);
+        if (answer.status() != OK && answer.status() != ACCEPTED && answer.status() != 201) {
+            throw new DemoFailedException(method + " " + path + " answered " + answer.status() + ": " + answer.body());
+        }
+        return answer;
+    }
+}
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/test/java/io/banyantally/standins/processes/CallerSteps.java
@@ -0,0 +1,164 @@
+package io.banyantally.standins.processes;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.cucumber.java.AfterAll;
+import io.cucumber.java.BeforeAll;
+import io.cucumber.java.en.And;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Steps of a caller. One site serves all scenarios; those that stop a daemon come last. */
+public final class CallerSteps {
+
+    private static TestSite site;
+
+    private final List<String> headers = new ArrayList<>();
+    private HttpResponse<String> answer;
+
+    /** Starts the site. */
+    @BeforeAll
+    public static void startSite() throws IOException, InterruptedException {
+        site = new TestSite();
+    }
+
+    /** Ends all processes of the site. */
+    @AfterAll
+    public static void stopSite() {
+        site.close();
+    }
+
+    /** Presents the key that the operators gave. */
+    @Given("a caller with a valid key")
+    public void useValidKey() {
+        headers.addAll(List.of("Authorization", "Bearer " + site.key()));
+    }
+
+    /** Presents something else. */
+    @Given("a caller with the key {string}")
+    public void useKey(String key) {
+        headers.addAll(List.of("Authorization", "Bearer " + key));
+    }
+
+    /** Presents nothing. */
+    @Given("a caller without a key")
+    public void useNoKey() {}
+
+    /** Adds a header. */
+    @And("the header {string} is {string}")
+    public void addHeader(String name, String value) {
+        headers.addAll(List.of(name, value));
+    }
+
+    /** Adds a header of a length. */
+    @And("a header of {int} bytes")
+    public void addLongHeader(int bytes) {
+        headers.addAll(List.of("X-Long", "x".repeat(bytes)));
+    }
+
+    /** Sends a request without a body. */
+    @When("it sends {word} {word}")
+    public void send(String method, String path) {
+        sendWithBody(method, path, "");
+    }
+
+    /** Sends a request. */
+    @When("it sends {word} {word} with {string}")
+    public void sendWithBody(String method, String path, String body) {
+        answer = site.send(
+                method,
+                site.entry(1),
+                path.replace("THE-KEY", site.key()),
+                body.replace("THE-KEY", site.key()),
+                headers.toArray(new String[0]));
+    }
+
+    /** Sends a chat completion whose prompt has a length. */
+    @When("it sends a chat with a prompt of {int} characters")
+    public void sendLongPrompt(int characters) {
+        sendWithBody(
+                "POST",
+                "/v1/chat/completions",
+                "{\"model\":\"assistant\",\"messages\":[{\"role\":\"user\",\"content\":\"" + "x".repeat(characters)
+                        + "\"}]}");
+    }
+
+    /** Checks the status. */
+    @Then("the status is {int}")
+    public void checkStatus(int status) {
+        assertEquals(status, answer.statusCode(), answer.body());
+    }
+
+    /** Checks a typed error. */
+    @Then("it is refused with {int} {word} as not run")
+    public void checkRefusal(int status, String type) {
+        checkStatus(status);
+        JsonNode error = TestSite.json(answer).path("error");
+        assertEquals(type, error.path("type").textValue(), answer.body());
+        assertTrue(error.path("notRun").booleanValue(), answer.body());
+        assertFalse(error.path("message").asText().isEmpty());
+    }
+
+    /** Checks part of the body. */
+    @And("the body contains {string}")
+    public void checkBody(String expected) {
+        assertTrue(answer.body().contains(expected), answer.body());
+    }
+
+    /** Checks a header. */
+    @And("the answer has the header {string} with {string}")
+    public void checkHeader(String name, String value) {
+        assertEquals(value, answer.headers().firstValue(name).orElse("nothing"));
+    }
+
+    /** Checks how often the service has run an order. */
+    @And("the service has run order {string} {int} time(s)")
+    public void checkExecutions(String orderId, int expected) {
+        JsonNode report = TestSite.json(site.send("GET", site.service(), "/control/report", ""));
+        int executions = 0;
+        for (JsonNode order : report.get("orders")) {
+            if (order.get("orderId").asText().equals(orderId)) {
+                executions = order.get("executions").asInt();
+            }
+        }
+        assertEquals(expected, executions);
+    }
+
+    /** Checks that the key is in no output and that no upstream has seen it. */
+    @Then("the key is in no log, metric, time line or upstream report")
+    public void checkKeyIsNowhere() throws IOException {
+        String secret = site.key().split("_", -1)[2];
+        assertFalse(site.allOutput().contains(secret), "a log holds the key");
+        for (String address : List.of(site.engine(), site.service(), site.platform())) {
+            assertFalse(site.send("GET", address, "/control/report", "").body().contains(secret), address);
+        }
+        for (String path : List.of("/metrics", "/operator/v1/status/timeline")) {
+            String body = site.send("GET", site.entry(1), path, "", "Authorization", "Bearer " + TestSite.TOKEN)
+                    .body();
+            assertFalse(body.contains(secret), path);
+        }
+    }
+
+    /** Drains a daemon. */
+    @When("entry daemon {int} is told to stop")
+    public void drain(int number) throws InterruptedException {
+        assertEquals(0, site.entryProcess(number).terminate(Duration.ofSeconds(60)));
+    }
+
+    /** Checks that an address is no longer given. */
+    @Then("entry daemon {int} is no longer in the addresses of daemon {int}")
+    public void checkAddressGone(int gone, int asked) {
+        String addresses =
+                site.send("GET", site.entry(asked), "/v1/addresses", "").body();
+        assertFalse(addresses.contains(site.entry(gone)), addresses);
+    }
+}
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/test/java/io/banyantally/standins/processes/RunningProcess.java
@@ -0,0 +1,76 @@
+package io.banyantally.standins.processes;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A process of the system or a stand-in, started with this test's class path. */
+final class RunningProcess {
+
+    private static final Duration START_LIMIT = Duration.ofSeconds(60);
+
+    private final String name;
+    private final Process process;
+    private final Path output;
+
+    private RunningProcess(String name, Process process, Path output) {
+        this.name = name;
+        this.process = process;
+        this.output = output;
+    }
+
+    static RunningProcess start(Path folder, String name, String mainClass, String... arguments) throws IOException {
+        Path output = folder.resolve(name + ".out");
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx192m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Djava.util.logging.manager=org.jboss.logmanager.LogManager",
+                "--enable-native-access=ALL-UNNAMED",
+                "--sun-misc-unsafe-memory-access=allow",
+                "-cp",
+                System.getProperty("java.class.path"),
+                mainClass));
+        command.addAll(List.of(arguments));
+        Process process = new ProcessBuilder(command)
+                .redirectOutput(output.toFile())
+                .redirectError(folder.resolve(name + ".log").toFile())
+                .start();
+        return new RunningProcess(name, process, output);
+    }
+
+    /** Waits until the process has printed {@code key=value} and returns the value. */
+    String field(String key) throws IOException, InterruptedException {
+        Pattern pattern = Pattern.compile("\\b" + key + "=(\\S+)");
+        long limit = System.nanoTime() + START_LIMIT.toNanos();
+        while (System.nanoTime() < limit && process.isAlive()) {
+            Matcher matcher = pattern.matcher(Files.readString(output));
+            if (matcher.find()) {
+                return matcher.group(1);
+            }
+            Thread.sleep(20);
+        }
+        throw new IllegalStateException(name + " did not print " + key + "; see " + output);
+    }
+
+    void kill() {
+        process.destroyForcibly();
+    }
+
+    /** Asks for a graceful shutdown and returns the exit code. */
+    int terminate(Duration limit) throws InterruptedException {
+        process.destroy();
+        if (!process.waitFor(limit.toMillis(), TimeUnit.MILLISECONDS)) {
+            process.destroyForcibly();
+            throw new IllegalStateException(name + " did not end within " + limit);
+        }
+        return process.exitValue();
+    }
+}
