Add usage counters, their copies at peers, sealing and reports

ZoneUsageFlush merges the counters of a zone into usage-flush/<zone>. UsageSealer opens, gathers, seals from absent and reports; every step can be repeated, since what was stored counts.

Ruled out: the bucket's open window at scope/usage-<bucket>, since authority writes that key; it is at usage/<bucket>/open and fenced by number and revision. Marking late usage exactly, since windows are not known to the VMs that count; the late part is an upper bound.

--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/usage/UsageSealer.java
@@ -0,0 +1,59 @@
+package io.banyantally.internal.usage;
+
+import io.banyantally.internal.authority.Authority;
+import io.banyantally.internal.authority.ScopeTask;
+import io.banyantally.internal.invariant.Invariants;
+import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.internal.timeline.Timeline;
+import io.banyantally.platform.KeyValueStore;
+import io.banyantally.platform.UsageReportSink;
+import java.time.Duration;
+
+/** The task of the owner of {@code usage-<bucket>}: seals the bucket's windows and reports them. */
+public final class UsageSealer implements ScopeTask {
+
+    /** The length of a window on the owner's clock; longer after a change of owner. */
+    static final Duration WINDOW = Duration.ofSeconds(60);
+
+    /** How often a failed step or a report that was not taken is tried again. */
+    private static final Duration PASS_INTERVAL = Duration.ofSeconds(1);
+
+    private final int bucket;
+    private final KeyValueStore store;
+    private final UsageGatherer gatherer;
+    private final UsageReportSink sink;
+    private final MonotonicClock clock;
+    private final Invariants invariants;
+    private final Timeline timeline;
+
+    /** Creates the task of one bucket; the scope is {@link UsageBuckets#scopeOf}. */
+    public UsageSealer(
+            int bucket,
+            KeyValueStore store,
+            UsageGatherer gatherer,
+            UsageReportSink sink,
+            MonotonicClock clock,
+            Invariants invariants,
+            Timeline timeline) {
+        this.bucket = bucket;
+        this.store = store;
+        this.gatherer = gatherer;
+        this.sink = sink;
+        this.clock = clock;
+        this.invariants = invariants;
+        this.timeline = timeline;
+    }
+
+    @Override
+    public void run(Authority authority) throws InterruptedException {
+        BucketSealer sealer = sealerFor(authority);
+        while (authority.isGranted() && sealer.pass()) {
+            Thread.sleep(PASS_INTERVAL);
+        }
+    }
+
+    /** Returns the work of one owner, to be done in passes. */
+    BucketSealer sealerFor(Authority authority) {
+        return new BucketSealer(authority, bucket, store, gatherer, sink, clock, invariants, timeline);
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/usage/ZoneUsageFlush.java
@@ -0,0 +1,122 @@
+package io.banyantally.internal.usage;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import io.banyantally.internal.peer.Peer;
+import io.banyantally.internal.peer.PeerException;
+import io.banyantally.internal.peer.PeerNetwork;
+import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.model.AvailabilityZone;
+import io.banyantally.platform.KeyValueStore;
+import io.banyantally.platform.RevisionConflictException;
+import io.banyantally.platform.StoreException;
+import io.banyantally.platform.StoreKey;
+import io.banyantally.platform.StoreRevision;
+import io.banyantally.platform.VersionedValue;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+
+/** Writes the counters of a zone's VMs to the key-value service, so that they outlive the loss of a whole site. */
+public final class ZoneUsageFlush {
+
+    /** How often {@link #flushOnce()} is to be called. */
+    public static final Duration INTERVAL = Duration.ofSeconds(10);
+
+    /** Two readers of a zone may both write for a short while; the loser of a race merges and writes again. */
+    private static final int MAXIMUM_WRITES = 3;
+
+    private final KeyValueStore store;
+    private final PeerNetwork peers;
+    private final Peer self;
+    private final UsageCounters counters;
+    private final MonotonicClock clock;
+    private final BooleanSupplier firstReader;
+    private final Counter tooLarge;
+
+    /**
+     * Creates the flush of one process.
+     *
+     * @param firstReader whether this VM is its zone's first reader now; two that both say yes do no harm
+     */
+    public ZoneUsageFlush(
+            KeyValueStore store,
+            PeerNetwork peers,
+            Peer self,
+            UsageCounters counters,
+            MonotonicClock clock,
+            BooleanSupplier firstReader,
+            MetricRegistry metrics) {
+        this.store = store;
+        this.peers = peers;
+        this.self = self;
+        this.counters = counters;
+        this.clock = clock;
+        this.firstReader = firstReader;
+        this.tooLarge = metrics.counter("usage.flush.too-large");
+    }
+
+    static StoreKey keyOf(AvailabilityZone zone) {
+        return new StoreKey("usage-flush/" + zone);
+    }
+
+    /**
+     * Gathers the counters of the zone's VMs and merges them into the stored ones.
+     *
+     * @throws StoreException if the flush may not have been written; the next one includes it
+     */
+    public void flushOnce() throws StoreException {
+        if (!firstReader.getAsBoolean()) {
+            return;
+        }
+        CounterTable gathered = counters.ownCounters(counters.ownAccounts());
+        Set<CounterOrigin> present = new HashSet<>(Set.of(counters.own()));
+        GatherQuestion question = new GatherQuestion(GatherQuestion.ALL_BUCKETS, 0, true, false, 0);
+        for (Peer peer : peers.peers()) {
+            if (!peer.zone().equals(self.zone())) {
+                continue;
+            }
+            present.add(CounterOrigin.of(peer));
+            try {
+                gathered.mergeAll(
+                        UsageGatherer.ask(peers, clock, peer, question).counters());
+            } catch (PeerException unanswered) {
+                // The VM's replicas have its counters; the next flush asks again.
+            }
+        }
+        write(gathered, present);
+    }
+
+    private void write(CounterTable gathered, Set<CounterOrigin> present) throws StoreException {
+        for (int writes = 1; ; writes++) {
+            Optional<VersionedValue> stored = store.get(keyOf(self.zone()));
+            byte[] next = read(stored).next(gathered, present).encode();
+            if (next.length > KeyValueStore.MAXIMUM_VALUE_BYTES) {
+                tooLarge.inc();
+                return;
+            }
+            try {
+                StoreRevision expected = stored.map(VersionedValue::revision).orElse(StoreRevision.ABSENT);
+                store.compareAndSwap(keyOf(self.zone()), expected, next);
+                return;
+            } catch (RevisionConflictException raced) {
+                if (writes == MAXIMUM_WRITES) {
+                    throw raced;
+                }
+            }
+        }
+    }
+
+    private static ZoneFlushRecord read(Optional<VersionedValue> stored) {
+        try {
+            return stored.isEmpty()
+                    ? ZoneFlushRecord.EMPTY
+                    : ZoneFlushRecord.decode(stored.get().value());
+        } catch (PeerException malformed) {
+            // The live VMs still hold their counters, so a record that cannot be read is replaced.
+            return ZoneFlushRecord.EMPTY;
+        }
+    }
+}
--- a/modules/banyantally/src/test/java/io/banyantally/internal/idempotency/CallFaultMatrixTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/idempotency/CallFaultMatrixTest.java
@@ -8,6 +8,11 @@
 import io.banyantally.internal.invariant.Promise;
 import io.banyantally.testing.FaultRow;
 import io.banyantally.testing.StoreFault;
+import io.banyantally.testing.StoreOperation;
+import io.banyantally.upstream.AnswerTruncatedException;
+import io.banyantally.upstream.NotSentException;
+import io.banyantally.upstream.ServiceAnswer;
+import io.banyantally.upstream.UpstreamRefusedException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -195,6 +200,21 @@
         world.check();
     }
 
+    @Test
+    @FaultRow(promise = Promise.AT_MOST_ONCE, step = "claim", fault = "answer to the claim lost")
+    void recognisesOwnClaimAfterLostAnswerAndSendsOnce() {
+        boolean[] lost = {false};
+        world.listener = (vm, step, after) -> {
+            boolean loses = step == CallStep.CLAIM && !after && !lost[0];
+            lost[0] |= loses;
+            return loses ? StoreFault.LOST_ANSWER : StoreFault.NONE;
+        };
+        assertInstanceOf(
+                CallOutcome.Ran.class,
+                world.call(first, CallWorld.IDENTITY, "hash").orElseThrow());
+        world.check();
+    }
+
     @Test
     @FaultRow(promise = Promise.AT_MOST_ONCE, step = "claim", fault = "key reused with another body")
     void refusesReusedKeyWithAnotherBody() {
@@ -235,6 +255,7 @@
             return StoreFault.NONE;
         };
         world.call(first, CallWorld.IDENTITY, "hash");
+        assertEquals(List.of("request-0"), world.executions.get(CallWorld.IDENTITY));
         world.check();
     }
 
@@ -246,11 +267,11 @@
                     new CallIdentity(CallWorld.IDENTITY.account(), CallWorld.IDENTITY.service(), "key-" + i),
                     "hash");
         }
-        assertEquals(1, first.store.calls(io.banyantally.testing.StoreOperation.GRANT_LEASE));
-        assertEquals(200, first.store.calls(io.banyantally.testing.StoreOperation.COMPARE_AND_SWAP));
+        assertEquals(1, first.store.calls(StoreOperation.GRANT_LEASE));
+        assertEquals(200, first.store.calls(StoreOperation.COMPARE_AND_SWAP));
         world.advance(LONGER_THAN_RETENTION);
         world.call(first, CallWorld.IDENTITY, "hash");
-        assertEquals(2, first.store.calls(io.banyantally.testing.StoreOperation.GRANT_LEASE));
+        assertEquals(2, first.store.calls(StoreOperation.GRANT_LEASE));
         CallIdentity lapsed = new CallIdentity(CallWorld.IDENTITY.account(), CallWorld.IDENTITY.service(), "key-1");
         assertInstanceOf(CallOutcome.NotFound.class, first.ledger.find(lapsed));
     }
@@ -260,10 +281,7 @@
         byte[] body = new byte[CallRecord.MAXIMUM_BODY_BYTES + 1];
         CallOutcome.Ran ran = assertInstanceOf(
                 CallOutcome.Ran.class,
-                first.ledger.run(
-                        CallWorld.IDENTITY,
-                        "hash",
-                        () -> new io.banyantally.upstream.ServiceAnswer(200, List.of(), body)));
+                first.ledger.run(CallWorld.IDENTITY, "hash", () -> new ServiceAnswer(200, List.of(), body)));
         assertTrue(ran.bodyKept());
         assertFalse(assertInstanceOf(CallOutcome.Ran.class, second.ledger.find(CallWorld.IDENTITY))
                 .bodyKept());
@@ -273,13 +291,13 @@
     @FaultRow(promise = Promise.TRUE_NOT_RUN, step = "direct call", fault = "closed without answer, not sent, refused")
     void tellsNotRunFromUnknownForCallsWithoutKey() throws Exception {
         assertInstanceOf(CallOutcome.Unknown.class, SingleSend.send(() -> {
-            throw new io.banyantally.upstream.AnswerTruncatedException("closed");
+            throw new AnswerTruncatedException("closed");
         }));
         assertInstanceOf(CallOutcome.NotRun.class, SingleSend.send(() -> {
-            throw new io.banyantally.upstream.NotSentException("no connection");
+            throw new NotSentException("no connection");
         }));
         assertInstanceOf(CallOutcome.NotRun.class, SingleSend.send(() -> {
-            throw new io.banyantally.upstream.UpstreamRefusedException("full");
+            throw new UpstreamRefusedException("full");
         }));
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/idempotency/CallVm.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/idempotency/CallVm.java
@@ -10,6 +10,7 @@
 import io.banyantally.model.VmId;
 import io.banyantally.testing.FaultyKeyValueStore;
 import io.banyantally.testing.ManualClock;
+import io.banyantally.testing.ProcessKilledError;
 import io.banyantally.testing.StoreFault;
 import io.banyantally.testing.StoreOperation;
 import java.util.Optional;
--- a/modules/banyantally/src/test/java/io/banyantally/internal/idempotency/CallWorld.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/idempotency/CallWorld.java
@@ -10,6 +10,7 @@
 import io.banyantally.platform.InMemoryKeyValueStore;
 import io.banyantally.testing.FakePeerHub;
 import io.banyantally.testing.ManualClock;
+import io.banyantally.testing.ProcessKilledError;
 import io.banyantally.testing.StoreFault;
 import io.banyantally.upstream.AnswerTruncatedException;
 import io.banyantally.upstream.NotSentException;
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/usage/UsageFault.java
@@ -0,0 +1,21 @@
+package io.banyantally.internal.usage;
+
+/** What can go wrong at one step of usage. */
+enum UsageFault {
+    NONE,
+    KILL_BEFORE,
+    KILL_AFTER,
+    RESTART_AFTER,
+    OWNER_REPLACED_BEFORE,
+    OWNER_REPLACED_AFTER,
+    CUT_LINK,
+    CUT_FROM_ALL_BUT_SERVING,
+    PLATFORM_DOWN,
+    PLATFORM_SLOW,
+    LOST_ANSWER,
+    LOST_REQUEST,
+    REPLICA_KILLED_AFTER,
+    BOTH_KILLED_AFTER,
+    DELIVERY_BEFORE,
+    DELIVERY_AFTER
+}
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/usage/UsageStepListener.java
@@ -0,0 +1,9 @@
+package io.banyantally.internal.usage;
+
+import io.banyantally.testing.StoreFault;
+
+/** Told of every step, immediately before and after it takes effect. */
+@FunctionalInterface
+interface UsageStepListener {
+    StoreFault at(UsageVm vm, UsageStep step, boolean after);
+}
--- a/modules/banyantally/src/test/java/io/banyantally/internal/idempotency/ProcessKilledError.java
+++ b/modules/banyantally/src/test/java/io/banyantally/testing/ProcessKilledError.java
@@ -1,6 +1,6 @@
-package io.banyantally.internal.idempotency;
+package io.banyantally.testing;
 
 /** Ends the thread of a killed process inside a test. */
-final class ProcessKilledError extends Error {
+public final class ProcessKilledError extends Error {
     private static final long serialVersionUID = 1L;
 }
