Own scopes through leases and fenced records

Engine and upstream orders need exactly one owner for each scope, also when a process is paused, cut off or loses the answer of a write.

A lost answer of a write is read back and recognised by writer, incarnation and attempt.

ScopeTask.run now takes OwnedScope, which extends Authority by the record. Sleeper lets tests replace waiting as MonotonicClock replaces time.

--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/authority/AuthorityEnvironment.java
@@ -0,0 +1,33 @@
+package io.banyantally.internal.authority;
+
+import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.internal.time.Sleeper;
+import io.banyantally.internal.timeline.Timeline;
+import java.util.concurrent.ThreadFactory;
+import java.util.random.RandomGenerator;
+
+/**
+ * What the scope owners of one process share.
+ *
+ * @param threads starts one thread for each owner and each running task
+ * @param random draws the jitter that keeps candidates from calling the key-value service at the same time
+ */
+public record AuthorityEnvironment(
+        AuthoritySettings settings,
+        MonotonicClock clock,
+        Sleeper sleeper,
+        Timeline timeline,
+        ThreadFactory threads,
+        RandomGenerator random) {
+
+    /** Returns the environment of a running process. */
+    public static AuthorityEnvironment system(AuthoritySettings settings, Timeline timeline) {
+        return new AuthorityEnvironment(
+                settings,
+                MonotonicClock.SYSTEM,
+                Sleeper.SYSTEM,
+                timeline,
+                Thread.ofVirtual().name("authority-", 0).factory(),
+                RandomGenerator.getDefault());
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/authority/LeaseHolder.java
@@ -0,0 +1,15 @@
+package io.banyantally.internal.authority;
+
+import io.banyantally.internal.peer.MessagePackCodec;
+import io.banyantally.model.Incarnation;
+import io.banyantally.model.VmId;
+
+/** The value of {@code lease/<scope>}: who created it, so that a creation whose answer was lost is recognised. */
+record LeaseHolder(VmId vm, Incarnation incarnation, long attempt) {
+
+    private static final MessagePackCodec<LeaseHolder> CODEC = MessagePackCodec.of(LeaseHolder.class);
+
+    byte[] encode() {
+        return CODEC.encode(this);
+    }
+}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/authority/ScopeTask.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/authority/ScopeTask.java
@@ -4,6 +4,9 @@
 @FunctionalInterface
 public interface ScopeTask {
 
-    /** Runs until the authority is lost or the thread is interrupted; may return early and is then run again. */
-    void run(Authority authority) throws InterruptedException;
+    /**
+     * Runs until {@link Authority#isGranted()} is false or the thread is interrupted; may return early and is then run
+     * again. A release withdraws the authority first and interrupts only a task that does not return in time.
+     */
+    void run(OwnedScope scope) throws InterruptedException;
 }
