Send engine and upstream orders from the scope's owner

An intent is written to the scope record before its order is sent, and an engine with a recorded order gets no other target before it was read back. After an unknown outcome nothing else goes to the engine, or to the ordering interface, until the order can no longer take effect.

A process that pauses between its check and the call would otherwise order after its successor, where neither tokens nor fencing numbers are honoured.

--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/orders/OrderEnvironment.java
@@ -0,0 +1,10 @@
+package io.banyantally.internal.orders;
+
+import io.banyantally.internal.invariant.Invariants;
+import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.internal.time.Sleeper;
+import io.banyantally.internal.timeline.Timeline;
+
+/** What the order executors of one process share. */
+public record OrderEnvironment(
+        OrderSettings settings, MonotonicClock clock, Sleeper sleeper, Timeline timeline, Invariants invariants) {}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/orders/OrderJournal.java
@@ -0,0 +1,108 @@
+package io.banyantally.internal.orders;
+
+import io.banyantally.internal.authority.AuthorityLostException;
+import io.banyantally.internal.authority.OwnedScope;
+import io.banyantally.internal.peer.PeerException;
+import io.banyantally.model.UpstreamId;
+import io.banyantally.platform.OrderToken;
+import io.banyantally.upstream.EngineTarget;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** The intent log of a scope: every order is written here, and the write confirmed, before the order is sent. */
+final class OrderJournal {
+
+    private final OwnedScope scope;
+    private final Map<UpstreamId, EngineIntent> engines = new LinkedHashMap<>();
+    private Optional<UpstreamIntent> upstream;
+
+    private OrderJournal(OwnedScope scope, OrderBook book) {
+        this.scope = scope;
+        this.upstream = book.upstream();
+        book.engines().forEach(intent -> engines.put(intent.engine(), intent));
+    }
+
+    /** Reads what earlier owners, or this one, left in the record. */
+    static OrderJournal open(OwnedScope scope) throws AuthorityLostException {
+        byte[] payload = scope.payload();
+        try {
+            return new OrderJournal(scope, payload.length == 0 ? OrderBook.EMPTY : OrderBook.CODEC.decode(payload));
+        } catch (PeerException failure) {
+            throw new AuthorityLostException("the orders of " + scope.scope() + " are not readable", failure);
+        }
+    }
+
+    Set<UpstreamId> engines() {
+        return Set.copyOf(engines.keySet());
+    }
+
+    Optional<EngineIntent> engine(UpstreamId id) {
+        return Optional.ofNullable(engines.get(id));
+    }
+
+    Optional<UpstreamIntent> upstream() {
+        return upstream;
+    }
+
+    /** Drops the intent for an engine that no longer exists; the record follows with the next write. */
+    void forget(UpstreamId id) {
+        engines.remove(id);
+    }
+
+    /** Writes one intent for each target in a single write of the record. */
+    List<EngineIntent> intend(Map<UpstreamId, EngineTarget> targets)
+            throws AuthorityLostException, InterruptedException {
+        long sequence = scope.sequence();
+        List<EngineIntent> intents = new ArrayList<>();
+        for (Map.Entry<UpstreamId, EngineTarget> entry : targets.entrySet()) {
+            sequence++;
+            intents.add(new EngineIntent(entry.getKey(), entry.getValue(), scope.fencingNumber(), sequence));
+        }
+        intents.forEach(intent -> engines.put(intent.engine(), intent));
+        write(sequence);
+        return intents;
+    }
+
+    /** Writes the intent to order one upstream, under a token that names the scope, its owner and the sequence. */
+    UpstreamIntent intendOrder(boolean cheap, List<UpstreamId> knownBefore)
+            throws AuthorityLostException, InterruptedException {
+        long sequence = scope.sequence() + 1;
+        OrderToken token = new OrderToken(scope.scope() + ":" + scope.fencingNumber() + ":" + sequence);
+        return intend(new UpstreamIntent(
+                UpstreamAction.ORDER, cheap, token, scope.fencingNumber(), sequence, knownBefore, Optional.empty()));
+    }
+
+    /** Writes the intent to give one upstream back. */
+    UpstreamIntent intendGiveBack(boolean cheap, UpstreamId id) throws AuthorityLostException, InterruptedException {
+        long sequence = scope.sequence() + 1;
+        OrderToken token = new OrderToken(scope.scope() + ":" + scope.fencingNumber() + ":" + sequence);
+        return intend(new UpstreamIntent(
+                UpstreamAction.GIVE_BACK, cheap, token, scope.fencingNumber(), sequence, List.of(), Optional.of(id)));
+    }
+
+    /** Writes an earlier owner's intent under this owner's fencing number; its token stays the same. */
+    UpstreamIntent carryOn(UpstreamIntent earlier) throws AuthorityLostException, InterruptedException {
+        return intend(new UpstreamIntent(
+                earlier.action(),
+                earlier.cheap(),
+                earlier.token(),
+                scope.fencingNumber(),
+                scope.sequence() + 1,
+                earlier.knownBefore(),
+                earlier.upstream()));
+    }
+
+    private UpstreamIntent intend(UpstreamIntent intent) throws AuthorityLostException, InterruptedException {
+        upstream = Optional.of(intent);
+        write(intent.sequence());
+        return intent;
+    }
+
+    private void write(long sequence) throws AuthorityLostException, InterruptedException {
+        scope.write(sequence, OrderBook.CODEC.encode(new OrderBook(List.copyOf(engines.values()), upstream)));
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/orders/TargetSource.java
@@ -0,0 +1,12 @@
+package io.banyantally.internal.orders;
+
+import io.banyantally.internal.authority.Scope;
+import java.util.Optional;
+
+/** Gives the owner of a scope the targets that the fleet policy wants now. */
+@FunctionalInterface
+public interface TargetSource {
+
+    /** Returns the targets; empty while the policy has not decided, and then nothing new is ordered. */
+    Optional<ScopeTargets> targets(Scope scope);
+}
