Strike every step of authority and orders with every fault

A deterministic simulation runs the tasks of three VMs one at a time; control passes only at sleeps and at the fakes, and time only passes when every task waits. The checks stand at the receivers' side. The receivers may take nearly the longest order to act on an order they read, so the quiet time after an unknown outcome is now the read timeout plus the longest order (5 s instead of 3 s) and a release may take 7 s.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/authority/AuthoritySettings.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/authority/AuthoritySettings.java
@@ -9,7 +9,8 @@
  * @param renewalInterval the time between two renewals
  * @param margin how much earlier than the lease the authority ends; covers clocks that run at different rates
  * @param takeoverWait how long a successor waits before its first action, unless the scope was handed over
- * @param releaseLimit how long a release waits for the outcome of the last order
+ * @param releaseLimit how long a release waits for the outcome of the last order; longer than the takeover wait,
+ *     after which an unknown outcome is settled
  * @param tick the period of the owner's own check; a longer gap shows a pause
  * @param pauseThreshold the gap between two ticks that is reported as a pause
  * @param watchTimeout how long one watch of a lease lasts; longer watches mean fewer calls
@@ -36,7 +37,7 @@
             Duration.ofSeconds(2),
             Duration.ofMillis(1_500),
             Duration.ofSeconds(5),
-            Duration.ofSeconds(5),
+            Duration.ofSeconds(7),
             Duration.ofMillis(250),
             Duration.ofSeconds(1),
             Duration.ofSeconds(10),
--- a/modules/banyantally/src/main/java/io/banyantally/internal/authority/ScopeRelease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/authority/ScopeRelease.java
@@ -3,6 +3,7 @@
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.time.Sleeper;
 import io.banyantally.platform.StoreException;
+import java.time.Duration;
 
 /** Gives a scope up while its lease runs, so that the successor need not wait. */
 final class ScopeRelease {
@@ -29,11 +30,11 @@
      */
     void release(Thread thread) throws InterruptedException {
         long start = clock.nanoTime();
+        Duration interruptAfter = settings.releaseLimit().minus(settings.pauseThreshold());
         boolean interrupted = false;
         while (!run.isFinished() && held.isUsable() && clock.since(start).compareTo(settings.releaseLimit()) < 0) {
-            if (!interrupted
-                    && clock.since(start).compareTo(settings.releaseLimit().dividedBy(2)) >= 0) {
-                // The task may be asleep for long; an action under way is not cut before half of the limit.
+            if (!interrupted && clock.since(start).compareTo(interruptAfter) >= 0) {
+                // The task may be asleep for long; an action under way is cut only at the end.
                 thread.interrupt();
                 interrupted = true;
             }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/orders/EngineOrderExecutor.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/orders/EngineOrderExecutor.java
@@ -197,7 +197,7 @@
             scope.abandon("engine " + intent.engine() + " has seen a later owner");
             throw new AuthorityLostException("engine " + intent.engine() + " has seen a later owner", stale);
         } catch (UpstreamException unknown) {
-            state.floatsUntil(after(settings.longestOrder()));
+            state.floatsUntil(after(settings.longestEffect()));
             recordFailure(intent, unknown);
         }
         scope.setOutcomesKnown(outcomesKnown());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/orders/OrderSettings.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/orders/OrderSettings.java
@@ -9,7 +9,8 @@
  * @param readInterval how often an engine is read while a change is under way
  * @param verifyInterval how often an engine is read otherwise, to notice a restart
  * @param retryDelay the time before an order that failed for certain is sent again
- * @param longestOrder after an unknown outcome, the time after which the order can no longer take effect
+ * @param longestEffect after an unknown outcome, the time after which the order can no longer take effect: the
+ *     receiver's read timeout plus the longest order
  * @param maximumChanging how many engines of one scope change at the same time
  */
 public record OrderSettings(
@@ -17,7 +18,7 @@
         Duration readInterval,
         Duration verifyInterval,
         Duration retryDelay,
-        Duration longestOrder,
+        Duration longestEffect,
         int maximumChanging) {
 
     /** The values of the design; one engine at a time keeps the loss of capacity small. */
@@ -26,7 +27,7 @@
             Duration.ofSeconds(1),
             Duration.ofSeconds(5),
             Duration.ofSeconds(2),
-            Duration.ofSeconds(3),
+            Duration.ofSeconds(5),
             1);
 
     /** Rejects a limit that would stop all changes. */
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/orders/Step.java
@@ -0,0 +1,21 @@
+package io.banyantally.internal.orders;
+
+/** Where a process stands when the simulation may strike it. */
+enum Step {
+    GRANT,
+    CREATE_LEASE_KEY,
+    WAIT,
+    READ_RECORD,
+    WRITE_RECORD,
+    INTENT,
+    RENEW,
+    OPEN_CONNECTION,
+    CHECK,
+    SEND,
+    CONFIRM,
+    RELEASE,
+    ORDER_CHECK,
+    ORDER_SEND,
+    ORDER_ANSWER,
+    OTHER
+}
