--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/admission/DemandMessage.java
@@ -0,0 +1,17 @@
+package io.banyantally.internal.admission;
+
+import java.util.List;
+
+/** What a VM tells its peers of the demand that it sees and of the shares of limits that it uses. */
+record DemandMessage(List<AccountClaim> accounts, List<ServiceDemand> services) {
+    /**
+     * One client account.
+     *
+     * @param share the part of the account's limits that the sender uses, 0 to 1
+     * @param demand tokens a second that the sender was asked for
+     */
+    record AccountClaim(String account, double share, double demand) {}
+
+    /** One service; {@code demand} is the work that the sender was asked for, in fleet seconds a second. */
+    record ServiceDemand(String service, double demand) {}
+}
