--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/LoadMessage.java
@@ -0,0 +1,23 @@
+package io.banyantally.internal.routing;
+
+import java.util.List;
+
+/** What a VM tells its peers: its work in flight, the reports that it polled, and the cache events that it read. */
+record LoadMessage(List<UpstreamWork> work, List<PolledReport> reports, List<CacheChange> cacheChanges) {
+    /** The sender's work in flight at one upstream; upstreams without any are left out. */
+    record UpstreamWork(String upstream, long prefillTokens, int streams) {}
+
+    /** A load report that the sender polled; {@code ageMillis} is the time since then. */
+    record PolledReport(
+            String upstream,
+            long number,
+            long queuedPromptTokens,
+            int runningStreams,
+            int usedBlocks,
+            int totalBlocks,
+            String role,
+            long ageMillis) {}
+
+    /** A cache event that the sender read. */
+    record CacheChange(String upstream, long prefixHash, boolean stored) {}
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/RouterSettings.java
@@ -0,0 +1,30 @@
+package io.banyantally.internal.routing;
+
+import io.banyantally.model.AvailabilityZone;
+import java.time.Duration;
+
+/**
+ * What the router assumes until it has measured.
+ *
+ * @param zone where this VM runs
+ * @param otherZoneDelay what a round trip to another zone adds
+ * @param prefillTokensPerSecond prompt tokens a second of an engine
+ * @param decodeBase the part of a token interval that does not depend on the batch
+ * @param decodePerStream what each stream in the batch adds to a token interval
+ * @param transferTokensPerSecond KV cache tokens a second between two engines
+ * @param callsPerReplica calls that a replica of a plain service runs at once
+ */
+public record RouterSettings(
+        AvailabilityZone zone,
+        Duration otherZoneDelay,
+        double prefillTokensPerSecond,
+        Duration decodeBase,
+        Duration decodePerStream,
+        double transferTokensPerSecond,
+        int callsPerReplica) {
+    /** Returns the settings of a VM in a zone, with the rates of the engines that both sites run. */
+    public static RouterSettings in(AvailabilityZone zone) {
+        return new RouterSettings(
+                zone, Duration.ofMillis(3), 14_000, Duration.ofMillis(8), Duration.ofNanos(300_000), 80_000, 64);
+    }
+}
