--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/fleet/Demand.java
@@ -0,0 +1,27 @@
+package io.banyantally.internal.fleet;
+
+/**
+ * What callers ask for.
+ *
+ * @param prefillTokensPerSecond prompt tokens that no prefix cache holds
+ * @param outputTokensPerSecond output tokens
+ * @param longPromptPart the part of the prefill tokens that comes in prompts too long for an engine that also decodes
+ */
+public record Demand(double prefillTokensPerSecond, double outputTokensPerSecond, double longPromptPart) {
+    /** Rejects negative rates. */
+    public Demand {
+        if (prefillTokensPerSecond < 0 || outputTokensPerSecond < 0 || longPromptPart < 0 || longPromptPart > 1) {
+            throw new IllegalArgumentException("demand is not valid: prefill " + prefillTokensPerSecond + ", output "
+                    + outputTokensPerSecond + " tokens/s, long part " + longPromptPart
+                    + "; use rates of 0 or more and a part of 0 to 1");
+        }
+    }
+
+    /** Moves a smoothed demand towards an observed one; {@code part} is 0 to 1. */
+    public Demand smoothedTowards(Demand observed, double part) {
+        return new Demand(
+                prefillTokensPerSecond + part * (observed.prefillTokensPerSecond - prefillTokensPerSecond),
+                outputTokensPerSecond + part * (observed.outputTokensPerSecond - outputTokensPerSecond),
+                longPromptPart + part * (observed.longPromptPart - longPromptPart));
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/fleet/RolePlanner.java
@@ -0,0 +1,121 @@
+package io.banyantally.internal.fleet;
+
+import io.banyantally.upstream.EngineRole;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Decides which engines compute prompts only, which do both, and so on. It forecasts demand over the swing with a slow
+ * average, and changes a role only if the engine seconds that the new roles save over the horizon outweigh those that the
+ * changes lose. Used by one thread at a time.
+ */
+public final class RolePlanner {
+    /** A saving is a forecast and a loss is certain, so the saving must be this much larger. */
+    private static final double REQUIRED_GAIN = 3;
+
+    /** A change is weighed against what it brings over this time; mixes swing within minutes. */
+    private static final Duration HORIZON = Duration.ofSeconds(60);
+
+    private static final Duration SMOOTHING = Duration.ofSeconds(30);
+
+    /** An engine keeps its role at least this long. */
+    private static final Duration SHORTEST_STAY = Duration.ofSeconds(60);
+
+    /** Engines that are busier than this miss their targets in bursts. */
+    private static final double USABLE = 0.85;
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final EngineRates rates;
+    private final Duration lostByChange;
+    private Demand forecast;
+    private long forecastAt;
+    private long lastChangeAt;
+    private boolean changedBefore;
+
+    /** Creates a planner; {@code lostByChange} is how long an engine is unavailable for a role change, drain included. */
+    public RolePlanner(EngineRates rates, Duration lostByChange) {
+        this.rates = rates;
+        this.lostByChange = lostByChange;
+    }
+
+    /** Returns the role changes to order now; empty when the present roles are good enough. */
+    public List<RoleChange> plan(long nanoTime, Demand observed, List<FleetUpstream> upstreams) {
+        foldIn(nanoTime, observed);
+        boolean settled = upstreams.stream().noneMatch(FleetUpstream::changing);
+        boolean stayed = !changedBefore || nanoTime - lastChangeAt >= SHORTEST_STAY.toNanos();
+        List<FleetUpstream> staying =
+                upstreams.stream().filter(FleetUpstream::stays).toList();
+        if (!settled || !stayed || staying.size() < 2) {
+            return List.of();
+        }
+        int present = prefillEngines(staying);
+        int best = bestNear(present, staying.size());
+        if (best == present) {
+            return List.of();
+        }
+        double saved = (unserved(present, staying.size()) - unserved(best, staying.size())) * HORIZON.toSeconds();
+        double lost = Math.abs(best - present) * (lostByChange.toNanos() / NANOS_PER_SECOND);
+        if (saved < REQUIRED_GAIN * lost) {
+            return List.of();
+        }
+        lastChangeAt = nanoTime;
+        changedBefore = true;
+        return changes(staying, best - present);
+    }
+
+    private void foldIn(long nanoTime, Demand observed) {
+        if (forecast == null) {
+            forecast = observed;
+        } else {
+            double part = 1 - Math.exp(-(double) (nanoTime - forecastAt) / SMOOTHING.toNanos());
+            forecast = forecast.smoothedTowards(observed, part);
+        }
+        forecastAt = nanoTime;
+    }
+
+    private static int prefillEngines(List<FleetUpstream> staying) {
+        return (int) staying.stream()
+                .filter(upstream -> upstream.role() == EngineRole.PREFILL)
+                .count();
+    }
+
+    /** One step at a time: the next round sees what the step has brought. */
+    private int bestNear(int present, int engines) {
+        int best = present;
+        for (int candidate = Math.max(0, present - 1); candidate <= Math.min(engines - 1, present + 1); candidate++) {
+            if (unserved(candidate, engines) < unserved(best, engines)) {
+                best = candidate;
+            }
+        }
+        return best;
+    }
+
+    /** Returns the engine seconds a second by which demand would exceed what so many prefill engines leave. */
+    private double unserved(int prefillEngines, int engines) {
+        int others = engines - prefillEngines;
+        double atPrefillEngines =
+                Math.min(forecast.prefillTokensPerSecond(), prefillEngines * rates.prefillAlone() * USABLE);
+        double left = forecast.prefillTokensPerSecond() - atPrefillEngines;
+        double otherWork = left / rates.mixedPrefill()
+                + forecast.outputTokensPerSecond() / (left > 0 ? rates.mixedDecode() : rates.decodeAlone());
+        double over = Math.max(0, otherWork - others * USABLE);
+        // Long prompts miss their first-token target on engines that decode as well.
+        double lateLong =
+                Math.min(left, forecast.longPromptPart() * forecast.prefillTokensPerSecond()) / rates.mixedPrefill();
+        return over + lateLong;
+    }
+
+    private static List<RoleChange> changes(List<FleetUpstream> staying, int added) {
+        EngineRole target = added > 0 ? EngineRole.PREFILL : EngineRole.MIXED;
+        List<RoleChange> changes = new ArrayList<>();
+        staying.stream()
+                .filter(upstream -> (upstream.role() == EngineRole.PREFILL) == (added < 0))
+                .sorted(Comparator.comparing(FleetUpstream::id))
+                .limit(Math.abs(added))
+                .forEach(upstream -> changes.add(new RoleChange(upstream.id(), target)));
+        return changes;
+    }
+}
