--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/engine/EngineStandIn.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/engine/EngineStandIn.java
@@ -31,7 +31,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final Duration SAMPLE_INTERVAL = Duration.ofMillis(100);
 
-    private final PrefixCache cache;
+    private final StoredPrefixes cache;
     private final OrderBook orders;
     private final LoadBoard load;
     private final GenerationLog log = new GenerationLog(KEPT_GENERATIONS);
@@ -44,7 +44,7 @@
 
     private EngineStandIn(int port, EngineOptions options, Runnable crash) throws IOException {
         this.crash = crash;
-        cache = new PrefixCache(
+        cache = new StoredPrefixes(
                 options.blocks, options.cacheEventLagMillis * NANOS_PER_MILLI, options.cacheEventLoss, options.seed);
         EngineTarget initial = new EngineTarget(new ModelName(options.model), options.version, List.of(), options.role);
         orders = new OrderBook(initial, options.ignoreFencing, options.changeMillis);
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/engine/GenerationRunner.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/engine/GenerationRunner.java
@@ -18,7 +18,7 @@
 
     private final EngineOptions options;
     private final EngineTiming timing;
-    private final PrefixCache cache;
+    private final StoredPrefixes cache;
     private final OrderBook orders;
     private final LoadBoard load;
     private final GenerationLog log;
@@ -26,7 +26,7 @@
     private final PrioritySlots prefill = new PrioritySlots(1);
     private final Map<String, Boolean> cancelled = new ConcurrentHashMap<>();
 
-    GenerationRunner(EngineOptions options, PrefixCache cache, OrderBook orders, LoadBoard load, GenerationLog log) {
+    GenerationRunner(EngineOptions options, StoredPrefixes cache, OrderBook orders, LoadBoard load, GenerationLog log) {
         this.options = options;
         this.cache = cache;
         this.orders = orders;
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/engine/LoadBoard.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/engine/LoadBoard.java
@@ -37,7 +37,7 @@
     }
 
     /** Takes a sample when the last one is old enough. */
-    synchronized void sample(PrefixCache cache, EngineRole role) {
+    synchronized void sample(StoredPrefixes cache, EngineRole role) {
         long now = System.nanoTime();
         if (!samples.isEmpty() && now - samples.peekLast().at() < SAMPLE_NANOS) {
             return;
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/engine/PrefixCache.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/engine/PrefixCache.java
@@ -2,91 +2,97 @@
 
 import io.banyantally.upstream.CacheEvent;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.SplittableRandom;
 
-/** The KV cache blocks of an engine, least recently used first, and the events about them: late and with gaps. */
+/** The cached prefixes of an engine, one block each, the least recently used evicted first. */
 final class PrefixCache {
+    /** Events that are kept for readers that come late. */
+    private static final int KEPT_EVENTS = 4_096;
 
-    private static final int KEPT_EVENTS = 4096;
-    private static final int LOAD_PERCENT = 75;
-
-    private final int capacityBlocks;
-    private final long eventLagNanos;
-    private final double eventLoss;
-    private final SplittableRandom random;
-    private final Map<Long, Boolean> blocks = new LinkedHashMap<>(16, LOAD_PERCENT / 100f, true);
+    private final EngineCosts costs;
+    private final Map<Long, Boolean> blocks = new LinkedHashMap<>(64, 0.75f, true);
+    private final Map<Long, Integer> pins = new HashMap<>();
     private final Deque<TimedEvent> events = new ArrayDeque<>();
     private long lastNumber;
 
-    PrefixCache(int capacityBlocks, long eventLagNanos, double eventLoss, long seed) {
-        this.capacityBlocks = capacityBlocks;
-        this.eventLagNanos = eventLagNanos;
-        this.eventLoss = eventLoss;
-        this.random = new SplittableRandom(seed);
+    PrefixCache(EngineCosts costs) {
+        this.costs = costs;
     }
 
-    /** Returns how many tokens of the prompt are held, and stores the rest. */
-    synchronized int useAndStore(List<Long> prefixHashes) {
+    private record TimedEvent(long visibleAt, CacheEvent event) {}
+
+    /** Returns how many leading blocks are held and marks them as used. */
+    int heldBlocks(long[] hashes) {
         int held = 0;
-        for (long hash : prefixHashes) {
-            if (blocks.get(hash) == null) {
-                break;
-            }
+        while (held < hashes.length && blocks.get(hashes[held]) != null) {
             held++;
         }
-        for (long hash : prefixHashes.subList(held, prefixHashes.size())) {
-            store(hash);
-        }
-        return held * PromptBlocks.BLOCK_TOKENS;
+        return held;
     }
 
-    synchronized boolean holds(long hash) {
-        return blocks.containsKey(hash);
+    /** Keeps the first {@code count} blocks of a running job from eviction, until they are unpinned. */
+    void pin(long[] hashes, int from, int count) {
+        for (int block = from; block < count; block++) {
+            pins.merge(hashes[block], 1, Integer::sum);
+        }
     }
 
-    synchronized void store(long hash) {
-        if (blocks.put(hash, Boolean.TRUE) == null) {
-            publish(hash, true);
-        }
-        Iterator<Long> oldest = blocks.keySet().iterator();
-        while (blocks.size() > capacityBlocks) {
-            long evicted = oldest.next();
-            oldest.remove();
-            publish(evicted, false);
+    void unpin(long[] hashes, int count) {
+        for (int block = 0; block < count; block++) {
+            pins.computeIfPresent(hashes[block], (hash, users) -> users == 1 ? null : users - 1);
         }
     }
 
-    private void publish(long hash, boolean stored) {
-        lastNumber++;
-        if (random.nextDouble() >= eventLoss) {
-            events.addLast(new TimedEvent(new CacheEvent(lastNumber, hash, stored), System.nanoTime()));
-        }
-        if (events.size() > KEPT_EVENTS) {
-            events.removeFirst();
+    void store(long[] hashes, long now) {
+        for (long hash : hashes) {
+            if (blocks.put(hash, Boolean.TRUE) == null) {
+                record(hash, true, now);
+            }
         }
     }
 
-    synchronized List<CacheEvent> eventsAfter(long number) {
-        long now = System.nanoTime();
-        return events.stream()
-                .filter(timed -> now - timed.at() >= eventLagNanos)
-                .map(TimedEvent::event)
-                .filter(event -> event.number() > number)
-                .toList();
+    void shrinkTo(int room, long now) {
+        Iterator<Long> eldest = blocks.keySet().iterator();
+        while (blocks.size() > Math.max(0, room) && eldest.hasNext()) {
+            long hash = eldest.next();
+            if (!pins.containsKey(hash)) {
+                eldest.remove();
+                record(hash, false, now);
+            }
+        }
     }
 
-    synchronized int usedBlocks() {
+    int size() {
         return blocks.size();
     }
 
-    int capacityBlocks() {
-        return capacityBlocks;
+    private void record(long hash, boolean stored, long now) {
+        lastNumber++;
+        if (costs.cacheEventGapEvery() > 0 && lastNumber % costs.cacheEventGapEvery() == 0) {
+            return;
+        }
+        if (events.size() == KEPT_EVENTS) {
+            events.removeFirst();
+        }
+        events.addLast(new TimedEvent(now + costs.cacheEventLagNanos(), new CacheEvent(lastNumber, hash, stored)));
     }
 
-    private record TimedEvent(CacheEvent event, long at) {}
+    List<CacheEvent> eventsAfter(long after, long now) {
+        List<CacheEvent> visible = new ArrayList<>();
+        for (TimedEvent timed : events) {
+            if (timed.visibleAt() > now) {
+                break;
+            }
+            if (timed.event().number() > after) {
+                visible.add(timed.event());
+            }
+        }
+        return visible;
+    }
 }
