Wire usage, fair admission and load-aware routing into the daemon

Cause: the daemon ran with placeholders: nothing was billed, everything was admitted, upstreams were taken in turn. Ruled out: keeping the placeholders as defaults of the builder, which would let a production daemon start without billing.

--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/demo/OperatorClient.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/demo/OperatorClient.java
@@ -8,7 +8,11 @@
 final class OperatorClient {
 
     private static final int OK = 200;
+    private static final int CREATED = 201;
     private static final int ACCEPTED = 202;
+    private static final int UNAVAILABLE = 503;
+    private static final int MAXIMUM_TRIES = 10;
+    private static final int RETRY_DELAY_MILLIS = 300;
 
     private final DemoClient client;
     private final String address;
@@ -34,16 +38,34 @@
         return change("DELETE", "/operator/v1/keys/" + keyId, null);
     }
 
+    /** Repeats a change that the answer calls certainly not written, as an operator would. */
     private Answer change(String method, String path, JsonNode document) throws DemoFailedException {
+        Answer answer = tryChange(method, path, document);
+        for (int tries = 1; tries < MAXIMUM_TRIES && answer.status() == UNAVAILABLE; tries++) {
+            waitBriefly();
+            answer = tryChange(method, path, document);
+        }
+        if (answer.status() != OK && answer.status() != CREATED && answer.status() != ACCEPTED) {
+            throw new DemoFailedException(method + " " + path + " answered " + answer.status() + ": " + answer.body());
+        }
+        return answer;
+    }
+
+    private Answer tryChange(String method, String path, JsonNode document) throws DemoFailedException {
         long revision = client.get(address, "/operator/v1/status", token)
                 .expect(OK, "status")
                 .body()
                 .get("revision")
                 .asLong();
-        Answer answer = client.send(method, address, path + "?basedOn=" + revision, token, document);
-        if (answer.status() != OK && answer.status() != ACCEPTED && answer.status() != 201) {
-            throw new DemoFailedException(method + " " + path + " answered " + answer.status() + ": " + answer.body());
+        return client.send(method, address, path + "?basedOn=" + revision, token, document);
+    }
+
+    private static void waitBriefly() throws DemoFailedException {
+        try {
+            Thread.sleep(RETRY_DELAY_MILLIS);
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+            throw new DemoFailedException("interrupted", stopped);
         }
-        return answer;
     }
 }
--- a/modules/banyantally-stand-ins/src/test/resources/features/callers.feature
+++ b/modules/banyantally-stand-ins/src/test/resources/features/callers.feature
@@ -5,7 +5,7 @@
     Given a caller without a key
     When it sends GET /v1/addresses
     Then the status is 200
-    And the body contains "timeToLiveMillis"
+    And the body contains "timeToLiveSeconds"
     And the body contains "zone-a"
     And the body contains "zone-b"
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/AddressesEndpoint.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/AddressesEndpoint.java
@@ -13,6 +13,7 @@
 final class AddressesEndpoint implements Endpoint {
 
     private static final int OK = 200;
+    private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Membership membership;
     private final int timeToLiveMillis;
@@ -24,7 +25,7 @@
 
     @Override
     public void handle(HttpExchange exchange) throws RequestRefusedException, IOException {
-        ObjectNode answer = JsonNodeFactory.instance.objectNode().put("timeToLiveMillis", timeToLiveMillis);
+        ObjectNode answer = JsonNodeFactory.instance.objectNode().put("timeToLiveSeconds", timeToLiveMillis / MILLIS_PER_SECOND);
         ArrayNode addresses = answer.putArray("addresses");
         for (CallerAddress address : membership.addresses(zone(exchange))) {
             addresses
--- a/modules/banyantally/src/main/java/io/banyantally/internal/usage/BucketSealer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/usage/BucketSealer.java
@@ -15,6 +15,7 @@
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.StoreUnavailableException;
 import io.banyantally.platform.UsageReportSink;
+import java.time.Duration;
 import java.util.Optional;
 
 /**
@@ -25,6 +26,7 @@
 
     private final Authority authority;
     private final int bucket;
+    private final Duration windowLength;
     private final WindowStore windows;
     private final UsageGatherer gatherer;
     private final WindowReporter reporter;
@@ -40,6 +42,7 @@
     BucketSealer(
             Authority authority,
             int bucket,
+            Duration windowLength,
             KeyValueStore store,
             UsageGatherer gatherer,
             UsageReportSink sink,
@@ -48,6 +51,7 @@
             Timeline timeline) {
         this.authority = authority;
         this.bucket = bucket;
+        this.windowLength = windowLength;
         this.windows = new WindowStore(store, bucket);
         this.gatherer = gatherer;
         this.reporter = new WindowReporter(sink, invariants);
@@ -111,7 +115,7 @@
     }
 
     private boolean isDue() {
-        return held.isPresent() && (sealedBefore || clock.since(openedAt).compareTo(UsageSealer.WINDOW) >= 0);
+        return held.isPresent() && (sealedBefore || clock.since(openedAt).compareTo(windowLength) >= 0);
     }
 
     private void sealAndOpenNext() throws StoreException, InvariantViolationException, InterruptedException {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/usage/UsageSealer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/usage/UsageSealer.java
@@ -1,6 +1,7 @@
 package io.banyantally.internal.usage;
 
 import io.banyantally.internal.authority.Authority;
+import io.banyantally.internal.authority.OwnedScope;
 import io.banyantally.internal.authority.ScopeTask;
 import io.banyantally.internal.invariant.Invariants;
 import io.banyantally.internal.time.MonotonicClock;
@@ -19,6 +20,7 @@
     private static final Duration PASS_INTERVAL = Duration.ofSeconds(1);
 
     private final int bucket;
+    private final Duration windowLength;
     private final KeyValueStore store;
     private final UsageGatherer gatherer;
     private final UsageReportSink sink;
@@ -26,9 +28,14 @@
     private final Invariants invariants;
     private final Timeline timeline;
 
-    /** Creates the task of one bucket; the scope is {@link UsageBuckets#scopeOf}. */
+    /**
+     * Creates the task of one bucket; the scope is {@link UsageBuckets#scopeOf}.
+     *
+     * @param windowLength how long a window stays open, such as {@link #WINDOW}
+     */
     public UsageSealer(
             int bucket,
+            Duration windowLength,
             KeyValueStore store,
             UsageGatherer gatherer,
             UsageReportSink sink,
@@ -36,6 +43,7 @@
             Invariants invariants,
             Timeline timeline) {
         this.bucket = bucket;
+        this.windowLength = windowLength;
         this.store = store;
         this.gatherer = gatherer;
         this.sink = sink;
@@ -45,15 +53,15 @@
     }
 
     @Override
-    public void run(Authority authority) throws InterruptedException {
-        BucketSealer sealer = sealerFor(authority);
-        while (authority.isGranted() && sealer.pass()) {
+    public void run(OwnedScope scope) throws InterruptedException {
+        BucketSealer sealer = sealerFor(scope);
+        while (scope.isGranted() && sealer.pass()) {
             Thread.sleep(PASS_INTERVAL);
         }
     }
 
     /** Returns the work of one owner, to be done in passes. */
     BucketSealer sealerFor(Authority authority) {
-        return new BucketSealer(authority, bucket, store, gatherer, sink, clock, invariants, timeline);
+        return new BucketSealer(authority, bucket, windowLength, store, gatherer, sink, clock, invariants, timeline);
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/wiring/EntryComponent.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/EntryComponent.java
@@ -9,7 +9,14 @@
 
 /** All parts of one entry daemon. */
 @Singleton
-@Component(modules = {CoreModule.class, ConfigurationModule.class, RequestModule.class})
+@Component(
+        modules = {
+            CoreModule.class,
+            ConfigurationModule.class,
+            UsageModule.class,
+            AuthorityModule.class,
+            RequestModule.class
+        })
 public interface EntryComponent {
 
     /** Returns the daemon. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/wiring/EntryDaemon.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/EntryDaemon.java
@@ -107,6 +107,7 @@
         membership.startDraining();
         Thread.sleep(Duration.ofMillis(settings.addressTimeToLiveMillis()).plus(Membership.SPREAD_TIME));
         boolean finished = server.inFlight().closeAndAwaitEmpty(Duration.ofSeconds(settings.drainLimitSeconds()));
+        background.releaseScopes();
         background.stop();
         configuration.stop();
         directory.stop();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/wiring/RequestModule.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/RequestModule.java
@@ -5,7 +5,7 @@
 import dagger.Module;
 import dagger.Provides;
 import io.banyantally.internal.admission.Admission;
-import io.banyantally.internal.admission.UnlimitedAdmission;
+import io.banyantally.internal.admission.FairAdmission;
 import io.banyantally.internal.configuration.ConfigurationReplica;
 import io.banyantally.internal.configuration.ConfigurationView;
 import io.banyantally.internal.configuration.KeyVerifier;
@@ -20,8 +20,9 @@
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.routing.DirectoryCatalogue;
-import io.banyantally.internal.routing.RoundRobinRouter;
+import io.banyantally.internal.routing.LoadAwareRouter;
 import io.banyantally.internal.routing.Router;
+import io.banyantally.internal.routing.RouterSettings;
 import io.banyantally.internal.routing.UpstreamCatalogue;
 import io.banyantally.internal.routing.UpstreamConnector;
 import io.banyantally.internal.settings.EntrySettings;
@@ -31,6 +32,7 @@
 import io.banyantally.platform.Platform;
 import jakarta.inject.Singleton;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** Everything that a request passes through. */
 @Module
@@ -47,22 +49,43 @@
 
     @Provides
     @Singleton
-    static Router router(UpstreamCatalogue catalogue) {
-        return new RoundRobinRouter(catalogue);
+    static LoadAwareRouter loadAwareRouter(
+            Peer self,
+            MonotonicClock clock,
+            UpstreamCatalogue catalogue,
+            UpstreamConnector connector,
+            ConfigurationView configuration,
+            PeerNetwork network,
+            Timeline timeline) {
+        return new LoadAwareRouter(
+                self.vm(),
+                clock,
+                catalogue,
+                connector,
+                configuration,
+                network,
+                timeline,
+                RouterSettings.in(self.zone()),
+                ThreadLocalRandom::current);
     }
 
-    @Provides
-    @Singleton
-    static Admission admission() {
-        return new UnlimitedAdmission();
-    }
+    @Binds
+    abstract Router router(LoadAwareRouter router);
 
     @Provides
     @Singleton
-    static UsageRecorder usage() {
-        return (account, added) -> {};
+    static FairAdmission fairAdmission(
+            Peer self,
+            MonotonicClock clock,
+            LoadAwareRouter capacities,
+            ConfigurationView configuration,
+            PeerNetwork network) {
+        return new FairAdmission(self.vm(), clock, capacities, configuration, network);
     }
 
+    @Binds
+    abstract Admission admission(FairAdmission admission);
+
     @Provides
     @Singleton
     static StoredCallLedger storedLedger(
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/UsageModule.java
@@ -0,0 +1,93 @@
+package io.banyantally.internal.wiring;
+
+import com.codahale.metrics.MetricRegistry;
+import dagger.Binds;
+import dagger.Module;
+import dagger.Provides;
+import io.banyantally.internal.authority.CandidateRanking;
+import io.banyantally.internal.authority.RendezvousRanking;
+import io.banyantally.internal.authority.Scope;
+import io.banyantally.internal.peer.Peer;
+import io.banyantally.internal.peer.PeerNetwork;
+import io.banyantally.internal.settings.EntrySettings;
+import io.banyantally.internal.settings.ZoneDistance;
+import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.internal.usage.UsageCounters;
+import io.banyantally.internal.usage.UsageGatherHandler;
+import io.banyantally.internal.usage.UsageGatherer;
+import io.banyantally.internal.usage.UsageRecorder;
+import io.banyantally.internal.usage.UsageReplicator;
+import io.banyantally.internal.usage.ZoneUsageFlush;
+import io.banyantally.model.AvailabilityZone;
+import io.banyantally.platform.Platform;
+import jakarta.inject.Singleton;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.Executors;
+
+/** Counting, copying and gathering usage. */
+@Module
+abstract class UsageModule {
+
+    @Provides
+    @Singleton
+    static UsageCounters counters(Peer self) {
+        return new UsageCounters(self);
+    }
+
+    @Provides
+    @Singleton
+    static UsageReplicator replicator(
+            PeerNetwork network, Peer self, UsageCounters counters, MonotonicClock clock, MetricRegistry metrics) {
+        return new UsageReplicator(network, self, counters, clock, metrics);
+    }
+
+    @Binds
+    abstract UsageRecorder recorder(UsageReplicator replicator);
+
+    @Provides
+    @Singleton
+    static UsageGatherer gatherer(
+            Platform platform,
+            PeerNetwork network,
+            Peer self,
+            UsageCounters counters,
+            MonotonicClock clock,
+            EntrySettings settings) {
+        return new UsageGatherer(
+                network,
+                self,
+                new UsageGatherHandler(network, counters),
+                platform.keyValueStore(),
+                () -> zones(network, settings),
+                clock,
+                Executors.newVirtualThreadPerTaskExecutor());
+    }
+
+    /** The zones of the settings stay even when none of their VMs is connected, since their flushes must be read. */
+    private static Set<AvailabilityZone> zones(PeerNetwork network, EntrySettings settings) {
+        Set<AvailabilityZone> zones = new HashSet<>(Set.of(settings.zone()));
+        settings.distances().stream().map(ZoneDistance::zone).forEach(zones::add);
+        network.peers().stream().map(Peer::zone).forEach(zones::add);
+        return zones;
+    }
+
+    @Provides
+    @Singleton
+    static ZoneUsageFlush zoneFlush(
+            Platform platform,
+            PeerNetwork network,
+            Peer self,
+            UsageCounters counters,
+            MonotonicClock clock,
+            MetricRegistry metrics) {
+        CandidateRanking ranking = new RendezvousRanking(
+                self.vm(),
+                () -> network.peers().stream()
+                        .filter(peer -> peer.zone().equals(self.zone()))
+                        .toList());
+        Scope scope = new Scope("usage-flush-" + self.zone());
+        return new ZoneUsageFlush(
+                platform.keyValueStore(), network, self, counters, clock, () -> ranking.rank(scope) == 0, metrics);
+    }
+}
--- a/modules/banyantally/src/test/java/io/banyantally/internal/usage/UsageVm.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/usage/UsageVm.java
@@ -53,6 +53,7 @@
         flush = new ZoneUsageFlush(store, this, self, counters, clock, () -> true, metrics);
         sealer = new UsageSealer(
                 UsageWorld.BUCKET,
+                UsageSealer.WINDOW,
                 store,
                 new UsageGatherer(this, self, handler, store, () -> UsageWorld.ZONES, clock, Runnable::run),
                 (report, fencingNumber) -> world.sink.report(this, report, world.listener),
