Compress large buckets and share unchanged entries between revisions

Change: stored values from 16,000 bytes on are compressed with gzip; a new revision shares the maps of the kinds of entries that did not change. The measurement commands of the configuration are added. The tests' sites start with a roster of one write.

--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/MeasuredLinks.java
@@ -0,0 +1,81 @@
+package io.banyantally.standins.measure;
+
+import io.banyantally.internal.peer.Peer;
+import io.banyantally.internal.peer.PeerException;
+import io.banyantally.internal.peer.PeerNetwork;
+import io.banyantally.internal.peer.PeerRequestHandler;
+import io.banyantally.internal.peer.Topic;
+import io.banyantally.model.VmId;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Connects VMs in one process over links with a fixed latency, and counts the bytes of the payloads. */
+final class MeasuredLinks {
+
+    private final Duration oneWay;
+    private final Map<VmId, Node> nodes = new ConcurrentHashMap<>();
+    private final Map<Topic, LongAdder> bytes = new ConcurrentHashMap<>();
+
+    MeasuredLinks(Duration oneWay) {
+        this.oneWay = oneWay;
+    }
+
+    PeerNetwork join(Peer self) {
+        Node node = new Node(self);
+        nodes.put(self.vm(), node);
+        return node;
+    }
+
+    /** Returns the payload bytes so far, of all topics. */
+    long bytes() {
+        return bytes.values().stream().mapToLong(LongAdder::sum).sum();
+    }
+
+    private void pass(Topic topic, byte[] payload) throws PeerException {
+        bytes.computeIfAbsent(topic, name -> new LongAdder()).add(payload.length);
+        try {
+            Thread.sleep(oneWay);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new PeerException("interrupted on the way", interrupted);
+        }
+    }
+
+    private final class Node implements PeerNetwork {
+
+        private final Peer self;
+        private final Map<Topic, PeerRequestHandler> handlers = new ConcurrentHashMap<>();
+
+        Node(Peer self) {
+            this.self = self;
+        }
+
+        @Override
+        public void handle(Topic topic, PeerRequestHandler handler) {
+            handlers.put(topic, handler);
+        }
+
+        @Override
+        public byte[] request(VmId peer, Topic topic, byte[] payload, Duration timeout) throws PeerException {
+            Node receiver = nodes.get(peer);
+            if (receiver == null) {
+                throw new PeerException(peer + " does not exist");
+            }
+            pass(topic, payload);
+            byte[] answer = receiver.handlers.get(topic).handle(self, payload);
+            pass(topic, answer);
+            return answer;
+        }
+
+        @Override
+        public List<Peer> peers() {
+            return nodes.values().stream()
+                    .map(node -> node.self)
+                    .filter(peer -> !peer.vm().equals(self.vm()))
+                    .toList();
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of single parts of the system in one process; each is a command. */
+package io.banyantally.standins.measure;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ConfigurationExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ConfigurationExchange.java
@@ -125,6 +125,7 @@
         replica.apply(ConfigurationSnapshot.assemble(
                 answer.manifest(),
                 manifest,
+                held,
                 hash -> fetched.containsKey(hash)
                         ? fetched.get(hash)
                         : held.held(hash).orElseThrow()));
--- a/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ConfigurationSnapshot.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ConfigurationSnapshot.java
@@ -1,13 +1,11 @@
 package io.banyantally.internal.configuration;
 
-import io.banyantally.model.ClientAccountId;
-import io.banyantally.model.KeyId;
 import io.banyantally.model.Revision;
-import io.banyantally.model.ServiceName;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 
 /** A manifest with all its buckets; immutable. */
 final class ConfigurationSnapshot {
@@ -28,8 +26,13 @@
         this.configuration = configuration;
     }
 
-    /** Puts a configuration together from a manifest and its buckets, found by hash. */
-    static ConfigurationSnapshot assemble(byte[] manifestBytes, Manifest manifest, BucketSource source)
+    /**
+     * Puts a configuration together from a manifest and its buckets, found by hash.
+     *
+     * @param previous shares with the new configuration what did not change
+     */
+    static ConfigurationSnapshot assemble(
+            byte[] manifestBytes, Manifest manifest, ConfigurationSnapshot previous, BucketSource source)
             throws ConfigurationDamagedException, BucketUnavailableException {
         Map<String, HeldBucket> buckets = new HashMap<>();
         for (String hash : manifest.buckets()) {
@@ -37,22 +40,42 @@
                 buckets.put(hash, source.bucket(hash));
             }
         }
-        return new ConfigurationSnapshot(
-                manifestBytes.clone(), manifest, Map.copyOf(buckets), merge(manifest, buckets.values()));
+        ConfigurationSnapshot parts =
+                new ConfigurationSnapshot(manifestBytes.clone(), manifest, Map.copyOf(buckets), Configuration.EMPTY);
+        return new ConfigurationSnapshot(parts.manifestBytes, manifest, parts.buckets, parts.merge(previous));
     }
 
-    private static Configuration merge(Manifest manifest, Iterable<HeldBucket> buckets) {
-        Map<ServiceName, ServiceTemplate> services = new HashMap<>();
-        Map<ClientAccountId, ClientAccountParameters> accounts = new HashMap<>();
-        Map<KeyId, KeyRecord> keys = new HashMap<>();
-        for (HeldBucket held : buckets) {
-            Bucket bucket = held.content();
-            bucket.services().forEach(entry -> services.put(entry.value().service(), entry.value()));
-            bucket.accounts().forEach(entry -> accounts.put(entry.value().account(), entry.value()));
-            bucket.keys().forEach(entry -> keys.put(entry.value().id(), entry.value()));
-        }
+    private Configuration merge(ConfigurationSnapshot previous) {
+        Configuration before = previous.configuration;
         return new Configuration(
-                manifest.numbered(), services, accounts, keys, manifest.roster().base());
+                manifest.numbered(),
+                merge(previous, before.services(), Bucket::services, ServiceTemplate::service),
+                merge(previous, before.accounts(), Bucket::accounts, ClientAccountParameters::account),
+                merge(previous, before.keys(), Bucket::keys, KeyRecord::id),
+                manifest.roster().base());
+    }
+
+    /** Returns the entries of one kind by name; the map of the previous configuration if none of them changed. */
+    private <I, T> Map<I, T> merge(
+            ConfigurationSnapshot previous,
+            Map<I, T> before,
+            Function<Bucket, List<BucketEntry<T>>> entries,
+            Function<T, I> name) {
+        boolean same = true;
+        for (int index = 0; index < Bucket.COUNT && same; index++) {
+            same = manifest.buckets()
+                            .get(index)
+                            .equals(previous.manifest.buckets().get(index))
+                    || entries.apply(bucket(index)).equals(entries.apply(previous.bucket(index)));
+        }
+        if (same) {
+            return before;
+        }
+        Map<I, T> merged = new HashMap<>();
+        buckets.values()
+                .forEach(held -> entries.apply(held.content())
+                        .forEach(entry -> merged.put(name.apply(entry.value()), entry.value())));
+        return merged;
     }
 
     Revision revision() {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ConfigurationStore.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ConfigurationStore.java
@@ -58,7 +58,7 @@
     /** Reads the buckets of a manifest that the replica does not hold. */
     ConfigurationSnapshot load(StoredManifest stored) throws ConfigurationDamagedException, BucketUnavailableException {
         ConfigurationSnapshot held = replica.snapshot();
-        return ConfigurationSnapshot.assemble(stored.bytes(), stored.manifest(), hash -> {
+        return ConfigurationSnapshot.assemble(stored.bytes(), stored.manifest(), held, hash -> {
             Optional<HeldBucket> bucket = held.held(hash);
             return bucket.isPresent() ? bucket.get() : readBucket(hash);
         });
@@ -156,6 +156,7 @@
             return Optional.of(ConfigurationSnapshot.assemble(
                     bytes,
                     manifest,
+                    base,
                     hash -> fresh.containsKey(hash)
                             ? fresh.get(hash)
                             : base.held(hash).orElseThrow()));
--- a/modules/banyantally/src/main/java/io/banyantally/internal/configuration/StoredFormat.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/configuration/StoredFormat.java
@@ -1,7 +1,6 @@
 package io.banyantally.internal.configuration;
 
 import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationContext;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -16,28 +15,47 @@
 import io.banyantally.model.Revision;
 import io.banyantally.model.ServiceName;
 import io.banyantally.model.VmId;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.util.function.Function;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
 
 /**
- * Reads and writes the stored values as JSON. Unknown fields are ignored, so that two versions of the system can share a
+ * Reads and writes the stored values as JSON, large ones compressed with gzip. Unknown fields are ignored, so that two versions of the system can share a
  * configuration during a rolling replacement.
  */
 final class StoredFormat {
 
+    /** Smaller values gain less than the compressor costs. */
+    private static final int COMPRESSED_FROM_BYTES = 16_000;
+
+    private static final byte GZIP_FIRST_BYTE = 0x1f;
     private static final ObjectMapper MAPPER = mapper();
 
     private StoredFormat() {}
 
     static byte[] encode(Object value) {
         try {
-            return MAPPER.writeValueAsBytes(value);
-        } catch (JsonProcessingException failure) {
+            byte[] plain = MAPPER.writeValueAsBytes(value);
+            return plain.length < COMPRESSED_FROM_BYTES ? plain : compress(plain);
+        } catch (IOException failure) {
             throw new IllegalArgumentException(
                     "cannot encode a " + value.getClass().getSimpleName(), failure);
         }
     }
 
+    private static byte[] compress(byte[] plain) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(plain.length / 2);
+        try (OutputStream compressed = new GZIPOutputStream(bytes)) {
+            compressed.write(plain);
+        }
+        return bytes.toByteArray();
+    }
+
     static Manifest manifest(byte[] bytes) throws ConfigurationDamagedException {
         return decode(bytes, Manifest.class);
     }
@@ -47,8 +65,10 @@
     }
 
     private static <T> T decode(byte[] bytes, Class<T> type) throws ConfigurationDamagedException {
-        try {
-            return MAPPER.readValue(bytes, type);
+        boolean compressed = bytes.length > 0 && bytes[0] == GZIP_FIRST_BYTE;
+        try (InputStream stored = new ByteArrayInputStream(bytes);
+                InputStream plain = compressed ? new GZIPInputStream(stored) : stored) {
+            return MAPPER.readValue(plain, type);
         } catch (IOException failure) {
             throw new ConfigurationDamagedException(
                     "a " + type.getSimpleName() + " of " + bytes.length + " bytes can't be read", failure);
--- a/modules/banyantally/src/test/java/io/banyantally/internal/configuration/ChangeGuardTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/configuration/ChangeGuardTest.java
@@ -12,7 +12,6 @@
 import io.banyantally.platform.InMemoryKeyValueStore;
 import io.banyantally.testing.FaultRow;
 import io.banyantally.testing.StoreFault;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
@@ -205,11 +204,11 @@
     @Test
     void moreAccountsThanOneValueHoldsAreSpreadOverBuckets() throws Exception {
         TestSite site = TestSite.running(3);
-        String filler = "x".repeat(100);
+        java.util.Random random = new java.util.Random(1);
         ConfigurationChange change = new ConfigurationChange(
                 java.util.List.of(),
-                java.util.stream.IntStream.range(0, 6_000)
-                        .mapToObj(index -> parameters("account-" + index + "-" + filler, 1))
+                java.util.stream.IntStream.range(0, 16_000)
+                        .mapToObj(index -> parameters(index + "-" + incompressible(random), 1))
                         .toList(),
                 java.util.List.of(),
                 java.util.List.of());
@@ -222,9 +221,18 @@
                 .mapToLong(bucket -> bucket.bytes().length)
                 .sum();
         assertTrue(bytes > 1_000_000, "only " + bytes + " bytes");
-        assertEquals(6_001, site.vm(1).replica().current().accounts().size());
-        assertTrue(
-                new String(site.vm(1).replica().snapshot().manifestBytes(), StandardCharsets.UTF_8).length() < 20_000);
+        assertEquals(16_001, site.vm(1).replica().current().accounts().size());
+        assertTrue(site.vm(1).replica().snapshot().manifestBytes().length < 20_000);
+    }
+
+    private static String incompressible(java.util.Random random) {
+        byte[] bytes = new byte[75];
+        random.nextBytes(bytes);
+        return java.util.Base64.getEncoder()
+                .withoutPadding()
+                .encodeToString(bytes)
+                .replace('+', '.')
+                .replace('/', '-');
     }
 
     private static void write(TestVm vm, String account) {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/configuration/ConfigurationPropagationTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/configuration/ConfigurationPropagationTest.java
@@ -60,7 +60,12 @@
     /** Guards against two rosters whose majorities have no VM in common. */
     @Test
     void rosterGrowsAndShrinksOneVmAtATime() throws Exception {
-        TestSite site = TestSite.running(5);
+        TestSite site = new TestSite(5, 1);
+        site.tick();
+        for (TestVm vm : site.running()) {
+            assertTrue(vm.part.roster().add(vm.id()), vm.id() + " was not added");
+        }
+        site.tick();
         assertEquals(5, site.vm(0).replica().current().roster().size());
         assertTrue(site.vm(1).part.roster().remove(TestSite.name(4)));
         site.kill(4);
--- a/modules/banyantally/src/test/java/io/banyantally/internal/configuration/TestSite.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/configuration/TestSite.java
@@ -47,7 +47,7 @@
         }
     }
 
-    /** Starts VMs, adds them to the roster and puts a client account in force. */
+    /** Starts VMs, puts them into the roster by one write, and puts a client account in force. */
     static TestSite running(int count) throws Exception {
         return running(count, 1);
     }
@@ -55,11 +55,9 @@
     static TestSite running(int count, long seed) throws Exception {
         TestSite site = new TestSite(count, seed);
         site.tick();
-        for (TestVm vm : List.copyOf(site.vms.values())) {
-            if (!vm.part.roster().add(vm.id())) {
-                throw new AssertionError(vm.id() + " could not be added to the roster");
-            }
-        }
+        Set<VmId> all = Set.copyOf(site.vms.keySet());
+        site.vm(0).part.store().changeRoster(base -> new Roster(all, all, 1));
+        site.tick();
         site.vm(0).part.editor().change(site.vm(0).replica().revision(), ConfigurationChange.put(account(1)));
         site.tick();
         site.tick();
