Fetch newer configurations from one peer at a time

Ruled out: dropping the second fetch, because the first may be from a peer that is being lost.

Change: fetches wait for each other and look at the revision again. A row is added for answers of two confirmation rounds from different incarnations: removing that comparison had not failed any row.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ConfigurationExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ConfigurationExchange.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.locks.ReentrantLock;
 import org.jboss.logging.Logger;
 
 /** Passes configurations and proofs between the entry VMs. Only buckets that the receiver does not hold travel. */
@@ -40,6 +41,7 @@
     private final PeerNetwork network;
     private final MonotonicClock clock;
     private final Executor executor;
+    private final ReentrantLock fetching = new ReentrantLock();
 
     /** Creates the exchange and sets its topics' handlers; {@code executor} runs requests to several peers. */
     public ConfigurationExchange(
@@ -114,21 +116,34 @@
         return contact;
     }
 
+    /** Fetches and applies a peer's configuration; one at a time, so that nothing is fetched from two peers at once. */
     private void applyFrom(VmId peer, ProofAnswer answer)
             throws PeerException, ConfigurationDamagedException, BucketUnavailableException {
-        ConfigurationSnapshot held = replica.snapshot();
-        if (answer.revision() <= held.revision().value() || answer.manifest().length == 0) {
+        if (answer.manifest().length == 0) {
             return;
         }
+        fetching.lock();
+        try {
+            ConfigurationSnapshot held = replica.snapshot();
+            if (answer.revision() > held.revision().value()) {
+                replica.apply(fetchNewer(peer, answer, held));
+            }
+        } finally {
+            fetching.unlock();
+        }
+    }
+
+    private ConfigurationSnapshot fetchNewer(VmId peer, ProofAnswer answer, ConfigurationSnapshot held)
+            throws PeerException, ConfigurationDamagedException, BucketUnavailableException {
         Manifest manifest = StoredFormat.manifest(answer.manifest());
         Map<String, HeldBucket> fetched = fetch(peer, missing(manifest, held));
-        replica.apply(ConfigurationSnapshot.assemble(
+        return ConfigurationSnapshot.assemble(
                 answer.manifest(),
                 manifest,
                 held,
                 hash -> fetched.containsKey(hash)
                         ? fetched.get(hash)
-                        : held.held(hash).orElseThrow()));
+                        : held.held(hash).orElseThrow());
     }
 
     private static List<String> missing(Manifest manifest, ConfigurationSnapshot held) {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/configuration/ChangeGuardTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/configuration/ChangeGuardTest.java
@@ -141,36 +141,85 @@
         TestSite site = TestSite.running(5);
         GivenKey key = site.give(0);
         site.tick();
-        for (int old : new int[] {3, 4}) {
-            site.vm(old).store.setPlan(TestSite.DOWN);
-            site.hub.cut(TestSite.name(0), TestSite.name(old));
-        }
+        cutWriterFrom(site, 3, 4);
         int[] requests = {0};
         site.beforeRequest = (vm, topic) -> {
             if (vm.equals(TestSite.name(0)) && topic.equals(ConfigurationExchange.PROOF) && ++requests[0] == 2) {
-                restartAmongOldVms(site);
+                restartAmongOldVms(site, 1);
+                cutWriterFrom(site, 1, 3, 4);
+                cutFromOldVms(site, 2);
+            }
+        };
+        assertNotConfirmedThoughServed(site, key, site.withdraw(0, key));
+    }
+
+    /**
+     * Guards against answers of two rounds that come from different incarnations. VM 1 restarts in the first round, VM 2
+     * between the rounds and VM 1 again in the second; each learns the old configuration from the others before it
+     * confirms anew.
+     */
+    @Test
+    @FaultRow(
+            promise = Promise.TENANT_ISOLATION,
+            step = "first and second round of confirmations",
+            fault = "three restarts, each learning first from an old majority, platform down")
+    void confirmationsOfDifferentIncarnationsDoNotCount() throws Exception {
+        TestSite site = TestSite.running(5);
+        GivenKey key = site.give(0);
+        site.tick();
+        cutWriterFrom(site, 3, 4);
+        int[] requests = {0};
+        site.beforeRequest = (vm, topic) -> {
+            if (!vm.equals(TestSite.name(0)) || !topic.equals(ConfigurationExchange.PROOF)) {
+                return;
+            }
+            requests[0]++;
+            if (requests[0] == 2) {
+                restartAmongOldVms(site, 1);
+                cutWriterFrom(site, 1, 3, 4);
+            } else if (requests[0] == 5) {
+                restartAmongOldVms(site, 2);
+                cutWriterFrom(site, 3, 4);
+            } else if (requests[0] == 6) {
+                restartAmongOldVms(site, 1);
+                cutWriterFrom(site, 1, 3, 4);
+                cutFromOldVms(site, 2);
             }
         };
-        ChangeOutcome outcome = site.withdraw(0, key);
+        assertNotConfirmedThoughServed(site, key, site.withdraw(0, key));
+    }
+
+    private static void assertNotConfirmedThoughServed(TestSite site, GivenKey key, ChangeOutcome outcome) {
         site.tick(Duration.ofSeconds(5));
         boolean served = site.running().stream().anyMatch(vm -> vm.serves(key.text()));
         assertTrue(served, "the scenario no longer lets an old majority serve; write it anew");
         assertFalse(outcome.confirmed());
     }
 
-    /** Restarts VM 1, which has confirmed, and lets it learn from VMs 2, 3 and 4, which have not heard of the change. */
-    private static void restartAmongOldVms(TestSite site) {
+    /** Restarts a VM that has confirmed, with the platform down, and lets it learn from all others but the writer. */
+    private static void restartAmongOldVms(TestSite site, int index) {
         site.setPlatform(TestSite.DOWN);
         site.clock.advance(ConfigurationReplica.PLATFORM_SILENCE.plusMillis(1));
-        site.kill(1);
-        TestVm restarted = site.start(1);
+        site.kill(index);
+        TestVm restarted = site.start(index);
         restarted.store.setPlan(TestSite.DOWN);
-        site.hub.cut(TestSite.name(0), TestSite.name(1));
+        cutWriterFrom(site, 1, 2, 3, 4);
         restarted.step();
         restarted.step();
         assertTrue(restarted.replica().isVoter());
+    }
+
+    /** Restores all links, and cuts those between VM 0, the writer, and some others. */
+    private static void cutWriterFrom(TestSite site, int... others) {
+        site.hub.restoreAll();
+        for (int other : others) {
+            site.hub.cut(TestSite.name(0), TestSite.name(other));
+        }
+    }
+
+    private static void cutFromOldVms(TestSite site, int index) {
         for (int old : new int[] {1, 3, 4}) {
-            site.hub.cut(TestSite.name(2), TestSite.name(old));
+            site.hub.cut(TestSite.name(index), TestSite.name(old));
         }
     }
 
