Let the load tool repeat orders and ask for open outcomes

An order whose answer was cut stayed open in the summary, repeats with the same idempotency key were not sent, and nothing checked that the summary adds up.

The load tool now asks for open outcomes at the end of a run, sends a part of the orders twice, can state a deadline and its zone, and exits with status 3 after a wrong answer.

No cost was measured for this change.

--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/AddressBook.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/AddressBook.java
@@ -6,11 +6,13 @@
 import io.banyantally.internal.adapter.HttpCall;
 import io.banyantally.internal.adapter.HttpReply;
 import io.banyantally.internal.adapter.WireFormat;
+import io.banyantally.model.AvailabilityZone;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Asks which addresses to use, keeps the answer for its time to live, and gives them out in turn. */
@@ -22,6 +24,7 @@
 
     private final AdapterHttpClient client;
     private final List<InetSocketAddress> known;
+    private final String target;
     private final AtomicInteger turn = new AtomicInteger();
     private List<InetSocketAddress> current = List.of();
     private long validUntil;
@@ -30,8 +33,10 @@
      * Creates a book.
      *
      * @param known addresses to ask first
+     * @param zone the availability zone of the callers, whose addresses come first
      */
-    AddressBook(AdapterHttpClient client, List<InetSocketAddress> known) {
+    AddressBook(AdapterHttpClient client, List<InetSocketAddress> known, Optional<AvailabilityZone> zone) {
+        this.target = "/v1/addresses" + zone.map(name -> "?zone=" + name).orElse("");
         this.client = client;
         this.known = List.copyOf(known);
     }
@@ -54,8 +59,7 @@
         asked.addAll(known);
         for (InetSocketAddress address : asked) {
             try {
-                HttpReply reply =
-                        client.send(HttpCall.read(address, "/v1/addresses", TIME_LIMIT), MAXIMUM_ANSWER_BYTES);
+                HttpReply reply = client.send(HttpCall.read(address, target, TIME_LIMIT), MAXIMUM_ANSWER_BYTES);
                 if (reply.isOk()) {
                     take(WireFormat.decode(reply.body(), JsonNode.class));
                     return;
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/ChatCaller.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/ChatCaller.java
@@ -18,6 +18,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /** Sends chat completions and verifies the streamed answers. */
 final class ChatCaller {
@@ -30,24 +31,23 @@
     private final AdapterHttpClient client;
     private final String model;
     private final Duration longestSilence;
+    private final Optional<Integer> deadlineSeconds;
 
-    ChatCaller(AdapterHttpClient client, String model, Duration longestSilence) {
+    /**
+     * Creates a caller.
+     *
+     * @param deadlineSeconds what its requests state in the header {@code Request-Timeout}
+     */
+    ChatCaller(AdapterHttpClient client, String model, Duration longestSilence, Optional<Integer> deadlineSeconds) {
+        this.deadlineSeconds = deadlineSeconds;
         this.client = client;
         this.model = model;
         this.longestSilence = longestSilence;
     }
 
     Outcome call(InetSocketAddress address, PlannedChat chat) throws InterruptedException {
-        HttpCall call = new HttpCall(
-                address,
-                "POST",
-                PATH,
-                List.of(new HeaderField(
-                        "Authorization", "Bearer " + chat.account().key())),
-                body(chat),
-                true,
-                longestSilence,
-                () -> true);
+        HttpCall call =
+                new HttpCall(address, "POST", PATH, headers(chat), body(chat), true, longestSilence, () -> true);
         long sentAt = System.nanoTime();
         try (HttpExchange exchange = client.open(call)) {
             if (exchange.status() != 200) {
@@ -65,6 +65,14 @@
         }
     }
 
+    private List<HeaderField> headers(PlannedChat chat) {
+        List<HeaderField> headers = new ArrayList<>();
+        headers.add(new HeaderField("Authorization", "Bearer " + chat.account().key()));
+        deadlineSeconds.ifPresent(
+                seconds -> headers.add(new HeaderField("Request-Timeout", Integer.toString(seconds))));
+        return headers;
+    }
+
     private byte[] body(PlannedChat chat) {
         List<Message> messages = new ArrayList<>();
         if (!chat.context().isEmpty()) {
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/LoadCommand.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/LoadCommand.java
@@ -2,6 +2,7 @@
 
 import io.banyantally.internal.adapter.AdapterHttpClient;
 import io.banyantally.internal.adapter.WireFormat;
+import io.banyantally.model.AvailabilityZone;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -21,6 +22,9 @@
         description = "Sends load to entry addresses, verifies every answer, prints a table and writes a summary.")
 public final class LoadCommand implements Callable<Integer> {
 
+    /** Exit status of a run in which an answer was not the right one. */
+    private static final int WRONG_ANSWERS = 3;
+
     private static final Duration LONGEST_SILENCE = Duration.ofSeconds(60);
 
     @Option(
@@ -57,6 +61,18 @@
     @Option(names = "--model", description = "Model to name instead of the deployment's.")
     private Optional<String> model;
 
+    @Option(
+            names = "--repeat-orders",
+            defaultValue = "0",
+            description = "Part of the orders that is sent a second time with the same idempotency key.")
+    private double repeatOrders;
+
+    @Option(names = "--deadline-seconds", description = "Deadline that chats state in Request-Timeout.")
+    private Optional<Integer> deadlineSeconds;
+
+    @Option(names = "--zone", description = "Availability zone of the callers; its addresses come first.")
+    private Optional<String> zone;
+
     @Option(names = "--seed", defaultValue = "1", description = "Seed of the requests.")
     private long seed;
 
@@ -70,24 +86,33 @@
             throw new IOException("accounts file " + accountsFile + " lists no account");
         }
         LoadTotals totals = new LoadTotals(accounts);
-        double taken;
+        LoadSummary summary;
         try (AdapterHttpClient client = AdapterHttpClient.start()) {
+            AddressBook book = new AddressBook(client, addresses(), zone.map(AvailabilityZone::new));
             LoadRunner runner = new LoadRunner(
                     new RequestPlanner(
-                            deployment.traffic(), accounts, new MixSwing(swingSeconds), plainShare, scale, seed),
-                    new AddressBook(client, addresses()),
-                    new ChatCaller(client, model.orElse(deployment.traffic().model()), LONGEST_SILENCE),
+                            deployment.traffic(),
+                            accounts,
+                            new MixSwing(swingSeconds),
+                            plainShare,
+                            scale,
+                            repeatOrders,
+                            seed),
+                    book,
+                    new ChatCaller(
+                            client, model.orElse(deployment.traffic().model()), LONGEST_SILENCE, deadlineSeconds),
                     new PlainCaller(client, LONGEST_SILENCE),
                     totals,
                     Duration.ofSeconds(seconds));
-            taken = rate.isPresent() ? runner.runOpen(rate.get()) : runner.runClosed(callers);
+            double taken = rate.isPresent() ? runner.runOpen(rate.get()) : runner.runClosed(callers);
+            List<OrderClaim> claims = new OutcomeQuestions(client, book, accounts).ask(totals.orderClaims());
+            summary = totals.summary(deployment, seed, taken, claims);
         }
-        LoadSummary summary = totals.summary(deployment, seed, taken);
         System.out.print(SummaryTable.of(summary));
         if (output.isPresent()) {
             Files.write(output.get(), WireFormat.encode(summary));
         }
-        return 0;
+        return summary.wrong() == 0 ? 0 : WRONG_ANSWERS;
     }
 
     private List<InetSocketAddress> addresses() throws IOException {
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/LoadRunner.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/LoadRunner.java
@@ -97,6 +97,9 @@
             case PlannedCall call -> calls.call(address, call);
         };
         totals.add(request, outcome);
+        if (request instanceof PlannedCall call && call.isOrder() && planner.repeats()) {
+            totals.add(call, calls.call(addresses.next(), call));
+        }
         return outcome;
     }
 
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/LoadSummary.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/LoadSummary.java
@@ -6,6 +6,7 @@
  * The result of a run, as written in JSON.
  *
  * @param goodput chats a second whose first token came within 1.4 s, with 32 ms or less between tokens
+ * @param ordersStillUnknown orders whose outcome could not be learnt at the end of the run either
  * @param cut requests whose answer ended without its end mark
  */
 public record LoadSummary(
@@ -25,6 +26,7 @@
         long ordersNotRun,
         long ordersUnknown,
         long ordersWithoutAnswer,
+        long ordersStillUnknown,
         long tokens,
         Latency firstToken,
         Latency tokenInterval,
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/LoadTotals.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/LoadTotals.java
@@ -57,7 +57,8 @@
             addLatency(request, outcome);
         }
         if (request instanceof PlannedCall planned && planned.isOrder()) {
-            orders.add(new OrderClaim(planned.orderId(), planned.idempotencyKey(), claim(outcome.kind())));
+            OrderClaim.Claim claim = claim(outcome.kind());
+            orders.add(new OrderClaim(planned.orderId(), planned.service(), planned.idempotencyKey(), claim, claim));
         }
     }
 
@@ -96,8 +97,12 @@
         counts.computeIfAbsent(type, _ -> new LongAdder()).increment();
     }
 
-    LoadSummary summary(Deployment deployment, long seed, double seconds) {
-        List<OrderClaim> claims = List.copyOf(orders);
+    /** Returns the claims of all orders, in the order of their answers. */
+    List<OrderClaim> orderClaims() {
+        return List.copyOf(orders);
+    }
+
+    LoadSummary summary(Deployment deployment, long seed, double seconds, List<OrderClaim> claims) {
         List<LoadSummary.AccountSummary> parts = new ArrayList<>();
         accounts.forEach((account, totals) -> parts.add(totals.summary(account, seconds)));
         return new LoadSummary(
@@ -117,6 +122,7 @@
                 claims(claims, OrderClaim.Claim.NOT_RUN),
                 claims(claims, OrderClaim.Claim.UNKNOWN),
                 claims(claims, OrderClaim.Claim.NO_ANSWER),
+                claims.stream().filter(LoadTotals::isStillOpen).count(),
                 tokens.sum(),
                 latency(firstToken),
                 latency(tokenInterval),
@@ -125,6 +131,10 @@
                 claims);
     }
 
+    private static boolean isStillOpen(OrderClaim order) {
+        return order.later() == OrderClaim.Claim.UNKNOWN || order.later() == OrderClaim.Claim.NO_ANSWER;
+    }
+
     private long count(Outcome.Kind kind) {
         return kinds.get(kind).sum();
     }
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/RequestPlanner.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/RequestPlanner.java
@@ -20,13 +20,21 @@
     private final MixSwing swing;
     private final double plainShare;
     private final double scale;
+    private final double repeatShare;
     private final PromptTexts texts;
     private final SplittableRandom random;
     private final long seed;
     private long numbers;
 
     RequestPlanner(
-            Traffic traffic, List<LoadAccount> accounts, MixSwing swing, double plainShare, double scale, long seed) {
+            Traffic traffic,
+            List<LoadAccount> accounts,
+            MixSwing swing,
+            double plainShare,
+            double scale,
+            double repeatShare,
+            long seed) {
+        this.repeatShare = repeatShare;
         this.traffic = traffic;
         this.accounts = accounts;
         this.totalShare = accounts.stream().mapToDouble(LoadAccount::share).sum();
@@ -45,6 +53,11 @@
         return random.nextDouble() < plainShare ? call(account) : chat(account, seconds);
     }
 
+    /** Draws whether an order is sent a second time with its idempotency key. */
+    synchronized boolean repeats() {
+        return repeatShare > 0 && random.nextDouble() < repeatShare;
+    }
+
     /** Draws the time until the next request of an open loop with a mean rate. */
     synchronized double secondsToNext(double seconds, double meanRate) {
         return -Math.log(1 - random.nextDouble()) / (meanRate * swing.rateFactor(seconds));
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/SummaryTable.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/SummaryTable.java
@@ -22,12 +22,13 @@
                 "%-22s %d cut, %d wrong, %d not connected%n",
                 "failed", summary.cut(), summary.wrong(), summary.notConnected());
         table.format(
-                "%-22s %d ran, %d not run, %d unknown, %d without answer%n",
+                "%-22s %d ran, %d not run, %d unknown, %d without answer; %d unknown at the end%n",
                 "orders",
                 summary.ordersRan(),
                 summary.ordersNotRun(),
                 summary.ordersUnknown(),
-                summary.ordersWithoutAnswer());
+                summary.ordersWithoutAnswer(),
+                summary.ordersStillUnknown());
         table.format("%-22s %9s %9s %9s %9s %9s%n", "milliseconds", "count", "p50", "p95", "p99", "most");
         latency(table, "first token", summary.firstToken());
         latency(table, "token interval", summary.tokenInterval());
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/MeasureCommand.java
@@ -0,0 +1,23 @@
+package io.banyantally.standins.measure;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+
+/** Groups the measurements. */
+@Command(
+        name = "measure",
+        mixinStandardHelpOptions = true,
+        subcommands = {StreamMemoryCommand.class, ChunkCostCommand.class, KeyValueCostCommand.class},
+        description = "Measures what the adapters cost, against stand-ins that run in processes of their own.")
+public final class MeasureCommand implements Runnable {
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        CommandLine.usage(spec.commandLine(), System.out);
+    }
+}
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of what the adapters cost in memory and processor time. */
+package io.banyantally.standins.measure;
--- a/modules/banyantally-stand-ins/src/test/java/io/banyantally/standins/load/ChatCallerTest.java
+++ b/modules/banyantally-stand-ins/src/test/java/io/banyantally/standins/load/ChatCallerTest.java
@@ -7,6 +7,7 @@
 import io.banyantally.standins.engine.ExpectedText;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -31,7 +32,7 @@
                 0,
                 Duration.ofSeconds(20),
                 exchange -> exchange.answerBytes(status, "text/event-stream", body.getBytes(StandardCharsets.UTF_8)))) {
-            return new ChatCaller(client, "m", Duration.ofSeconds(20)).call(server.address(), CHAT);
+            return new ChatCaller(client, "m", Duration.ofSeconds(20), Optional.empty()).call(server.address(), CHAT);
         }
     }
 
--- a/modules/banyantally-stand-ins/src/test/java/io/banyantally/standins/load/RequestPlannerTest.java
+++ b/modules/banyantally-stand-ins/src/test/java/io/banyantally/standins/load/RequestPlannerTest.java
@@ -14,7 +14,7 @@
             List.of(new LoadAccount("large", "k1", 6), new LoadAccount("small", "k2", 1));
 
     private static List<PlannedRequest> requests(Deployment deployment, double second, int count) {
-        RequestPlanner planner = new RequestPlanner(deployment.traffic(), ACCOUNTS, new MixSwing(60), 0.2, 0.05, 9);
+        RequestPlanner planner = new RequestPlanner(deployment.traffic(), ACCOUNTS, new MixSwing(60), 0.2, 0.05, 0, 9);
         return IntStream.range(0, count).mapToObj(index -> planner.next(second)).toList();
     }
 
