--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/MeasureCommand.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/MeasureCommand.java
@@ -9,8 +9,8 @@
 @Command(
         name = "measure",
         mixinStandardHelpOptions = true,
-        subcommands = {StreamMemoryCommand.class, ChunkCostCommand.class, KeyValueCostCommand.class},
-        description = "Measures what the adapters cost, against stand-ins that run in processes of their own.")
+        subcommands = {ConfigurationMeasurement.class, AdapterMeasurement.class},
+        description = "Measures single parts of the system.")
 public final class MeasureCommand implements Runnable {
 
     @Spec
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/package-info.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/package-info.java
@@ -1,2 +1,2 @@
-/** Measurements of what the adapters cost in memory and processor time. */
+/** Measurements of single parts of the system; each is a command. */
 package io.banyantally.standins.measure;
