--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/Main.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/Main.java
@@ -3,6 +3,7 @@
 import io.banyantally.standins.demo.DemoStepCommand;
 import io.banyantally.standins.engine.EngineCommand;
 import io.banyantally.standins.load.LoadCommand;
+import io.banyantally.standins.measure.MeasureCommand;
 import io.banyantally.standins.platform.PlatformCommand;
 import io.banyantally.standins.service.ServiceCommand;
 import picocli.CommandLine;
@@ -12,7 +13,7 @@
 @Command(
         name = "banyantally",
         mixinStandardHelpOptions = true,
-        subcommands = {Main.StandIn.class, LoadCommand.class, DemoStepCommand.class},
+        subcommands = {Main.StandIn.class, LoadCommand.class, MeasureCommand.class, DemoStepCommand.class},
         description = "Stand-ins for the outside of the system, and the load tool. All listen on loopback only.")
 public final class Main implements Runnable {
 
