Send engine orders through OrderConnection

HttpEngine.apply asked for permission after the connection was open and then wrote headers and body through the shared client. It now sends the body after the interim answer and the check, on a plain connection used once. An answer without a stated end counts as unknown, as in the client.

HttpUpstreamOrdering asks for permission once its connection is open; its receiver has no interim answer, so the receiver's idle timeout bounds the delay after the check.

ScriptedServer, the scripted receiver of the adapter tests, sends the interim answer where it is asked for. It no longer counts a request whose body was cut as one that arrived whole, which its own comment excludes; the expectations of HttpEngineTest are unchanged.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpEngine.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpEngine.java
@@ -1,5 +1,6 @@
 package io.banyantally.internal.adapter;
 
+import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.model.ExchangeId;
 import io.banyantally.upstream.AnswerStream;
 import io.banyantally.upstream.AnswerTruncatedException;
@@ -8,9 +9,11 @@
 import io.banyantally.upstream.EngineOrder;
 import io.banyantally.upstream.EngineState;
 import io.banyantally.upstream.GenerationRequest;
+import io.banyantally.upstream.HeaderField;
 import io.banyantally.upstream.LoadReport;
 import io.banyantally.upstream.NotSentException;
 import io.banyantally.upstream.SendPermission;
+import io.banyantally.upstream.ServiceAnswer;
 import io.banyantally.upstream.StaleFencingNumberException;
 import io.banyantally.upstream.UpstreamException;
 import io.banyantally.upstream.UpstreamRefusedException;
@@ -38,6 +41,7 @@
     private static final Duration ORDER_LIMIT = Duration.ofSeconds(3);
 
     private static final Duration TRANSFER_LIMIT = Duration.ofSeconds(10);
+    private static final List<HeaderField> JSON = List.of(new HeaderField("Content-Type", "application/json"));
     private static final int MAXIMUM_ANSWER_BYTES = 4 * 1024 * 1024;
 
     private final AdapterHttpClient client;
@@ -98,7 +102,12 @@
 
     @Override
     public void apply(EngineOrder order, SendPermission authority) throws UpstreamException {
-        whole(HttpCall.write(address, "/orders", order, ORDER_LIMIT).withPermission(authority));
+        try (OrderConnection connection = OrderConnection.open(address, ORDER_LIMIT, MonotonicClock.SYSTEM)) {
+            ServiceAnswer answer = connection.send("POST", "/orders", JSON, WireFormat.encode(order), authority);
+            if (answer.status() < 200 || answer.status() >= 300) {
+                throw refusal("order to " + address, answer.status());
+            }
+        }
     }
 
     @Override
@@ -147,7 +156,7 @@
         };
     }
 
-    private static UpstreamException refusal(HttpCall call, int status) {
+    private static UpstreamException refusal(Object call, int status) {
         return switch (status) {
             case NOT_RUN -> new UpstreamRefusedException(call + " was refused as not run");
             case STALE_FENCING_NUMBER ->
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpUpstreamOrdering.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpUpstreamOrdering.java
@@ -8,6 +8,7 @@
 import io.banyantally.platform.OrderedUpstream;
 import io.banyantally.platform.PlatformException;
 import io.banyantally.platform.UpstreamOrdering;
+import io.banyantally.upstream.SendPermission;
 import java.net.InetSocketAddress;
 import java.util.List;
 
@@ -48,19 +49,39 @@
     public UpstreamId order(
             ServiceName service, AvailabilityZone zone, boolean cheap, OrderToken token, FencingNumber fencingNumber)
             throws PlatformException {
+        return order(service, zone, cheap, token, fencingNumber, () -> true);
+    }
+
+    @Override
+    public void giveBack(UpstreamId upstream, FencingNumber fencingNumber) throws PlatformException {
+        giveBack(upstream, fencingNumber, () -> true);
+    }
+
+    @Override
+    public UpstreamId order(
+            ServiceName service,
+            AvailabilityZone zone,
+            boolean cheap,
+            OrderToken token,
+            FencingNumber fencingNumber,
+            SendPermission permission)
+            throws PlatformException {
         OrderingRequest request = new OrderingRequest(service, zone, cheap, token, fencingNumber);
         return PlatformCalls.write(
                 client,
-                HttpCall.write(address, OrderingRequest.PATH, request, PlatformCalls.TIME_LIMIT),
+                HttpCall.write(address, OrderingRequest.PATH, request, PlatformCalls.TIME_LIMIT)
+                        .withPermission(permission),
                 body -> WireFormat.decode(body, UpstreamId.class));
     }
 
     @Override
-    public void giveBack(UpstreamId upstream, FencingNumber fencingNumber) throws PlatformException {
+    public void giveBack(UpstreamId upstream, FencingNumber fencingNumber, SendPermission permission)
+            throws PlatformException {
         GiveBackRequest request = new GiveBackRequest(upstream, fencingNumber);
         PlatformCalls.write(
                 client,
-                HttpCall.write(address, GiveBackRequest.PATH, request, PlatformCalls.TIME_LIMIT),
+                HttpCall.write(address, GiveBackRequest.PATH, request, PlatformCalls.TIME_LIMIT)
+                        .withPermission(permission),
                 body -> upstream);
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/OrderConnection.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/OrderConnection.java
@@ -26,6 +26,8 @@
 public final class OrderConnection implements AutoCloseable {
 
     private static final int CONTINUE = 100;
+    private static final int FIRST_FINAL_STATUS = 200;
+    private static final int NO_CONTENT = 204;
 
     private final Socket socket;
     private final InetSocketAddress receiver;
@@ -140,10 +142,17 @@
         ServiceAnswer answer;
         do {
             answer = parser.read(socket.getInputStream(), this::limitNextRead);
-        } while (answer.status() < 200);
+        } while (answer.status() < FIRST_FINAL_STATUS);
+        if (answer.status() != NO_CONTENT && answer.headers().stream().noneMatch(OrderConnection::statesAnEnd)) {
+            throw new IOException("the answer states neither a length nor chunks, so it has no end");
+        }
         return answer;
     }
 
+    private static boolean statesAnEnd(HeaderField field) {
+        return field.name().equalsIgnoreCase("Content-Length") || field.name().equalsIgnoreCase("Transfer-Encoding");
+    }
+
     private void limitNextRead() throws IOException {
         long remaining = limit.minus(clock.since(openedAt)).toMillis();
         if (remaining <= 0) {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/adapter/ScriptedServer.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/adapter/ScriptedServer.java
@@ -100,7 +100,7 @@
             InputStream input = new BufferedInputStream(socket.getInputStream());
             boolean goOn = true;
             while (goOn) {
-                String request = readRequest(input);
+                String request = readRequest(input, socket.getOutputStream());
                 requests.add(request);
                 goOn = script.answer(request, socket, socket.getOutputStream());
             }
@@ -109,7 +109,8 @@
         }
     }
 
-    private static String readRequest(InputStream input) throws IOException {
+    /** Reads a request, and asks for its body where the sender waits for that. */
+    private static String readRequest(InputStream input, OutputStream output) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             int next = input.read();
@@ -125,7 +126,15 @@
                         line.substring("content-length:".length()).trim());
             }
         }
-        return head + new String(input.readNBytes(length), StandardCharsets.UTF_8);
+        if (head.indexOf("Expect: 100-continue") >= 0) {
+            output.write("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+            output.flush();
+        }
+        byte[] body = input.readNBytes(length);
+        if (body.length < length) {
+            throw new IOException("closed before the end of a request");
+        }
+        return head + new String(body, StandardCharsets.UTF_8);
     }
 
     @Override
