--- a/modules/banyantally/src/main/java/io/banyantally/internal/authority/ScopeOwner.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/authority/ScopeOwner.java
@@ -45,6 +45,7 @@
     private volatile boolean releaseRequested;
     private volatile boolean stopped;
     private volatile HeldScope current;
+    private volatile Thread thread;
 
     /** Creates the owner of a scope; {@link #run()} starts it. */
     public ScopeOwner(
@@ -71,17 +72,27 @@
 
     /** Starts a thread that runs this owner. */
     public Thread start() {
-        Thread thread = environment.threads().newThread(this);
-        thread.start();
-        return thread;
+        Thread started = threads.newThread(this);
+        thread = started;
+        started.start();
+        return started;
+    }
+
+    /** Returns the scope. */
+    public Scope scope() {
+        return scope;
     }
 
     /** Asks for a release: no new action starts, the last one's outcome is awaited, the scope is handed over. */
     public void requestRelease() {
         releaseRequested = true;
         HeldScope held = current;
+        Thread running = thread;
         if (held != null) {
             held.withdraw();
+        } else if (running != null) {
+            // Ends a watch that may last long; nothing is held that a handover would have to finish.
+            running.interrupt();
         }
     }
 
@@ -193,16 +204,16 @@
     private void hold(ScopeLease lease) throws InterruptedException {
         HeldScope held = new HeldScope(scope, store, clock, sleeper, settings, self, attempts, lease);
         TaskRun run = new TaskRun(held, task, sleeper, settings, timeline);
-        Thread thread = threads.newThread(run);
+        Thread worker = threads.newThread(run);
         current = held;
-        thread.start();
+        worker.start();
         try {
             keep(held, lease, run);
             if (held.isUsable()) {
-                new ScopeRelease(held, lease, run, environment).release(thread);
+                new ScopeRelease(held, lease, run, environment).release(worker);
             }
         } finally {
-            end(held, lease, run, thread);
+            end(held, lease, run, worker);
         }
     }
 
@@ -244,9 +255,9 @@
     }
 
     /** Waits until the task has ended, so that this process never runs two tasks of the scope at once. */
-    private void end(HeldScope held, ScopeLease lease, TaskRun run, Thread thread) throws InterruptedException {
+    private void end(HeldScope held, ScopeLease lease, TaskRun run, Thread worker) throws InterruptedException {
         held.abandon(held.lossReason());
-        thread.interrupt();
+        worker.interrupt();
         while (!run.isFinished()) {
             sleeper.sleep(settings.tick());
         }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/authority/HeldScopeTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/authority/HeldScopeTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.banyantally.internal.invariant.Promise;
+import io.banyantally.internal.timeline.Timeline;
 import io.banyantally.model.FencingNumber;
 import io.banyantally.model.Incarnation;
 import io.banyantally.model.VmId;
@@ -18,11 +19,13 @@
 import io.banyantally.testing.StoreFault;
 import io.banyantally.testing.StoreOperation;
 import java.time.Duration;
+import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards one ownership on a clock that moves only when the code waits. */
 final class HeldScopeTest {
@@ -127,6 +130,26 @@
         assertFalse(held.isGranted());
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    @FaultRow(promise = Promise.GRACEFUL_STOP, step = "release", fault = "outcome of the last order known or not")
+    void aReleaseMarksTheScopeOnlyWhenEveryOutcomeIsKnown(boolean known) throws Exception {
+        HeldScope held = takeOver("vm-1");
+        AuthoritySettings settings = AuthoritySettings.DEFAULT;
+        Timeline timeline = new Timeline(new VmId("vm-1"), Incarnation.draw(), 10, event -> {});
+        ScopeTask task = scope -> {
+            scope.setOutcomesKnown(known);
+            held.withdraw();
+        };
+        TaskRun run = new TaskRun(held, task, clock::advance, settings, timeline);
+        run.run();
+        AuthorityEnvironment environment = new AuthorityEnvironment(
+                settings, clock, clock::advance, timeline, Thread::new, new SplittableRandom(1));
+        new ScopeRelease(held, lease, run, environment).release(Thread.currentThread());
+        byte[] record = shared.get(StoreKeys.record(SCOPE)).orElseThrow().value();
+        assertEquals(known, ScopeRecord.decode(record).handedOver());
+    }
+
     @Test
     void sequencesNeverFall() throws Exception {
         HeldScope held = takeOver("vm-1");
--- a/modules/banyantally/src/test/java/io/banyantally/internal/orders/SimulatedEngine.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/orders/SimulatedEngine.java
@@ -110,7 +110,7 @@
             }
             vm.at(Step.SEND, simulation.upTo(Duration.ofMillis(5)));
             if (vm.enginesAreCut()) {
-                simulation.after(simulation.upTo(Duration.ofSeconds(8)), () -> deliverLate(order, interimAt));
+                simulation.after(site.holdBack(), () -> deliverLate(order, interimAt));
                 simulation.pass(Duration.ofSeconds(3));
                 throw new AnswerTruncatedException("no answer");
             }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/orders/SimulatedOrdering.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/orders/SimulatedOrdering.java
@@ -133,7 +133,7 @@
 
         private void exchange(FencingNumber number, SendPermission permission, Runnable effect)
                 throws PlatformException {
-            vm.at(Step.OPEN_CONNECTION, simulation.upTo(Duration.ofMillis(5)));
+            vm.at(Step.ORDER_OPEN, simulation.upTo(Duration.ofMillis(5)));
             long interimAt = simulation.now();
             vm.at(Step.ORDER_CHECK, simulation.upTo(Duration.ofMillis(5)));
             if (vm.enginesAreCut() || !permission.isGranted()) {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/orders/SimulatedSite.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/orders/SimulatedSite.java
@@ -28,6 +28,7 @@
     static final ServiceName SERVICE = new ServiceName("advisor");
     static final Duration FAULTS_UNTIL = Duration.ofSeconds(45);
     private static final Duration LONGEST_PROCESSING = Duration.ofMillis(2_900);
+    static final Duration LONGEST_HOLD = Duration.ofMillis(1_900);
     private static final Duration RUN_TIME = Duration.ofSeconds(105);
     private static final Duration TARGET_PERIOD = Duration.ofSeconds(8);
 
@@ -39,6 +40,7 @@
     private final List<SimulatedVm> everyLife = new ArrayList<>();
     private final Map<UpstreamId, SimulatedEngine> engines = new LinkedHashMap<>();
     private final FaultScript script;
+    private boolean delayNextOrder;
     private long platformDownUntil;
     private long platformSlowUntil;
 
@@ -120,7 +122,21 @@
 
     /** Returns how long a receiver takes from reading an order to its effect; now and then nearly the longest order. */
     Duration processing() {
-        return simulation.upTo(simulation.random.nextInt(4) == 0 ? LONGEST_PROCESSING : Duration.ofMillis(5));
+        boolean longest = delayNextOrder;
+        delayNextOrder = false;
+        return longest
+                ? LONGEST_PROCESSING
+                : simulation.upTo(simulation.random.nextInt(4) == 0 ? LONGEST_PROCESSING : Duration.ofMillis(5));
+    }
+
+    /** Returns how long a cut holds an order back; after the read timeout it arrives in vain. */
+    Duration holdBack() {
+        return delayNextOrder ? LONGEST_HOLD : simulation.upTo(Duration.ofSeconds(8));
+    }
+
+    /** Lets the next order take effect as late as the receiver's read timeout and the longest order allow. */
+    void delayNextOrder() {
+        delayNextOrder = true;
     }
 
     void crashEngines() {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/orders/Step.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/orders/Step.java
@@ -14,6 +14,7 @@
     SEND,
     CONFIRM,
     RELEASE,
+    ORDER_OPEN,
     ORDER_CHECK,
     ORDER_SEND,
     ORDER_ANSWER,
