--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/package-info.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/package-info.java
@@ -1,2 +1,2 @@
-/** Measurements of single parts of the system; each is a command. */
+/** Measurements of what parts of the system cost, each with its command. */
 package io.banyantally.standins.measure;
