--- a/modules/banyantally/src/main/java/io/banyantally/internal/usage/CounterTable.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/usage/CounterTable.java
@@ -27,6 +27,17 @@
         return rows.containsKey(origin);
     }
 
+    /** Returns the origins with counters of a bucket's accounts, and only these counters. */
+    CounterTable ofBucket(int bucket) {
+        CounterTable selected = new CounterTable();
+        rows.forEach((origin, row) -> row.forEach((account, figures) -> {
+            if (UsageBuckets.of(account) == bucket) {
+                selected.merge(origin, account, figures);
+            }
+        }));
+        return selected;
+    }
+
     Set<ClientAccountId> accounts() {
         Set<ClientAccountId> accounts = new TreeSet<>();
         rows.values().forEach(row -> accounts.addAll(row.keySet()));
--- a/modules/banyantally/src/main/java/io/banyantally/internal/usage/UsageGatherer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/usage/UsageGatherer.java
@@ -129,21 +129,11 @@
 
     private Optional<CounterTable> readFlush(AvailabilityZone zone, int bucket) {
         try {
-            var stored = store.get(ZoneUsageFlush.keyOf(zone));
+            var stored = store.get(ZoneUsageFlush.keyOf(zone, bucket));
             if (stored.isEmpty()) {
                 return Optional.empty();
             }
-            CounterTable all = ZoneFlushRecord.decode(stored.get().value()).counters();
-            CounterTable selected = new CounterTable();
-            for (CounterOrigin origin : all.origins()) {
-                selected.addOrigin(origin);
-                all.row(origin).forEach((account, figures) -> {
-                    if (UsageBuckets.of(account) == bucket) {
-                        selected.merge(origin, account, figures);
-                    }
-                });
-            }
-            return Optional.of(selected);
+            return Optional.of(ZoneFlushRecord.decode(stored.get().value()).counters());
         } catch (StoreException | PeerException unreadable) {
             return Optional.empty();
         }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/usage/ZoneFlushRecord.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/usage/ZoneFlushRecord.java
@@ -12,7 +12,7 @@
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * The value at {@code usage-flush/<zone>}.
+ * The value at {@code usage-flush/<zone>/<bucket>}.
  *
  * @param flush how many flushes were written; numbers the flushes, since clocks of two VMs are not compared
  * @param lastChanged the flush in which each origin's counters last grew
--- a/modules/banyantally/src/main/java/io/banyantally/internal/usage/ZoneUsageFlush.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/usage/ZoneUsageFlush.java
@@ -15,8 +15,10 @@
 import io.banyantally.platform.VersionedValue;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 
 /** Writes the counters of a zone's VMs to the key-value service, so that they outlive the loss of a whole site. */
@@ -35,6 +37,7 @@
     private final MonotonicClock clock;
     private final BooleanSupplier firstReader;
     private final Counter tooLarge;
+    private final Map<Integer, Stored> latest = new ConcurrentHashMap<>();
 
     /**
      * Creates the flush of one process.
@@ -58,12 +61,13 @@
         this.tooLarge = metrics.counter("usage.flush.too-large");
     }
 
-    static StoreKey keyOf(AvailabilityZone zone) {
-        return new StoreKey("usage-flush/" + zone);
+    /** One record for each bucket: at 13,000 accounts, three VMs of a zone would fill a single record. */
+    static StoreKey keyOf(AvailabilityZone zone, int bucket) {
+        return new StoreKey("usage-flush/" + zone + "/" + bucket);
     }
 
     /**
-     * Gathers the counters of the zone's VMs and merges them into the stored ones.
+     * Gathers the counters of the zone's VMs and merges them into the stored ones. Buckets without new usage cost no call.
      *
      * @throws StoreException if the flush may not have been written; the next one includes it
      */
@@ -86,20 +90,28 @@
                 // The VM's replicas have its counters; the next flush asks again.
             }
         }
-        write(gathered, present);
+        for (int bucket = 0; bucket < UsageBuckets.COUNT; bucket++) {
+            write(bucket, gathered.ofBucket(bucket), present);
+        }
     }
 
-    private void write(CounterTable gathered, Set<CounterOrigin> present) throws StoreException {
+    private void write(int bucket, CounterTable gathered, Set<CounterOrigin> present) throws StoreException {
         for (int writes = 1; ; writes++) {
-            Optional<VersionedValue> stored = store.get(keyOf(self.zone()));
-            byte[] next = read(stored).next(gathered, present).encode();
-            if (next.length > KeyValueStore.MAXIMUM_VALUE_BYTES) {
+            Stored stored = read(bucket);
+            ZoneFlushRecord next = stored.flush().next(gathered, present);
+            if (next.counters().equals(stored.flush().counters())) {
+                return;
+            }
+            byte[] value = next.encode();
+            if (value.length > KeyValueStore.MAXIMUM_VALUE_BYTES) {
                 tooLarge.inc();
                 return;
             }
+            // Until the outcome is known, the next write starts from what is stored.
+            latest.remove(bucket);
             try {
-                StoreRevision expected = stored.map(VersionedValue::revision).orElse(StoreRevision.ABSENT);
-                store.compareAndSwap(keyOf(self.zone()), expected, next);
+                StoreRevision revision = store.compareAndSwap(keyOf(self.zone(), bucket), stored.revision(), value);
+                latest.put(bucket, new Stored(next, revision));
                 return;
             } catch (RevisionConflictException raced) {
                 if (writes == MAXIMUM_WRITES) {
@@ -109,14 +121,23 @@
         }
     }
 
-    private static ZoneFlushRecord read(Optional<VersionedValue> stored) {
+    private Stored read(int bucket) throws StoreException {
+        Stored known = latest.get(bucket);
+        if (known != null) {
+            return known;
+        }
+        Optional<VersionedValue> stored = store.get(keyOf(self.zone(), bucket));
+        if (stored.isEmpty()) {
+            return new Stored(ZoneFlushRecord.EMPTY, StoreRevision.ABSENT);
+        }
         try {
-            return stored.isEmpty()
-                    ? ZoneFlushRecord.EMPTY
-                    : ZoneFlushRecord.decode(stored.get().value());
+            return new Stored(
+                    ZoneFlushRecord.decode(stored.get().value()), stored.get().revision());
         } catch (PeerException malformed) {
             // The live VMs still hold their counters, so a record that cannot be read is replaced.
-            return ZoneFlushRecord.EMPTY;
+            return new Stored(ZoneFlushRecord.EMPTY, stored.get().revision());
         }
     }
+
+    private record Stored(ZoneFlushRecord flush, StoreRevision revision) {}
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/idempotency/CallFaultMatrixTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/idempotency/CallFaultMatrixTest.java
@@ -241,6 +241,24 @@
         assertInstanceOf(CallOutcome.Ran.class, second.ledger.find(CallWorld.IDENTITY));
     }
 
+    @Test
+    @FaultRow(promise = Promise.TRUE_NOT_RUN, step = "status", fault = "outcome stored while the claimer is asked")
+    void readsRecordAgainWhenClaimerHasStoredOutcomeMeanwhile() throws Exception {
+        world.listener = (vm, step, after) -> {
+            first.platformDown |= step == CallStep.SEND;
+            return StoreFault.NONE;
+        };
+        world.call(first, CallWorld.IDENTITY, "hash");
+        world.listener = (vm, step, after) -> {
+            if (vm == second && step == CallStep.READ && after) {
+                first.platformDown = false;
+                first.ledger.maintain();
+            }
+            return StoreFault.NONE;
+        };
+        assertInstanceOf(CallOutcome.Ran.class, second.ledger.find(CallWorld.IDENTITY));
+    }
+
     @Test
     @FaultRow(promise = Promise.AT_MOST_ONCE, step = "in progress", fault = "call lasts longer than the retention")
     void keepsRecordOfCallInProgressBeyondRetention() {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/usage/UsageWorld.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/usage/UsageWorld.java
@@ -120,7 +120,7 @@
         }
         for (AvailabilityZone zone : ZONES) {
             try {
-                var stored = shared.get(ZoneUsageFlush.keyOf(zone));
+                var stored = shared.get(ZoneUsageFlush.keyOf(zone, BUCKET));
                 if (stored.isPresent()) {
                     known.mergeAll(ZoneFlushRecord.decode(stored.get().value()).counters());
                 }
