--- a/modules/banyantally/src/main/java/io/banyantally/internal/usage/UsageSealer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/usage/UsageSealer.java
@@ -1,6 +1,7 @@
 package io.banyantally.internal.usage;
 
 import io.banyantally.internal.authority.Authority;
+import io.banyantally.internal.authority.OwnedScope;
 import io.banyantally.internal.authority.ScopeTask;
 import io.banyantally.internal.invariant.Invariants;
 import io.banyantally.internal.time.MonotonicClock;
@@ -45,9 +46,9 @@
     }
 
     @Override
-    public void run(Authority authority) throws InterruptedException {
-        BucketSealer sealer = sealerFor(authority);
-        while (authority.isGranted() && sealer.pass()) {
+    public void run(OwnedScope scope) throws InterruptedException {
+        BucketSealer sealer = sealerFor(scope);
+        while (scope.isGranted() && sealer.pass()) {
             Thread.sleep(PASS_INTERVAL);
         }
     }
