Learn prefill rates by batch and tell peers of new prefixes

The expected first token ignored that a busy engine computes prompts in chunks between decoding steps, and a prefix sent by one VM was known to the others only after late cache events. Longer cache lifetimes were ruled out: the prefixes in question were never known.

The rate now falls with the batch, and peers hear of new prefixes in the next exchange; of each pair of VMs one asks, which halves the messages. The admission window grows from 0.25 s to 0.3 s.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/admission/ServiceGate.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/admission/ServiceGate.java
@@ -15,8 +15,11 @@
  * waits for a lock: the thread that finds the gate unattended serves the arrivals of all.
  */
 final class ServiceGate {
-    /** Prefill work, in seconds, that engines hold ahead so that they are never idle between two decisions. */
-    private static final double PREFILL_WINDOW_SECONDS = 0.25;
+    /**
+     * Prefill work, in seconds of all upstreams, that is let in before its first tokens have come. With less, upstreams
+     * stand idle between two decisions; with more, requests wait where their order can no longer be changed.
+     */
+    private static final double PREFILL_WINDOW_SECONDS = 0.3;
 
     /** The part of the time limit that prediction may fill; the rest covers its error. */
     private static final double USABLE_TIME = 0.8;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/CapacityEstimate.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/CapacityEstimate.java
@@ -24,8 +24,9 @@
             }
             EngineRole role = upstream.role();
             if (role != EngineRole.DECODE) {
-                prefill += upstream.prefillRate();
-                best = Math.max(best, upstream.prefillRate());
+                double rate = upstream.prefillRateNow(now);
+                prefill += rate;
+                best = Math.max(best, rate);
             }
             if (role != EngineRole.PREFILL) {
                 streams += Math.max(1, upstream.streamsWithin(Scorer.INTERVAL_TARGET * USABLE_INTERVAL));
@@ -36,8 +37,8 @@
         }
         if (prefill <= 0) {
             // Decoding engines compute prompts as well when no other does.
-            prefill = upstreams[0].prefillRate() * upstreams.length;
-            best = upstreams[0].prefillRate();
+            best = upstreams[0].prefillRateNow(now);
+            prefill = best * upstreams.length;
         }
         double outputTokens = streams / Scorer.INTERVAL_TARGET;
         return Optional.of(new ServiceCapacity(prefill, best, streams, outputTokens));
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/ChosenRoute.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/ChosenRoute.java
@@ -20,6 +20,8 @@
     private final long ownTokens;
     private final double aheadTokens;
     private final double expectedInterval;
+    private final double expectedRate;
+    private final double expectedStageRate;
     private final long chosenAt;
     private final AtomicBoolean stageRuns;
     private final AtomicBoolean prefilling = new AtomicBoolean(true);
@@ -46,6 +48,8 @@
         UpstreamState upstream = choice.upstream();
         this.aheadTokens = upstream.queuedTokens(now);
         this.expectedInterval = upstream.intervalSeconds(upstream.streams(now) + 1);
+        this.expectedRate = upstream.prefillRateNow(now);
+        this.expectedStageRate = choice.prefill() == null ? 1 : choice.prefill().prefillRateNow(now);
         this.stageRuns = new AtomicBoolean(choice.prefill() != null);
         upstream.begin(ownTokens, 1);
         upstream.health.sent();
@@ -73,7 +77,7 @@
         if (stageRuns.compareAndSet(true, false)) {
             long now = router.now();
             choice.prefill().prefillEnded(stageTokens);
-            choice.prefill().measuredPrefill((double) stageTokens, now - chosenAt - copy.toNanos());
+            choice.prefill().measuredPrefill((double) stageTokens, expectedStageRate, now - chosenAt - copy.toNanos());
             router.measuredCopy(hashes.length * PrefixHashes.BLOCK_TOKENS, copy);
         }
     }
@@ -87,7 +91,7 @@
             firstTokenAt = now;
             choice.upstream().prefillEnded(ownTokens);
             if (choice.prefill() == null) {
-                choice.upstream().measuredPrefill(aheadTokens + ownTokens, now - chosenAt);
+                choice.upstream().measuredPrefill(aheadTokens + ownTokens, expectedRate, now - chosenAt);
             }
         }
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/LoadAwareRouter.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/LoadAwareRouter.java
@@ -127,13 +127,19 @@
         int cached = choice.cachedBlocks() * PrefixHashes.BLOCK_TOKENS;
         long stageTokens = choice.prefill() == null ? 0 : Math.max(1, whole - cached);
         long ownTokens = choice.prefill() == null ? Math.max(1, prompt - cached) : Math.max(1, prompt - whole);
-        index.sent(hashes, choice.upstream(), now);
+        noteSent(hashes, choice.upstream(), now);
         if (choice.prefill() != null) {
-            index.sent(hashes, choice.prefill(), now);
+            noteSent(hashes, choice.prefill(), now);
         }
         return new ChosenRoute(this, service, choice, hashes, stageTokens, ownTokens, now);
     }
 
+    private void noteSent(long[] hashes, UpstreamState upstream, long now) {
+        if (index.sent(hashes, upstream, now)) {
+            exchange.sent(hashes, upstream);
+        }
+    }
+
     private static void countTry(RoutingRequest request, Choice choice) throws NoUpstreamException {
         if (request.excluded().isEmpty()) {
             choice.upstream().retries.firstTry();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/LoadExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/LoadExchange.java
@@ -7,6 +7,7 @@
 import io.banyantally.internal.peer.Topic;
 import io.banyantally.internal.routing.LoadMessage.CacheChange;
 import io.banyantally.internal.routing.LoadMessage.PolledReport;
+import io.banyantally.internal.routing.LoadMessage.Sent;
 import io.banyantally.internal.routing.LoadMessage.UpstreamWork;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.model.UpstreamId;
@@ -18,11 +19,14 @@
 import io.banyantally.upstream.UpstreamException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 
 /**
  * Keeps the load view current. Each engine is polled by {@value #POLLERS} VMs, drawn by rendezvous hashing, which tell the
@@ -35,6 +39,9 @@
     private static final Topic TOPIC = new Topic("routing.load");
     private static final MessagePackCodec<LoadMessage> CODEC = MessagePackCodec.of(LoadMessage.class);
     private static final Duration TIMEOUT = Duration.ofMillis(200);
+    /** Bounds a message when many new prefixes are sent within a round; events tell the rest. */
+    private static final int MOST_SENT = 200;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final VmId self;
@@ -48,6 +55,8 @@
     private volatile List<CacheChange> cacheChanges = List.of();
     private volatile long polledAt;
     private volatile int unansweredInLastRound;
+    private final Queue<Sent> sentNow = new ConcurrentLinkedQueue<>();
+    private volatile List<Sent> sentBefore = List.of();
 
     LoadExchange(
             VmId self,
@@ -120,11 +129,16 @@
         }
     }
 
-    /** Tells each peer this VM's work and hears the peer's. */
+    /** Tells peers this VM's work and hears theirs. Of each pair, the VM with the lower id asks and both hear. */
     void exchange() {
         byte[] message = CODEC.encode(message());
+        sentBefore = List.copyOf(sentNow);
+        sentNow.clear();
         int unanswered = 0;
         for (Peer peer : peers.peers()) {
+            if (self.compareTo(peer.vm()) > 0) {
+                continue;
+            }
             try {
                 heard(peer.vm(), CODEC.decode(peers.request(peer.vm(), TOPIC, message, TIMEOUT)));
             } catch (PeerException unreachable) {
@@ -141,6 +155,21 @@
         return unansweredInLastRound;
     }
 
+    /** Notes new prefixes for the next messages: cache events would tell peers of them a second or two later. */
+    void sent(long[] hashes, UpstreamState upstream) {
+        if (sentNow.size() < MOST_SENT) {
+            sentNow.add(new Sent(
+                    upstream.known().id().value(), Arrays.stream(hashes).boxed().toList()));
+        }
+    }
+
+    /** Each peer hears of a prefix in one of two rounds, whether it asks shortly before or after the lists move on. */
+    private List<Sent> recentlySent() {
+        List<Sent> recent = new ArrayList<>(sentBefore);
+        recent.addAll(sentNow);
+        return recent;
+    }
+
     private LoadMessage message() {
         List<UpstreamWork> work = new ArrayList<>();
         for (UpstreamState state : states.values()) {
@@ -153,7 +182,7 @@
         long age = (clock.nanoTime() - polledAt) / NANOS_PER_MILLI;
         List<PolledReport> reports =
                 polled.stream().map(report -> aged(report, age)).toList();
-        return new LoadMessage(work, reports, cacheChanges);
+        return new LoadMessage(work, reports, cacheChanges, recentlySent());
     }
 
     private static PolledReport aged(PolledReport report, long ageMillis) {
@@ -184,6 +213,14 @@
             }
             state.sumPeers(now);
         }
+        for (Sent sent : message.sent()) {
+            UpstreamState state = states.get(new UpstreamId(sent.upstream()));
+            if (state != null) {
+                long[] hashes =
+                        sent.prefixHashes().stream().mapToLong(Long::longValue).toArray();
+                index.sent(hashes, state, now);
+            }
+        }
         message.reports().forEach(report -> heardReport(report, now));
         for (CacheChange change : message.cacheChanges()) {
             UpstreamState state = states.get(new UpstreamId(change.upstream()));
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/LoadMessage.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/LoadMessage.java
@@ -2,8 +2,9 @@
 
 import java.util.List;
 
-/** What a VM tells its peers: its work in flight, the reports that it polled, and the cache events that it read. */
-record LoadMessage(List<UpstreamWork> work, List<PolledReport> reports, List<CacheChange> cacheChanges) {
+/** What a VM tells its peers: its work in flight, the reports that it polled, the cache events that it read, and new prefixes that it sent. */
+record LoadMessage(
+        List<UpstreamWork> work, List<PolledReport> reports, List<CacheChange> cacheChanges, List<Sent> sent) {
     /** The sender's work in flight at one upstream; upstreams without any are left out. */
     record UpstreamWork(String upstream, long prefillTokens, int streams) {}
 
@@ -20,4 +21,7 @@
 
     /** A cache event that the sender read. */
     record CacheChange(String upstream, long prefixHash, boolean stored) {}
+
+    /** Prefixes that the sender sent to an upstream which was not known to hold them. */
+    record Sent(String upstream, List<Long> prefixHashes) {}
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/PrefixIndex.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/PrefixIndex.java
@@ -40,10 +40,13 @@
         return found == null ? NONE : found;
     }
 
-    void sent(long[] hashes, UpstreamState upstream, long now) {
+    /** Notes prefixes that were sent to an upstream; returns whether any of them was not known to be there. */
+    boolean sent(long[] hashes, UpstreamState upstream, long now) {
+        boolean isNew = false;
         for (long hash : hashes) {
-            add(hash, upstream, now + SENT_NANOS);
+            isNew |= add(hash, upstream, now + SENT_NANOS);
         }
+        return isNew;
     }
 
     void told(CacheEvent event, UpstreamState upstream, long now) {
@@ -59,7 +62,7 @@
         events.forEach(event -> told(event, upstream, now));
     }
 
-    private void add(long hash, UpstreamState upstream, long until) {
+    private boolean add(long hash, UpstreamState upstream, long until) {
         if (young.size() >= capacity) {
             old = young;
             young = new ConcurrentHashMap<>();
@@ -68,10 +71,11 @@
         for (Holder holder : before) {
             // A fresh entry is not written again: most requests meet prefixes that were noted a moment ago.
             if (holder.upstream() == upstream && until - holder.until() < SENT_NANOS / 4 && young.containsKey(hash)) {
-                return;
+                return false;
             }
         }
         young.merge(hash, with(before, upstream, until), (present, added) -> with(present, upstream, until));
+        return true;
     }
 
     private static Holder[] with(Holder[] present, UpstreamState upstream, long until) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/RouterSettings.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/RouterSettings.java
@@ -8,7 +8,8 @@
  *
  * @param zone where this VM runs
  * @param otherZoneDelay what a round trip to another zone adds
- * @param prefillTokensPerSecond prompt tokens a second of an engine
+ * @param prefillTokensPerSecond prompt tokens a second of an engine that does not decode
+ * @param prefillChunkTokens prompt tokens that an engine computes in one step beside decoding streams
  * @param decodeBase the part of a token interval that does not depend on the batch
  * @param decodePerStream what each stream in the batch adds to a token interval
  * @param transferTokensPerSecond KV cache tokens a second between two engines
@@ -18,6 +19,7 @@
         AvailabilityZone zone,
         Duration otherZoneDelay,
         double prefillTokensPerSecond,
+        int prefillChunkTokens,
         Duration decodeBase,
         Duration decodePerStream,
         double transferTokensPerSecond,
@@ -25,6 +27,6 @@
     /** Returns the settings of a VM in a zone, with the rates of the engines that both sites run. */
     public static RouterSettings in(AvailabilityZone zone) {
         return new RouterSettings(
-                zone, Duration.ofMillis(3), 14_000, Duration.ofMillis(8), Duration.ofNanos(300_000), 80_000, 64);
+                zone, Duration.ofMillis(3), 20_000, 256, Duration.ofMillis(8), Duration.ofNanos(300_000), 80_000, 64);
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/Scorer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/Scorer.java
@@ -32,23 +32,24 @@
 
     /** Returns the score of computing and decoding at one upstream. */
     double single(UpstreamState upstream, double uncachedTokens, int blocks, long now) {
-        double firstToken = delay(upstream) + (upstream.queuedTokens(now) + uncachedTokens) / upstream.prefillRate();
+        double firstToken =
+                delay(upstream) + (upstream.queuedTokens(now) + uncachedTokens) / upstream.prefillRateNow(now);
         return combined(upstream, firstToken, blocks, now);
     }
 
     /** Returns the seconds until the copied prompt's KV cache is at the decoding upstream. */
     double prefillStage(UpstreamState upstream, double uncachedTokens, int copiedTokens, double copyRate, long now) {
         return delay(upstream)
-                + (upstream.queuedTokens(now) + uncachedTokens) / upstream.prefillRate()
+                + (upstream.queuedTokens(now) + uncachedTokens) / upstream.prefillRateNow(now)
                 + copiedTokens / copyRate;
     }
 
     /** Returns the score of decoding at an upstream after a stage that takes {@code stageSeconds}. */
     double decodeStage(UpstreamState upstream, double stageSeconds, double tailTokens, int blocks, long now) {
         // The queue drains while the first stage runs.
-        double drained = stageSeconds * upstream.prefillRate();
+        double drained = stageSeconds * upstream.prefillRateNow(now);
         double queued = Math.max(0, upstream.queuedTokens(now) - drained);
-        double firstToken = stageSeconds + delay(upstream) + (queued + tailTokens) / upstream.prefillRate();
+        double firstToken = stageSeconds + delay(upstream) + (queued + tailTokens) / upstream.prefillRateNow(now);
         return combined(upstream, firstToken, blocks, now);
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/UpstreamState.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/UpstreamState.java
@@ -38,14 +38,13 @@
     private volatile Reported reported;
     private volatile long peerPrefillTokens;
     private volatile int peerStreams;
-    private volatile double prefillRate;
+    private volatile double prefillFactor = 1;
     private volatile double intervalFactor = 1;
 
     UpstreamState(KnownUpstream known, RouterSettings settings, boolean engine) {
         this.known = known;
         this.engine = engine;
         this.settings = settings;
-        this.prefillRate = settings.prefillTokensPerSecond();
     }
 
     private record PeerWork(long prefillTokens, int streams, long heardAt) {}
@@ -141,7 +140,7 @@
         if (last == null || now - last.at() > REPORT_USABLE_NANOS) {
             return fromVms;
         }
-        double drained = prefillRate * (now - last.at()) / NANOS_PER_SECOND;
+        double drained = prefillRate(last.report().runningStreams()) * (now - last.at()) / NANOS_PER_SECOND;
         return Math.max(fromVms, last.report().queuedPromptTokens() - drained);
     }
 
@@ -169,19 +168,35 @@
                 / settings.decodePerStream().toNanos();
     }
 
-    double prefillRate() {
-        return prefillRate;
+    /** Returns prompt tokens a second while {@code streams} decode: each chunk waits for a decoding step. */
+    double prefillRate(double streams) {
+        double secondsPerToken = 1 / settings.prefillTokensPerSecond();
+        if (streams >= 1 && role() != EngineRole.PREFILL) {
+            double step =
+                    settings.decodeBase().toNanos() + settings.decodePerStream().toNanos() * streams;
+            secondsPerToken += step / NANOS_PER_SECOND / settings.prefillChunkTokens();
+        }
+        return prefillFactor / secondsPerToken;
+    }
+
+    /** Returns prompt tokens a second with the streams that probably run now. */
+    double prefillRateNow(long now) {
+        return prefillRate(streams(now));
     }
 
-    /** Learns from a first token: {@code tokens} were computed, waiting ones before it included. */
-    void measuredPrefill(double tokens, long nanos) {
+    /**
+     * Learns from a first token how rates differ from the assumed ones.
+     *
+     * @param tokens tokens that were computed, those that waited before it included
+     * @param expectedRate the rate that was expected when the request was sent
+     */
+    void measuredPrefill(double tokens, double expectedRate, long nanos) {
         if (tokens < MEASURABLE_TOKENS || nanos <= 0) {
             return;
         }
-        double prior = settings.prefillTokensPerSecond();
-        double rate = Math.clamp(tokens / (nanos / NANOS_PER_SECOND), prior / 4, prior * 4);
-        double before = prefillRate;
-        prefillRate = before + RATE_SMOOTHING * (rate - before);
+        double before = prefillFactor;
+        double seen = before * (tokens / (nanos / NANOS_PER_SECOND)) / expectedRate;
+        prefillFactor = before + RATE_SMOOTHING * (Math.clamp(seen, 0.25, 2) - before);
     }
 
     /** Learns from a finished stream how token intervals differ from the assumed ones. */
