Compare policies in an experiment on a manual clock

The experiment runs the library's router, admission and planners on six simulated VMs against round robin, least outstanding, prefix only and static roles, and also against a naive role controller and a capped least outstanding policy. measure decisions gives the cost of a decision.

--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/Main.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/Main.java
@@ -1,7 +1,9 @@
 package io.banyantally.standins;
 
 import io.banyantally.standins.engine.EngineCommand;
+import io.banyantally.standins.experiment.ExperimentCommand;
 import io.banyantally.standins.load.LoadCommand;
+import io.banyantally.standins.measure.MeasureCommand;
 import io.banyantally.standins.platform.PlatformCommand;
 import io.banyantally.standins.service.ServiceCommand;
 import picocli.CommandLine;
@@ -11,7 +13,7 @@
 @Command(
         name = "banyantally",
         mixinStandardHelpOptions = true,
-        subcommands = {Main.StandIn.class, LoadCommand.class},
+        subcommands = {Main.StandIn.class, LoadCommand.class, ExperimentCommand.class, MeasureCommand.class},
         description = "Stand-ins for the outside of the system, and the load tool. All listen on loopback only.")
 public final class Main implements Runnable {
 
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/engine/EngineModel.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/engine/EngineModel.java
@@ -265,6 +265,14 @@
         }
     }
 
+    /** Sets the role of an engine that has not served yet, without the time of a change. */
+    public void startInRole(EngineRole first) {
+        if (arrivals > 0) {
+            throw new IllegalStateException("the engine has served in role " + role + "; use changeRole");
+        }
+        role = first;
+    }
+
     /** Returns whether a role change is going on. */
     public boolean changing() {
         return now < unavailableUntil;
@@ -322,6 +330,12 @@
         return role;
     }
 
+    /** Returns how many tokens a job has generated here; 0 when it is unknown or in prefill. */
+    public int generatedTokens(long jobId) {
+        RunningJob running = jobs.get(jobId);
+        return running == null || running.finishStep == 0 ? 0 : (int) (steps - running.firstStep) + 1;
+    }
+
     /** Returns the number of jobs in the engine, waiting ones too. */
     public int jobCount() {
         return jobs.size();
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/experiment/Trace.java
@@ -0,0 +1,18 @@
+package io.banyantally.standins.experiment;
+
+import io.banyantally.model.AvailabilityZone;
+import java.util.List;
+
+/**
+ * What happens to a site in one run, the same for every policy.
+ *
+ * @param reclaimAt when the platform announces that it takes back all cheap upstreams of a zone
+ */
+record Trace(
+        Site site,
+        long seed,
+        double load,
+        long length,
+        List<TraceRequest> requests,
+        long reclaimAt,
+        AvailabilityZone reclaimedZone) {}
--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/experiment/TraceRuns.java
@@ -0,0 +1,16 @@
+package io.banyantally.standins.experiment;
+
+import io.banyantally.standins.engine.EngineCosts;
+
+/** Makes traces and runs policies on them; each run has engines, VMs and a clock of its own. */
+final class TraceRuns {
+    private TraceRuns() {}
+
+    static Trace trace(Site site, double load, long seed) {
+        return new TraceGenerator(site, seed, load, EngineCosts.DEFAULT).generate();
+    }
+
+    static RunResult run(Trace trace, PolicyKind policy) {
+        return new Simulation(trace).run(policy);
+    }
+}
