--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/MeasureCommand.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/MeasureCommand.java
@@ -9,7 +9,7 @@
 @Command(
         name = "measure",
         mixinStandardHelpOptions = true,
-        subcommands = {ConfigurationMeasurement.class, AdapterMeasurement.class},
+        subcommands = {ConfigurationMeasurement.class, AdapterMeasurement.class, DecisionCostCommand.class},
         description = "Measures single parts of the system.")
 public final class MeasureCommand implements Runnable {
 
