--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/package-info.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/package-info.java
@@ -1,2 +1,2 @@
-/** Measurements of single subsystems, with a main class each. */
+/** Measurements of single parts of the system in one process; each is a command. */
 package io.banyantally.standins.measure;
