--- /dev/null
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/MeasureCommand.java
@@ -0,0 +1,23 @@
+package io.banyantally.standins.measure;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+
+/** Groups the measurements. */
+@Command(
+        name = "measure",
+        mixinStandardHelpOptions = true,
+        subcommands = {ConfigurationMeasurement.class, AdapterMeasurement.class, DecisionCostCommand.class},
+        description = "Measures single parts of the system.")
+public final class MeasureCommand implements Runnable {
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        CommandLine.usage(spec.commandLine(), System.out);
+    }
+}
