Let a release not wait for reads of silent engines

A pass read every engine that was due, also after the authority was withdrawn; with many silent engines, at 1 s each, a release would pass its limit. The pass now stops reading.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/orders/EngineOrderExecutor.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/orders/EngineOrderExecutor.java
@@ -57,7 +57,8 @@
         Set<UpstreamId> known = new TreeSet<>(journal.engines());
         known.addAll(targets.engines().keySet());
         for (UpstreamId id : known) {
-            if (progressOf(id).isDue(now())) {
+            // Reads of engines that do not answer take long; a release must not wait for all of them.
+            if (scope.isGranted() && progressOf(id).isDue(now())) {
                 examine(id, Optional.ofNullable(targets.engines().get(id)), repairs, changes);
             }
         }
@@ -200,7 +201,6 @@
             state.floatsUntil(after(settings.longestEffect()));
             recordFailure(intent, unknown);
         }
-        scope.setOutcomesKnown(outcomesKnown());
     }
 
     private void requirePromises(EngineIntent intent) throws InvariantViolationException {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/orders/TargetSource.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/orders/TargetSource.java
@@ -7,6 +7,9 @@
 @FunctionalInterface
 public interface TargetSource {
 
-    /** Returns the targets; empty while the policy has not decided, and then nothing new is ordered. */
+    /**
+     * Returns the targets; empty while the policy has not decided or the upstreams are not known yet. Nothing is ordered
+     * then, and recorded orders stay as they are.
+     */
     Optional<ScopeTargets> targets(Scope scope);
 }
