Test that an earlier owner cannot take a bucket back

Cause: with the check for a later owner removed on a scratch copy, no row failed, because the owners of the other rows had also lost their authority.

Change: a row in which the earlier owner still believes in its lease; a bound for the size of a tombstone; a shorter limit (50 ms) for the copy of all counters to a new replica, which the next flush waits for.

--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/HeapMeasurement.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/HeapMeasurement.java
@@ -51,9 +51,9 @@
                 .toList();
         long before = used();
         nodes.getFirst().serveOnce(accounts, new UsageFigures(1_000_000_000L, 100_000_000L, 1_000_000L));
-        long own = used() - before;
-        nodes.add(new UsageNode(hub, 1, new AvailabilityZone("zone-1"), zones, store, MonotonicClock.SYSTEM));
         long beforeCopies = used();
+        long own = beforeCopies - before;
+        nodes.add(new UsageNode(hub, 1, new AvailabilityZone("zone-1"), zones, store, MonotonicClock.SYSTEM));
         nodes.getFirst().serveOnce(accounts.subList(0, 1), new UsageFigures(0, 1, 0));
         Thread.sleep(Duration.ofSeconds(1));
         long copies = used() - beforeCopies;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/usage/UsageReplicator.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/usage/UsageReplicator.java
@@ -43,8 +43,8 @@
     /** Keeps a message of full counters below the largest payload, with account names of 128 characters. */
     private static final int MAXIMUM_ACCOUNTS_PER_MESSAGE = 4_000;
 
-    /** The whole counters of this VM are copied to a new replica with this limit for each message. */
-    private static final Duration FULL_COPY_LIMIT = Duration.ofMillis(200);
+    /** The limit for each message that copies all counters to a new replica; the next flush waits for the copy. */
+    private static final Duration FULL_COPY_LIMIT = Duration.ofMillis(50);
 
     private final PeerNetwork peers;
     private final UsageCounters counters;
--- a/modules/banyantally/src/test/java/io/banyantally/internal/usage/UsageFaultMatrixTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/usage/UsageFaultMatrixTest.java
@@ -1,5 +1,7 @@
 package io.banyantally.internal.usage;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
 import io.banyantally.internal.invariant.Promise;
 import io.banyantally.model.ClientAccountId;
 import io.banyantally.testing.FaultRow;
@@ -8,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -61,6 +64,24 @@
         runWithFaults(step, fault, otherStep, otherFault);
     }
 
+    @Test
+    @FaultRow(promise = Promise.SINGLE_USAGE_REPORT, step = "open", fault = "earlier owner still believes in its lease")
+    void stopsEarlierOwnerThatStillBelievesInItsAuthority() throws Exception {
+        world.acquire(first);
+        world.pass();
+        FakeAuthority earlier = world.owner.orElseThrow();
+        BucketSealer earlierSealer = world.sealer.orElseThrow();
+        serveEverywhere();
+        world.acquire(world.vms.get(1));
+        world.pass();
+        earlier.granted = true;
+        world.advanceWindow();
+        earlierSealer.pass();
+        assertFalse(earlierSealer.pass(), "the earlier owner took the bucket back");
+        world.settle();
+        world.check();
+    }
+
     private void runWithFaults(UsageStep step, UsageFault fault, UsageStep otherStep, UsageFault otherFault) {
         world.acquire(first);
         serveEverywhere();
--- a/modules/banyantally/src/test/java/io/banyantally/internal/usage/WindowSealingTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/usage/WindowSealingTest.java
@@ -146,6 +146,20 @@
         assertTrue(bytes < KeyValueStore.MAXIMUM_VALUE_BYTES, "bytes " + bytes);
     }
 
+    @Test
+    void keepsTombstonesSmallEnoughForADayOfRestarts() throws Exception {
+        seal(counted(ONE, 10), Set.of(ONE), Set.of());
+        int without = SealedWindowCodec.encode(last).length;
+        Map<CounterOrigin, Long> tombstones = new HashMap<>();
+        for (int i = 0; i < 3_900; i++) {
+            tombstones.put(new CounterOrigin(new VmId("entry-vm-" + i), new Incarnation(1L << 62 | i)), 1_000_000L + i);
+        }
+        SealedWindow withTombstones = new SealedWindow(
+                last.window(), last.figures(), last.billed(), last.answered(), last.silent(), tombstones);
+        int bytes = SealedWindowCodec.encode(withTombstones).length - without;
+        assertTrue(bytes <= 28 * 3_900, "bytes " + bytes);
+    }
+
     @Test
     void dropsCopiesThatWereBilledInEveryBucket() {
         UsageWorld world = new UsageWorld();
