--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/MeasureCommand.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/MeasureCommand.java
@@ -2,16 +2,22 @@
 
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
 
-/** Groups the measurements that run inside one process. */
+/** Groups the measurements. */
 @Command(
         name = "measure",
         mixinStandardHelpOptions = true,
-        subcommands = {DecisionCostCommand.class},
-        description = "Measures the library in this process.")
+        subcommands = {ConfigurationMeasurement.class, AdapterMeasurement.class, DecisionCostCommand.class},
+        description = "Measures single parts of the system.")
 public final class MeasureCommand implements Runnable {
+
+    @Spec
+    private CommandSpec spec;
+
     @Override
     public void run() {
-        CommandLine.usage(this, System.out);
+        CommandLine.usage(spec.commandLine(), System.out);
     }
 }
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/package-info.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/package-info.java
@@ -1,2 +1,2 @@
-/** Measurements of the library inside one process: the cost of a decision and the memory that state takes. */
+/** Measurements of what parts of the system cost, each with its command. */
 package io.banyantally.standins.measure;
--- a/modules/banyantally/src/test/java/io/banyantally/internal/configuration/TestSite.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/configuration/TestSite.java
@@ -12,7 +12,6 @@
 import io.banyantally.testing.ManualClock;
 import io.banyantally.testing.StoreFault;
 import io.banyantally.testing.StoreFaultPlan;
-import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -34,27 +33,31 @@
     final InMemoryKeyValueStore store = new InMemoryKeyValueStore(clock);
     final FakePeerHub hub = new FakePeerHub();
     final Map<VmId, TestVm> vms = new TreeMap<>();
-    final KeyGenerator keys = new KeyGenerator(new SecureRandom());
+    final KeyGenerator keys;
     BiConsumer<VmId, Topic> beforeRequest = (vm, topic) -> {};
+    BiConsumer<VmId, Topic> afterRequest = (vm, topic) -> {};
     private long incarnations;
     private boolean passing;
 
-    /** Starts VMs without adding them to the roster. */
-    TestSite(int count) {
+    /** Starts VMs without adding them to the roster; {@code seed} determines the keys. */
+    TestSite(int count, long seed) {
+        keys = new KeyGenerator(new SeededSecureRandom(seed));
         for (int index = 0; index < count; index++) {
             start(index);
         }
     }
 
-    /** Starts VMs, adds them to the roster and puts a client account in force. */
+    /** Starts VMs, puts them into the roster by one write, and puts a client account in force. */
     static TestSite running(int count) throws Exception {
-        TestSite site = new TestSite(count);
+        return running(count, 1);
+    }
+
+    static TestSite running(int count, long seed) throws Exception {
+        TestSite site = new TestSite(count, seed);
+        site.tick();
+        Set<VmId> all = Set.copyOf(site.vms.keySet());
+        site.vm(0).part.store().changeRoster(base -> new Roster(all, all, 1));
         site.tick();
-        for (TestVm vm : List.copyOf(site.vms.values())) {
-            if (!vm.part.roster().add(vm.id())) {
-                throw new AssertionError(vm.id() + " could not be added to the roster");
-            }
-        }
         site.vm(0).part.editor().change(site.vm(0).replica().revision(), ConfigurationChange.put(account(1)));
         site.tick();
         site.tick();
@@ -82,8 +85,8 @@
     }
 
     void kill(int index) {
+        vms.remove(name(index)).kill();
         hub.remove(name(index));
-        vms.remove(name(index));
     }
 
     List<TestVm> running() {
