Spread the directory through readers and bound the peers of a VM

Every VM polled the platform's list and connected to every other VM, so calls and connections grew with the fleet.

PeerChoice connects all VMs up to 32 and draws a bounded set above that. Ruled out: every VM connected to the readers of all zones, because each reader of 3,300 VMs would answer 6,600 heartbeats a second. Only readers are connected to the readers of other zones. Callers get at most 24 addresses, with one of each zone.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ReaderChoice.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/configuration/ReaderChoice.java
@@ -6,26 +6,37 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
-import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 /** Chooses the VMs of a zone that watch the manifest, by rendezvous hashing, so that most stay when VMs come and go. */
-final class ReaderChoice {
+public final class ReaderChoice {
 
     /** Two, so that the loss of one leaves the zone its proofs. */
-    static final int READERS_IN_A_ZONE = 2;
+    public static final int READERS_IN_A_ZONE = 2;
 
     private ReaderChoice() {}
 
     /** Returns the readers of a zone among the live VMs. */
-    static Set<VmId> readers(AvailabilityZone zone, Collection<Peer> live) {
-        return live.stream()
+    public static Set<VmId> readers(AvailabilityZone zone, Collection<Peer> live) {
+        List<VmId> vms = live.stream()
                 .filter(peer -> peer.zone().equals(zone))
                 .map(Peer::vm)
-                .sorted(Comparator.comparingLong((VmId vm) -> weight(zone, vm)).thenComparing(vm -> vm))
-                .limit(READERS_IN_A_ZONE)
-                .collect(Collectors.toUnmodifiableSet());
+                .toList();
+        return Set.copyOf(ranked(zone, vms, READERS_IN_A_ZONE));
+    }
+
+    /** Returns the first {@code count} of a zone's VMs in the order in which they become readers. */
+    public static List<VmId> ranked(AvailabilityZone zone, Collection<VmId> vms, int count) {
+        Map<VmId, Long> weights = new HashMap<>();
+        vms.forEach(vm -> weights.put(vm, weight(zone, vm)));
+        return weights.entrySet().stream()
+                .sorted(Map.Entry.<VmId, Long>comparingByValue().thenComparing(Map.Entry.comparingByKey()))
+                .limit(count)
+                .map(Map.Entry::getKey)
+                .toList();
     }
 
     private static long weight(AvailabilityZone zone, VmId vm) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/membership/Membership.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/membership/Membership.java
@@ -7,10 +7,14 @@
 import io.banyantally.model.AvailabilityZone;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 
 /** Knows the entry VMs that are alive and gives callers their addresses, nearest availability zone first. */
@@ -19,6 +23,9 @@
     /** How long it takes at most until no peer gives a draining VM's address: one heartbeat and its answer. */
     public static final Duration SPREAD_TIME = Heartbeats.INTERVAL.multipliedBy(2);
 
+    /** Room for one VM of each of 20 zones and some of the nearest; an answer then stays under 2 KB. */
+    public static final int MAXIMUM_ADDRESSES = 24;
+
     private final Peer self;
     private final Map<AvailabilityZone, Double> distances;
     private final Heartbeats heartbeats;
@@ -66,7 +73,8 @@
     }
 
     /**
-     * Returns the addresses of the VMs that are alive and not draining.
+     * Returns addresses of VMs that are alive and not draining, nearest zone first: all that are known if there are at most
+     * {@value #MAXIMUM_ADDRESSES}, otherwise that many, with at least one of each zone.
      *
      * @param near the zone to start from; this VM's own if empty
      */
@@ -79,12 +87,28 @@
                 ? Stream.empty()
                 : Stream.of(new CallerAddress(self.vm(), self.zone(), callers));
         AvailabilityZone origin = near.orElse(self.zone());
-        return Stream.concat(own, others)
-                .sorted(Comparator.comparingDouble((CallerAddress address) -> distance(origin, address.zone()))
-                        .thenComparing(CallerAddress::vm))
+        Comparator<CallerAddress> nearest =
+                Comparator.comparingDouble((CallerAddress address) -> distance(origin, address.zone()));
+        // Each VM draws its own order, so that callers of many VMs are not all sent to the same few.
+        List<CallerAddress> drawn = Stream.concat(own, others)
+                .sorted(nearest.thenComparingLong(address -> PeerChoice.weight(self.vm(), address.vm())))
+                .toList();
+        return bounded(drawn).stream()
+                .sorted(nearest.thenComparing(CallerAddress::vm))
                 .toList();
     }
 
+    private static Collection<CallerAddress> bounded(List<CallerAddress> drawn) {
+        if (drawn.size() <= MAXIMUM_ADDRESSES) {
+            return drawn;
+        }
+        Map<AvailabilityZone, CallerAddress> ofEachZone = new LinkedHashMap<>();
+        drawn.forEach(address -> ofEachZone.putIfAbsent(address.zone(), address));
+        Set<CallerAddress> chosen = new LinkedHashSet<>(ofEachZone.values());
+        drawn.stream().limit(Math.max(0, MAXIMUM_ADDRESSES - chosen.size())).forEach(chosen::add);
+        return chosen;
+    }
+
     /** Distances are known from this VM's own zone; from another zone, only "the same" and "not the same" are told apart. */
     private double distance(AvailabilityZone from, AvailabilityZone to) {
         if (from.equals(to)) {
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/membership/PeerChoice.java
@@ -0,0 +1,91 @@
+package io.banyantally.internal.membership;
+
+import io.banyantally.internal.configuration.ReaderChoice;
+import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.VmId;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/**
+ * Chooses the entry VMs that a VM connects to. A small site is fully connected. In a large one the number of connections
+ * is bounded: the readers of a zone connect to the readers of all zones, and every VM connects to the readers of its own
+ * zone and to VMs of its own and of the other zones, drawn by rendezvous hashing. The same list gives the same choice.
+ */
+public final class PeerChoice {
+
+    /** Up to this many entry VMs, each connects to all others. */
+    public static final int FULLY_CONNECTED = 32;
+
+    /** The two readers of the own zone and the two VMs that replace them, so that a killed reader leaves no gap. */
+    static final int OWN_READERS = 2 * ReaderChoice.READERS_IN_A_ZONE;
+
+    /** VMs of the own zone beside its readers; with 30% of the VMs killed, one in 10,000 VMs loses all of them and all readers. */
+    static final int OWN_ZONE = 6;
+
+    /** VMs of other zones, spread evenly over the zones and at least one in each, for usage replicas and callers. */
+    static final int OTHER_ZONES = 8;
+
+    private PeerChoice() {}
+
+    /**
+     * Returns the VMs to connect to.
+     *
+     * <p>Only readers connect to the readers of other zones. If every VM did, each reader of a fleet of 3,300 VMs would
+     * answer 6,600 heartbeats a second, far above the 26 KB/s that a node may spend on control.
+     */
+    public static Set<VmId> choose(EntryVm self, Collection<EntryVm> known) {
+        Set<EntryVm> all = new HashSet<>(known);
+        all.add(self);
+        Set<VmId> chosen = new HashSet<>();
+        if (all.size() <= FULLY_CONNECTED) {
+            all.forEach(vm -> chosen.add(vm.vm()));
+        } else {
+            addBounded(chosen, self, all);
+        }
+        chosen.remove(self.vm());
+        return chosen;
+    }
+
+    private static void addBounded(Set<VmId> chosen, EntryVm self, Set<EntryVm> all) {
+        Map<AvailabilityZone, List<VmId>> zones = all.stream()
+                .collect(Collectors.groupingBy(
+                        EntryVm::zone, TreeMap::new, Collectors.mapping(EntryVm::vm, Collectors.toList())));
+        List<VmId> own = zones.remove(self.zone());
+        List<VmId> ownReaders = ReaderChoice.ranked(self.zone(), own, OWN_READERS);
+        chosen.addAll(ownReaders);
+        chosen.addAll(nearestByHash(self.vm(), own, OWN_ZONE));
+        int inEachZone = zones.isEmpty() ? 0 : Math.max(1, Math.ceilDiv(OTHER_ZONES, zones.size()));
+        boolean isReader =
+                ownReaders.indexOf(self.vm()) >= 0 && ownReaders.indexOf(self.vm()) < ReaderChoice.READERS_IN_A_ZONE;
+        zones.forEach((zone, vms) -> {
+            chosen.addAll(nearestByHash(self.vm(), vms, inEachZone));
+            if (isReader) {
+                chosen.addAll(ReaderChoice.ranked(zone, vms, ReaderChoice.READERS_IN_A_ZONE));
+            }
+        });
+    }
+
+    private static List<VmId> nearestByHash(VmId self, List<VmId> vms, int count) {
+        Map<Long, VmId> byWeight = new TreeMap<>();
+        for (VmId vm : vms) {
+            if (!vm.equals(self)) {
+                byWeight.put(weight(self, vm), vm);
+            }
+        }
+        return new ArrayList<>(byWeight.values()).subList(0, Math.min(count, byWeight.size()));
+    }
+
+    /** Returns a weight that is drawn anew for each pair, and is the same in every process. */
+    static long weight(VmId self, VmId other) {
+        long seed = ((long) self.value().hashCode() << Integer.SIZE)
+                ^ (other.value().hashCode() & 0xFFFF_FFFFL);
+        return new SplittableRandom(seed).nextLong();
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/membership/SpreadWorld.java
@@ -0,0 +1,126 @@
+package io.banyantally.internal.membership;
+
+import io.banyantally.internal.configuration.ReaderChoice;
+import io.banyantally.internal.peer.Peer;
+import io.banyantally.internal.peer.PeerNetwork;
+import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.Incarnation;
+import io.banyantally.model.ServiceName;
+import io.banyantally.model.VmId;
+import io.banyantally.platform.DirectoryEntry;
+import io.banyantally.platform.InterfaceUnavailableException;
+import io.banyantally.platform.PlatformException;
+import io.banyantally.platform.VmKind;
+import io.banyantally.platform.VmState;
+import io.banyantally.testing.FakePeerHub;
+import io.banyantally.testing.ManualClock;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+
+/** A site of two zones whose VMs spread the platform's list, with faults, on one clock. */
+final class SpreadWorld {
+
+    static final Duration STEP = Duration.ofMillis(50);
+    static final String UPSTREAM = "engine-1";
+
+    final ManualClock clock = new ManualClock();
+    final FakePeerHub hub = new FakePeerHub();
+    final Random random;
+    final List<Vm> vms = new ArrayList<>();
+    final Map<String, DirectoryEntry> platform = new TreeMap<>();
+    boolean platformDown;
+    boolean loseAnswers;
+    long leavingAt;
+
+    final class Vm {
+        final Peer peer;
+        final PeerNetwork network;
+        final DirectorySpread spread;
+        final List<Boolean> leavingSeen = new ArrayList<>();
+        boolean killed;
+        boolean cutFromPlatform;
+        long pausedUntil = Long.MIN_VALUE;
+        int calls;
+
+        Vm(String name, String zone) {
+            peer = new Peer(new VmId(name), new Incarnation(random.nextLong()), new AvailabilityZone(zone));
+            network = hub.join(peer);
+            spread = new DirectorySpread(peer, network, this::list, clock, random);
+            spread.addListener(entries -> leavingSeen.add(isLeaving(entries)));
+        }
+
+        private List<DirectoryEntry> list() throws PlatformException {
+            calls++;
+            if (platformDown || cutFromPlatform || (loseAnswers && random.nextBoolean())) {
+                throw new InterfaceUnavailableException("down by plan");
+            }
+            return List.copyOf(platform.values());
+        }
+
+        boolean knowsNotice() {
+            return isLeaving(spread.list());
+        }
+
+        boolean runs() {
+            return !killed && clock.nanoTime() >= pausedUntil;
+        }
+    }
+
+    SpreadWorld(long seed, int vmsInAZone) {
+        random = new Random(seed);
+        platform.put(UPSTREAM, upstream(VmState.LIVE));
+        for (int number = 0; number < vmsInAZone; number++) {
+            for (String zone : List.of("north", "south")) {
+                vms.add(new Vm("vm-" + zone + number, zone));
+            }
+        }
+    }
+
+    private static DirectoryEntry upstream(VmState state) {
+        return new DirectoryEntry(
+                UPSTREAM,
+                VmKind.ENGINE,
+                new AvailabilityZone("north"),
+                Optional.of(new ServiceName("chat")),
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+                state,
+                true);
+    }
+
+    static boolean isLeaving(List<DirectoryEntry> entries) {
+        return entries.stream().anyMatch(entry -> entry.state() == VmState.LEAVING);
+    }
+
+    void startLeaving() {
+        platform.put(UPSTREAM, upstream(VmState.LEAVING));
+        leavingAt = clock.nanoTime();
+    }
+
+    void run(Duration duration) {
+        long end = clock.nanoTime() + duration.toNanos();
+        while (clock.nanoTime() < end) {
+            clock.advance(STEP);
+            vms.stream().filter(Vm::runs).forEach(vm -> vm.spread.step());
+        }
+    }
+
+    void kill(Vm vm) {
+        vm.killed = true;
+        hub.remove(vm.peer.vm());
+    }
+
+    boolean isReader(Vm vm) {
+        List<VmId> zone = vms.stream()
+                .filter(other -> !other.killed && other.peer.zone().equals(vm.peer.zone()))
+                .map(other -> other.peer.vm())
+                .toList();
+        return ReaderChoice.ranked(vm.peer.zone(), zone, 2).contains(vm.peer.vm());
+    }
+}
