Wire holds, the directory spread and the control of the fleet

Cause: planned changes of engines had no orders behind them, every VM polled the directory, and nothing removed gone VMs from the roster. Ruled out: orders without holds, which would let VMs send work to an engine in mid-change; a second keeper of scopes beside ScopeManager. Change: DirectorySpread and PeerSelection replace the polling of each VM; UpstreamGate is asked before every request is sent; FleetController, OrderTask and RosterUpkeep run under ScopeManager; settings "fleet"; the platform stand-in counts listed upstreams as ordered and takes given back ones off its list; watches of the in-memory key-value service wake every 25 ms instead of 5, since 75 of them kept a core busy.

--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/platform/DirectoryHandler.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/platform/DirectoryHandler.java
@@ -39,7 +39,7 @@
         String id = exchange.requiredParameter("id");
         switch (exchange.path()) {
             case "/directory/leaving" -> replace(id, DirectoryHandler::leaving);
-            case "/directory/remove" -> change(id, Optional.empty());
+            case "/directory/remove" -> remove(id);
             default ->
                 throw new BadRequestException("path " + exchange.path()
                         + " is unknown; use /directory, /directory/leaving or /directory/remove");
@@ -47,6 +47,11 @@
         return Answer.of(id);
     }
 
+    /** Removes a VM. */
+    void remove(String id) {
+        change(id, Optional.empty());
+    }
+
     /** Sets how long a change stays invisible. */
     synchronized void setLagMillis(long millis) {
         lagMillis = millis;
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/platform/OrderingHandler.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/platform/OrderingHandler.java
@@ -5,6 +5,7 @@
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.ServiceName;
 import io.banyantally.model.UpstreamId;
+import io.banyantally.platform.DirectoryEntry;
 import io.banyantally.platform.OrderToken;
 import io.banyantally.platform.OrderedUpstream;
 import io.banyantally.standins.StandInExchange;
@@ -31,6 +32,7 @@
     private final Map<Place, Long> highestFencingNumbers = new HashMap<>();
     private final Set<String> zonesWithoutCheap = new HashSet<>();
     private final List<LoggedOrder> log = new ArrayList<>();
+    private final List<String> givenBack = new ArrayList<>();
     private long lastUpstream;
 
     OrderingHandler(OrderingOptions options, ViolationLog violations) {
@@ -66,6 +68,21 @@
                 .toList();
     }
 
+    /** Lists an upstream that was not ordered here. */
+    synchronized void adopt(DirectoryEntry entry) {
+        UpstreamId id = new UpstreamId(entry.id());
+        Place place = new Place(entry.service().orElseThrow(), entry.zone());
+        long orderedBefore = System.nanoTime() - options.startDelayMillis * NANOS_PER_MILLI;
+        placed.putIfAbsent(id, new Placed(id, place, entry.cheap(), new OrderToken("adopted-" + id), orderedBefore));
+    }
+
+    /** Returns the ids of the upstreams that were given back since the last call. */
+    synchronized List<String> takeGivenBack() {
+        List<String> taken = List.copyOf(givenBack);
+        givenBack.clear();
+        return taken;
+    }
+
     synchronized List<OrderedUpstream> all() {
         return placed.values().stream().map(this::described).toList();
     }
@@ -129,6 +146,7 @@
             return Answer.refused(CONFLICT, "fencing number " + request.fencingNumber() + " is old");
         }
         placed.remove(request.upstream());
+        givenBack.add(request.upstream().value());
         return Answer.of(request.upstream());
     }
 
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/platform/PlatformStandIn.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/platform/PlatformStandIn.java
@@ -1,5 +1,7 @@
 package io.banyantally.standins.platform;
 
+import io.banyantally.platform.DirectoryEntry;
+import io.banyantally.platform.VmKind;
 import io.banyantally.standins.BadRequestException;
 import io.banyantally.standins.StandInExchange;
 import io.banyantally.standins.StandInServer;
@@ -89,10 +91,10 @@
         Thread.sleep(settings.delayMillis());
         Answer answer = switch (part) {
             case KEY_VALUE -> keyValue.handle(exchange);
-            case UPSTREAMS -> ordering.handle(exchange);
+            case UPSTREAMS -> ordered(exchange);
             case USAGE_REPORTS -> usage.handle(exchange);
             case WEIGHTS -> weights.handle(exchange);
-            case DIRECTORY -> directory.handle(exchange);
+            case DIRECTORY -> listed(exchange);
         };
         Thread.sleep(settings.answerDelayMillis());
         if (fault.losesAnswer()) {
@@ -102,6 +104,22 @@
         exchange.answer(answer.status(), answer.message());
     }
 
+    /** An upstream in the directory counts as ordered, as if it had been there before this process began. */
+    private Answer listed(StandInExchange exchange) throws IOException {
+        Answer answer = directory.handle(exchange);
+        if (answer.message() instanceof DirectoryEntry entry && entry.kind() != VmKind.ENTRY) {
+            ordering.adopt(entry);
+        }
+        return answer;
+    }
+
+    /** An upstream that is given back leaves the directory. */
+    private Answer ordered(StandInExchange exchange) throws IOException {
+        Answer answer = ordering.handle(exchange);
+        ordering.takeGivenBack().forEach(directory::remove);
+        return answer;
+    }
+
     private static Optional<PlatformInterface> interfaceOf(String path) {
         return Arrays.stream(PlatformInterface.values())
                 .filter(part -> path.equals("/" + part.segment()) || path.startsWith("/" + part.segment() + "/"))
--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/Generation.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/Generation.java
@@ -2,9 +2,11 @@
 
 import io.banyantally.internal.admission.AdmissionTicket;
 import io.banyantally.internal.configuration.ClientAccountParameters;
+import io.banyantally.internal.invariant.InvariantViolationException;
 import io.banyantally.internal.routing.NoUpstreamException;
 import io.banyantally.internal.routing.Route;
 import io.banyantally.internal.routing.RoutingRequest;
+import io.banyantally.internal.routing.RunningWork;
 import io.banyantally.internal.timeline.EventField;
 import io.banyantally.internal.timeline.EventKind;
 import io.banyantally.model.ServiceName;
@@ -79,6 +81,20 @@
 
     /** Returns true when the answer has ended, false when another upstream should go on. */
     private boolean runOn(Route route) throws RequestRefusedException, IOException, InterruptedException {
+        UpstreamId upstream = route.upstream().id();
+        Optional<RunningWork> work = begin(upstream);
+        if (work.isEmpty()) {
+            failed.add(upstream);
+            return false;
+        }
+        try {
+            return streamFrom(route);
+        } finally {
+            work.get().close();
+        }
+    }
+
+    private boolean streamFrom(Route route) throws RequestRefusedException, IOException, InterruptedException {
         try (AnswerStream answer = services.connector().engine(route.upstream()).generate(nextRequest())) {
             while (true) {
                 AnswerChunk chunk = answer.next();
@@ -95,6 +111,14 @@
         }
     }
 
+    private Optional<RunningWork> begin(UpstreamId upstream) throws RequestRefusedException {
+        try {
+            return services.gate().tryBegin(upstream);
+        } catch (InvariantViolationException violation) {
+            throw failure(ErrorType.INTERNAL_ERROR, "the request was stopped before it could break an invariant");
+        }
+    }
+
     private GenerationRequest nextRequest() {
         return new GenerationRequest(
                 services.exchangeIds().next(),
@@ -113,12 +137,14 @@
             ticket.firstTokenSent();
         }
         services.usage().recordBeforeDelivery(account.account(), new UsageFigures(0, 1, 0));
+        services.demand().output(service, 1);
         writer.token(chunk.text());
         delivered.append(chunk.text());
         nextIndex++;
     }
 
     private void deliverEnd(AnswerChunk chunk) throws IOException, InterruptedException {
+        services.demand().prompt(service, chunk.promptTokens() - chunk.cachedTokens());
         services.usage().recordBeforeDelivery(account.account(), new UsageFigures(chunk.promptTokens(), 0, 1));
         writer.end(new GenerationResult(chunk.promptTokens(), chunk.cachedTokens(), nextIndex));
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/PlainCall.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/PlainCall.java
@@ -6,9 +6,11 @@
 import io.banyantally.internal.idempotency.CallIdentity;
 import io.banyantally.internal.idempotency.CallLedger;
 import io.banyantally.internal.idempotency.CallOutcome;
+import io.banyantally.internal.invariant.InvariantViolationException;
 import io.banyantally.internal.routing.NoUpstreamException;
 import io.banyantally.internal.routing.Route;
 import io.banyantally.internal.routing.RoutingRequest;
+import io.banyantally.internal.routing.RunningWork;
 import io.banyantally.model.ServiceName;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.platform.UsageFigures;
@@ -105,20 +107,45 @@
         }
     }
 
+    /** Sends the call to one upstream. An upstream that takes no new work gets no byte of it, so another is chosen. */
     private ServiceAnswer sendOnce() throws UpstreamException, NoUpstreamException, InterruptedException {
-        RoutingRequest request = new RoutingRequest(service, Optional.empty(), "", new WorkEstimate(0, 0), failed);
-        try (Route route = services.router().choose(request)) {
-            try {
-                ServiceCall call = new ServiceCall(services.exchangeIds().next(), method, pathAndQuery, headers, body);
-                ServiceAnswer answer =
-                        services.connector().plainService(route.upstream()).call(call);
-                recordUsage();
-                return answer;
-            } catch (UpstreamException failure) {
-                route.failed();
+        while (true) {
+            RoutingRequest request = new RoutingRequest(service, Optional.empty(), "", new WorkEstimate(0, 0), failed);
+            try (Route route = services.router().choose(request)) {
+                Optional<RunningWork> work = begin(route);
+                if (work.isPresent()) {
+                    return sendTo(route, work.get());
+                }
+            }
+        }
+    }
+
+    private ServiceAnswer sendTo(Route route, RunningWork work) throws UpstreamException, InterruptedException {
+        try {
+            ServiceCall call = new ServiceCall(services.exchangeIds().next(), method, pathAndQuery, headers, body);
+            ServiceAnswer answer =
+                    services.connector().plainService(route.upstream()).call(call);
+            recordUsage();
+            return answer;
+        } catch (UpstreamException failure) {
+            route.failed();
+            failed.add(route.upstream().id());
+            throw failure;
+        } finally {
+            work.close();
+        }
+    }
+
+    private Optional<RunningWork> begin(Route route) throws UpstreamException {
+        try {
+            Optional<RunningWork> work =
+                    services.gate().tryBegin(route.upstream().id());
+            if (work.isEmpty()) {
                 failed.add(route.upstream().id());
-                throw failure;
             }
+            return work;
+        } catch (InvariantViolationException violation) {
+            throw new NotSentException(violation.getMessage(), violation);
         }
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/UpstreamAccess.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/UpstreamAccess.java
@@ -1,10 +1,18 @@
 package io.banyantally.internal.http;
 
+import io.banyantally.internal.fleet.DemandMeter;
 import io.banyantally.internal.routing.Router;
 import io.banyantally.internal.routing.UpstreamConnector;
+import io.banyantally.internal.routing.UpstreamGate;
 import io.banyantally.internal.timeline.Timeline;
 import io.banyantally.internal.usage.UsageRecorder;
 
 /** What requests need of the rest of the system to reach upstreams. */
 public record UpstreamAccess(
-        Router router, UpstreamConnector connector, UsageRecorder usage, ExchangeIds exchangeIds, Timeline timeline) {}
+        Router router,
+        UpstreamConnector connector,
+        UpstreamGate gate,
+        DemandMeter demand,
+        UsageRecorder usage,
+        ExchangeIds exchangeIds,
+        Timeline timeline) {}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/settings/JsonFields.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/settings/JsonFields.java
@@ -117,6 +117,15 @@
         return new JsonFields(pathOf(name), nested, problems);
     }
 
+    /** Reads a nested object; an absent field reads as an empty object. */
+    public JsonFields optionalObject(String name) {
+        if (has(name)) {
+            return object(name);
+        }
+        read.add(name);
+        return new JsonFields(pathOf(name), JsonNodeFactory.instance.objectNode(), problems);
+    }
+
     /** Reads a list of objects; an absent field reads as an empty list. */
     public <T> List<T> objects(String name, Function<JsonFields, T> convert) {
         if (!has(name)) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/wiring/AuthorityModule.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/AuthorityModule.java
@@ -7,21 +7,22 @@
 import io.banyantally.internal.authority.CandidateRanking;
 import io.banyantally.internal.authority.ProcessIdentity;
 import io.banyantally.internal.authority.RendezvousRanking;
-import io.banyantally.internal.authority.ScopeOwner;
-import io.banyantally.internal.invariant.Invariants;
+import io.banyantally.internal.authority.Scope;
+import io.banyantally.internal.authority.ScopeManager;
+import io.banyantally.internal.authority.ScopeTask;
+import io.banyantally.internal.configuration.ConfigurationView;
+import io.banyantally.internal.fleet.ConfiguredScopes;
+import io.banyantally.internal.fleet.FleetController;
+import io.banyantally.internal.fleet.FleetScopes;
+import io.banyantally.internal.membership.RosterUpkeep;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.settings.EntrySettings;
-import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.timeline.Timeline;
-import io.banyantally.internal.usage.UsageBuckets;
-import io.banyantally.internal.usage.UsageGatherer;
-import io.banyantally.internal.usage.UsageSealer;
 import io.banyantally.platform.Platform;
 import jakarta.inject.Singleton;
-import java.time.Duration;
-import java.util.List;
-import java.util.stream.IntStream;
+import java.util.HashMap;
+import java.util.Map;
 
 /** The scopes that this VM is a candidate for. */
 @Module
@@ -41,32 +42,26 @@
 
     @Provides
     @Singleton
-    static List<ScopeOwner> usageOwners(
+    static ScopeManager scopes(
             Platform platform,
             Peer self,
             EntrySettings settings,
-            UsageGatherer gatherer,
+            ConfigurationView configuration,
+            KnownZones zones,
+            FleetController fleet,
+            OrderTasks orders,
+            UsageTasks usage,
+            RosterUpkeep roster,
             CandidateRanking ranking,
-            AuthorityEnvironment environment,
-            MonotonicClock clock,
-            Invariants invariants,
-            Timeline timeline) {
-        return IntStream.range(0, UsageBuckets.COUNT)
-                .mapToObj(bucket -> new ScopeOwner(
-                        UsageBuckets.scopeOf(bucket),
-                        new UsageSealer(
-                                bucket,
-                                Duration.ofSeconds(settings.usageWindowSeconds()),
-                                platform.keyValueStore(),
-                                gatherer,
-                                platform.usageReports(),
-                                clock,
-                                invariants,
-                                timeline),
-                        platform.keyValueStore(),
-                        ranking,
-                        new ProcessIdentity(self.vm(), self.incarnation()),
-                        environment))
-                .toList();
+            AuthorityEnvironment environment) {
+        Map<Scope, ScopeTask> fixed = new HashMap<>(usage.byScope());
+        fixed.put(FleetScopes.ROSTER, roster);
+        ConfiguredScopes configured = new ConfiguredScopes(configuration, zones, fleet::planTask, orders, fixed);
+        return new ScopeManager(
+                settings.fleet().enabled() ? configured : () -> fixed,
+                platform.keyValueStore(),
+                ranking,
+                new ProcessIdentity(self.vm(), self.incarnation()),
+                environment);
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/wiring/BackgroundTasks.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/BackgroundTasks.java
@@ -1,10 +1,12 @@
 package io.banyantally.internal.wiring;
 
 import io.banyantally.internal.admission.FairAdmission;
-import io.banyantally.internal.authority.ScopeOwner;
+import io.banyantally.internal.authority.ScopeManager;
+import io.banyantally.internal.fleet.FleetDemand;
 import io.banyantally.internal.idempotency.StoredCallLedger;
 import io.banyantally.internal.logging.EventLog;
 import io.banyantally.internal.routing.LoadAwareRouter;
+import io.banyantally.internal.routing.UpstreamHolds;
 import io.banyantally.internal.timeline.EventField;
 import io.banyantally.internal.usage.UsageReplicator;
 import io.banyantally.internal.usage.ZoneUsageFlush;
@@ -25,14 +27,14 @@
     /** Longer than the longest order of a scope's owner. */
     private static final Duration RELEASE_LIMIT = Duration.ofSeconds(10);
 
-    private static final Duration RELEASE_POLL = Duration.ofMillis(50);
-
     private final StoredCallLedger ledger;
     private final LoadAwareRouter router;
     private final FairAdmission admission;
     private final UsageReplicator replicator;
     private final ZoneUsageFlush zoneFlush;
-    private final List<ScopeOwner> owners;
+    private final ScopeManager scopes;
+    private final UpstreamHolds holds;
+    private final FleetDemand demand;
     private final List<Thread> tasks = new CopyOnWriteArrayList<>();
 
     @Inject
@@ -42,13 +44,17 @@
             FairAdmission admission,
             UsageReplicator replicator,
             ZoneUsageFlush zoneFlush,
-            List<ScopeOwner> owners) {
+            ScopeManager scopes,
+            UpstreamHolds holds,
+            FleetDemand demand) {
         this.ledger = ledger;
         this.router = router;
         this.admission = admission;
         this.replicator = replicator;
         this.zoneFlush = zoneFlush;
-        this.owners = owners;
+        this.scopes = scopes;
+        this.holds = holds;
+        this.demand = demand;
     }
 
     void start() {
@@ -57,7 +63,9 @@
         tasks.add(Thread.ofVirtual().name("usage-replicator").start(replicator));
         repeat("call-ledger", StoredCallLedger.MAINTENANCE_INTERVAL, ledger::maintain);
         repeat("usage-flush", ZoneUsageFlush.INTERVAL, this::flush);
-        owners.forEach(ScopeOwner::start);
+        holds.start();
+        demand.start();
+        scopes.start();
     }
 
     private void flush() {
@@ -83,16 +91,14 @@
     }
 
     /** Hands over all scopes, in bounded time; call it before the tasks are stopped. */
-    void releaseScopes() throws InterruptedException {
-        owners.forEach(ScopeOwner::requestRelease);
-        long limit = System.nanoTime() + RELEASE_LIMIT.toNanos();
-        while (!owners.stream().allMatch(ScopeOwner::isStopped) && System.nanoTime() < limit) {
-            Thread.sleep(RELEASE_POLL);
-        }
+    boolean releaseScopes() throws InterruptedException {
+        return scopes.stop(RELEASE_LIMIT);
     }
 
     void stop() {
         tasks.forEach(Thread::interrupt);
+        holds.stop();
+        demand.stop();
         router.stop();
         admission.stop();
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/wiring/CoreModule.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/CoreModule.java
@@ -6,21 +6,27 @@
 import dagger.Provides;
 import io.banyantally.internal.invariant.Invariants;
 import io.banyantally.internal.logging.EventLog;
-import io.banyantally.internal.membership.DirectoryWatcher;
+import io.banyantally.internal.membership.DirectorySpread;
+import io.banyantally.internal.membership.EntryVm;
 import io.banyantally.internal.membership.Membership;
+import io.banyantally.internal.membership.PeerSelection;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.peer.TcpPeerNetwork;
 import io.banyantally.internal.settings.EntrySettings;
+import io.banyantally.internal.settings.PeerSeed;
 import io.banyantally.internal.settings.ZoneDistance;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.timeline.Timeline;
 import io.banyantally.internal.timeline.TimelineGatherer;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.Incarnation;
+import io.banyantally.model.VmId;
 import io.banyantally.platform.Platform;
 import jakarta.inject.Singleton;
+import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
 /** Clock, time line, metrics, peers and membership. */
@@ -78,8 +84,16 @@
 
     @Provides
     @Singleton
-    static DirectoryWatcher directoryWatcher(Platform platform) {
-        return new DirectoryWatcher(platform.vmDirectory());
+    static DirectorySpread directory(Peer self, PeerNetwork network, Platform platform, MonotonicClock clock) {
+        return new DirectorySpread(self, network, platform.vmDirectory(), clock, RandomGenerator.getDefault());
+    }
+
+    @Provides
+    @Singleton
+    static PeerSelection peerSelection(EntrySettings settings, TcpPeerNetwork network) {
+        Map<VmId, InetSocketAddress> seeds = settings.seeds().stream()
+                .collect(Collectors.toMap(PeerSeed::vm, PeerSeed::address, (one, other) -> other));
+        return new PeerSelection(new EntryVm(settings.vm(), settings.zone()), seeds, network::setKnownPeers);
     }
 
     @Provides
--- a/modules/banyantally/src/main/java/io/banyantally/internal/wiring/EntryComponent.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/EntryComponent.java
@@ -15,6 +15,7 @@
             ConfigurationModule.class,
             UsageModule.class,
             AuthorityModule.class,
+            FleetModule.class,
             RequestModule.class
         })
 public interface EntryComponent {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/wiring/EntryDaemon.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/EntryDaemon.java
@@ -5,11 +5,13 @@
 import io.banyantally.internal.http.EntryServer;
 import io.banyantally.internal.http.ServerException;
 import io.banyantally.internal.logging.EventLog;
-import io.banyantally.internal.membership.DirectoryWatcher;
+import io.banyantally.internal.membership.DirectorySpread;
 import io.banyantally.internal.membership.Membership;
+import io.banyantally.internal.membership.PeerSelection;
 import io.banyantally.internal.operator.OperatorHandler;
 import io.banyantally.internal.peer.TcpPeerNetwork;
 import io.banyantally.internal.routing.DirectoryCatalogue;
+import io.banyantally.internal.routing.UpstreamGate;
 import io.banyantally.internal.settings.EntrySettings;
 import io.banyantally.internal.timeline.EventField;
 import io.banyantally.internal.timeline.EventKind;
@@ -29,12 +31,13 @@
     private final EntrySettings settings;
     private final TcpPeerNetwork network;
     private final Membership membership;
-    private final DirectoryWatcher directory;
+    private final DirectorySpread directory;
     private final DirectoryCatalogue catalogue;
+    private final UpstreamGate gate;
     private final ConfigurationTasks configuration;
     private final EntryServer server;
     private final BackgroundTasks background;
-    private final KnownPeers knownPeers;
+    private final PeerSelection peers;
     private final Timeline timeline;
 
     @Inject
@@ -42,12 +45,13 @@
             EntrySettings settings,
             TcpPeerNetwork network,
             Membership membership,
-            DirectoryWatcher directory,
+            DirectorySpread directory,
             DirectoryCatalogue catalogue,
             ConfigurationTasks configuration,
             EntryServer server,
             BackgroundTasks background,
-            KnownPeers knownPeers,
+            PeerSelection peers,
+            UpstreamGate gate,
             StatusSections sections,
             OperatorHandler operators,
             Timeline timeline) {
@@ -56,11 +60,12 @@
         this.network = network;
         this.membership = membership;
         this.directory = directory;
+        this.gate = gate;
         this.catalogue = catalogue;
         this.configuration = configuration;
         this.server = server;
         this.background = background;
-        this.knownPeers = knownPeers;
+        this.peers = peers;
         this.timeline = timeline;
     }
 
@@ -81,9 +86,10 @@
                         "callers",
                         server.address().getAddress().getHostAddress() + ":"
                                 + server.address().getPort()));
-        knownPeers.useSeeds();
-        directory.addListener(knownPeers::update);
+        peers.useSeeds();
+        directory.addListener(peers::update);
         directory.addListener(catalogue::update);
+        directory.addListener(gate::update);
         directory.start();
         membership.start(server.address());
         configuration.start();
@@ -110,11 +116,11 @@
         membership.startDraining();
         Thread.sleep(Duration.ofMillis(settings.addressTimeToLiveMillis()).plus(Membership.SPREAD_TIME));
         boolean finished = server.inFlight().closeAndAwaitEmpty(Duration.ofSeconds(settings.drainLimitSeconds()));
-        background.releaseScopes();
+        boolean released = background.releaseScopes();
         background.stop();
         configuration.stop();
         directory.stop();
-        timeline.record(EventKind.VM_STOPPED, EventField.of("finished", finished));
+        timeline.record(EventKind.VM_STOPPED, EventField.of("finished", finished), EventField.of("released", released));
         membership.stop();
         stopServers();
         return finished;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/wiring/RequestModule.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/RequestModule.java
@@ -9,6 +9,7 @@
 import io.banyantally.internal.configuration.ConfigurationReplica;
 import io.banyantally.internal.configuration.ConfigurationView;
 import io.banyantally.internal.configuration.KeyVerifier;
+import io.banyantally.internal.fleet.DemandMeter;
 import io.banyantally.internal.http.EntryServer;
 import io.banyantally.internal.http.ExchangeIds;
 import io.banyantally.internal.http.UpstreamAccess;
@@ -20,11 +21,14 @@
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.routing.DirectoryCatalogue;
+import io.banyantally.internal.routing.HoldTable;
+import io.banyantally.internal.routing.HoldingCatalogue;
 import io.banyantally.internal.routing.LoadAwareRouter;
 import io.banyantally.internal.routing.Router;
 import io.banyantally.internal.routing.RouterSettings;
 import io.banyantally.internal.routing.UpstreamCatalogue;
 import io.banyantally.internal.routing.UpstreamConnector;
+import io.banyantally.internal.routing.UpstreamGate;
 import io.banyantally.internal.settings.EntrySettings;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.timeline.Timeline;
@@ -44,8 +48,29 @@
         return new DirectoryCatalogue(timeline);
     }
 
-    @Binds
-    abstract UpstreamCatalogue catalogue(DirectoryCatalogue catalogue);
+    @Provides
+    @Singleton
+    static HoldTable holdTable(MonotonicClock clock, Timeline timeline) {
+        return new HoldTable(clock, timeline);
+    }
+
+    @Provides
+    @Singleton
+    static UpstreamCatalogue catalogue(DirectoryCatalogue listed, HoldTable holds) {
+        return new HoldingCatalogue(listed, holds);
+    }
+
+    @Provides
+    @Singleton
+    static UpstreamGate gate(HoldTable holds, MonotonicClock clock, Invariants invariants) {
+        return new UpstreamGate(holds, clock, invariants);
+    }
+
+    @Provides
+    @Singleton
+    static DemandMeter demandMeter() {
+        return new DemandMeter();
+    }
 
     @Provides
     @Singleton
@@ -104,8 +129,14 @@
     @Provides
     @Singleton
     static UpstreamAccess upstreams(
-            Router router, UpstreamConnector connector, UsageRecorder usage, Peer self, Timeline timeline) {
-        return new UpstreamAccess(router, connector, usage, new ExchangeIds(self), timeline);
+            Router router,
+            UpstreamConnector connector,
+            UpstreamGate gate,
+            DemandMeter demand,
+            UsageRecorder usage,
+            Peer self,
+            Timeline timeline) {
+        return new UpstreamAccess(router, connector, gate, demand, usage, new ExchangeIds(self), timeline);
     }
 
     @Provides
--- a/modules/banyantally/src/main/java/io/banyantally/internal/wiring/UsageModule.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/UsageModule.java
@@ -9,8 +9,6 @@
 import io.banyantally.internal.authority.Scope;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.PeerNetwork;
-import io.banyantally.internal.settings.EntrySettings;
-import io.banyantally.internal.settings.ZoneDistance;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.usage.UsageCounters;
 import io.banyantally.internal.usage.UsageGatherHandler;
@@ -18,11 +16,8 @@
 import io.banyantally.internal.usage.UsageRecorder;
 import io.banyantally.internal.usage.UsageReplicator;
 import io.banyantally.internal.usage.ZoneUsageFlush;
-import io.banyantally.model.AvailabilityZone;
 import io.banyantally.platform.Platform;
 import jakarta.inject.Singleton;
-import java.util.HashSet;
-import java.util.Set;
 import java.util.concurrent.Executors;
 
 /** Counting, copying and gathering usage. */
@@ -53,25 +48,17 @@
             Peer self,
             UsageCounters counters,
             MonotonicClock clock,
-            EntrySettings settings) {
+            KnownZones zones) {
         return new UsageGatherer(
                 network,
                 self,
                 new UsageGatherHandler(network, counters),
                 platform.keyValueStore(),
-                () -> zones(network, settings),
+                zones,
                 clock,
                 Executors.newVirtualThreadPerTaskExecutor());
     }
 
-    /** The zones of the settings stay even when none of their VMs is connected, since their flushes must be read. */
-    private static Set<AvailabilityZone> zones(PeerNetwork network, EntrySettings settings) {
-        Set<AvailabilityZone> zones = new HashSet<>(Set.of(settings.zone()));
-        settings.distances().stream().map(ZoneDistance::zone).forEach(zones::add);
-        network.peers().stream().map(Peer::zone).forEach(zones::add);
-        return zones;
-    }
-
     @Provides
     @Singleton
     static ZoneUsageFlush zoneFlush(
--- a/modules/banyantally/src/main/java/io/banyantally/platform/InMemoryKeyValueStore.java
+++ b/modules/banyantally/src/main/java/io/banyantally/platform/InMemoryKeyValueStore.java
@@ -9,7 +9,8 @@
 /** A key-value service inside one process, for tests and for the platform stand-in. Leases follow the given clock. */
 public final class InMemoryKeyValueStore implements KeyValueStore {
 
-    private static final long WATCH_POLL_MILLIS = 5;
+    /** A write wakes the watches at once; lapsed leases are noticed within this time. A shorter time costs a wake-up of every watch. */
+    private static final long WATCH_POLL_MILLIS = 25;
 
     private final MonotonicClock clock;
     private final Map<StoreKey, Entry> entries = new HashMap<>();
