--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/StreamMemoryCommand.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/StreamMemoryCommand.java
@@ -37,10 +37,13 @@
         try (AdapterHttpClient client = AdapterHttpClient.start()) {
             HttpEngine engine = new HttpEngine(client, Generations.loopback(engineAddress));
             for (int step : steps) {
+                int open = streams.size();
                 while (streams.size() < step) {
-                    AnswerStream stream = engine.generate(generations.next(TOKENS));
+                    streams.add(engine.generate(generations.next(TOKENS)));
+                }
+                // The first tokens come together, in a step of the engine.
+                for (AnswerStream stream : streams.subList(open, step)) {
                     stream.next();
-                    streams.add(stream);
                 }
                 heap.add(new Slope.Point(step, ProcessCost.heapBytes()));
                 direct.add(new Slope.Point(step, ProcessCost.directBytes()));
