Let the replaced owner meet a sealed window in the fault rows

Cause: with sealed windows overwritten instead of written from absent on a scratch copy, no row failed: the later owner had only taken over, and its window was not due, when the earlier one wrote.

Change: the later owner takes over, serves and seals before the earlier one goes on. With the guard removed again, 107 rows fail; the guard is restored.

--- a/modules/banyantally/src/test/java/io/banyantally/internal/usage/UsageFaultMatrixTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/usage/UsageFaultMatrixTest.java
@@ -129,6 +129,8 @@
             case RESTART_AFTER -> world.restart(0);
             case OWNER_REPLACED_BEFORE, OWNER_REPLACED_AFTER -> {
                 world.acquire(otherReplica);
+                // A window is due only some time after the takeover.
+                world.pass();
                 // The later owner's figures differ from those that the earlier one is about to write.
                 world.deliver(otherReplica, ACCOUNT, 5);
                 sealOneWindow();
