--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/AddressBook.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/AddressBook.java
@@ -6,11 +6,13 @@
 import io.banyantally.internal.adapter.HttpCall;
 import io.banyantally.internal.adapter.HttpReply;
 import io.banyantally.internal.adapter.WireFormat;
+import io.banyantally.model.AvailabilityZone;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Asks which addresses to use, keeps the answer for its time to live, and gives them out in turn. */
@@ -18,11 +20,11 @@
 
     private static final Duration TIME_LIMIT = Duration.ofSeconds(1);
     private static final int MAXIMUM_ANSWER_BYTES = 1 << 20;
-    private static final double DEFAULT_SECONDS_TO_LIVE = 5;
-    private static final double NANOS_PER_SECOND = 1e9;
+    private static final long DEFAULT_MILLIS_TO_LIVE = 5_000;
 
     private final AdapterHttpClient client;
     private final List<InetSocketAddress> known;
+    private final String target;
     private final AtomicInteger turn = new AtomicInteger();
     private List<InetSocketAddress> current = List.of();
     private long validUntil;
@@ -31,8 +33,10 @@
      * Creates a book.
      *
      * @param known addresses to ask first
+     * @param zone the availability zone of the callers, whose addresses come first
      */
-    AddressBook(AdapterHttpClient client, List<InetSocketAddress> known) {
+    AddressBook(AdapterHttpClient client, List<InetSocketAddress> known, Optional<AvailabilityZone> zone) {
+        this.target = "/v1/addresses" + zone.map(name -> "?zone=" + name).orElse("");
         this.client = client;
         this.known = List.copyOf(known);
     }
@@ -55,8 +59,7 @@
         asked.addAll(known);
         for (InetSocketAddress address : asked) {
             try {
-                HttpReply reply =
-                        client.send(HttpCall.read(address, "/v1/addresses", TIME_LIMIT), MAXIMUM_ANSWER_BYTES);
+                HttpReply reply = client.send(HttpCall.read(address, target, TIME_LIMIT), MAXIMUM_ANSWER_BYTES);
                 if (reply.isOk()) {
                     take(WireFormat.decode(reply.body(), JsonNode.class));
                     return;
@@ -77,8 +80,8 @@
             throw new IOException("the answer lists no address");
         }
         current = addresses;
-        double seconds = answer.path("timeToLiveSeconds").asDouble(DEFAULT_SECONDS_TO_LIVE);
-        validUntil = System.nanoTime() + (long) (seconds * NANOS_PER_SECOND);
+        long millis = answer.path("timeToLiveMillis").asLong(DEFAULT_MILLIS_TO_LIVE);
+        validUntil = System.nanoTime() + Duration.ofMillis(millis).toNanos();
     }
 
     /** Parses {@code host:port}. */
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/UsageNode.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/UsageNode.java
@@ -1,7 +1,7 @@
 package io.banyantally.standins.measure;
 
 import com.codahale.metrics.MetricRegistry;
-import io.banyantally.internal.authority.Authority;
+import io.banyantally.internal.authority.OwnedScope;
 import io.banyantally.internal.authority.Scope;
 import io.banyantally.internal.invariant.Invariants;
 import io.banyantally.internal.peer.Peer;
@@ -22,12 +22,16 @@
 import io.banyantally.platform.KeyValueStore;
 import io.banyantally.platform.UsageFigures;
 import io.banyantally.platform.UsageReportSink;
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 
 /** The usage part of one VM, with the threads that the daemon would start for it. */
 final class UsageNode {
+
+    private static final Duration WINDOW = Duration.ofSeconds(60);
+
     private static final int TIMELINE_EVENTS = 100;
 
     final Peer self;
@@ -71,7 +75,7 @@
 
     /** Starts the owner of a bucket; its windows follow the sealing clock. */
     Thread startSealing(int bucket, UsageReportSink sink) {
-        UsageSealer sealer = new UsageSealer(bucket, store, gatherer, sink, sealingClock, invariants, timeline);
+        UsageSealer sealer = new UsageSealer(bucket, WINDOW, store, gatherer, sink, sealingClock, invariants, timeline);
         return Thread.ofVirtual().start(() -> {
             try {
                 sealer.run(new PermanentAuthority(UsageBuckets.scopeOf(bucket)));
@@ -98,7 +102,8 @@
         done.await();
     }
 
-    private record PermanentAuthority(Scope scope) implements Authority {
+    /** Owned for the whole measurement; a sealer writes no scope record. */
+    private record PermanentAuthority(Scope scope) implements OwnedScope {
         @Override
         public FencingNumber fencingNumber() {
             return new FencingNumber(1);
@@ -108,5 +113,24 @@
         public boolean isGranted() {
             return true;
         }
+
+        @Override
+        public long sequence() {
+            return 0;
+        }
+
+        @Override
+        public byte[] payload() {
+            return new byte[0];
+        }
+
+        @Override
+        public void write(long sequence, byte[] payload) {}
+
+        @Override
+        public void setOutcomesKnown(boolean known) {}
+
+        @Override
+        public void abandon(String reason) {}
     }
 }
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/package-info.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/package-info.java
@@ -1,2 +1,2 @@
-/** Measurements of parts of the system, each with a main class. */
+/** Measurements of what parts of the system cost, each with its command. */
 package io.banyantally.standins.measure;
