--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/DecisionCostCommand.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/DecisionCostCommand.java
@@ -24,6 +24,7 @@
     private static final int[] UPSTREAM_RANGE = {500, 1_000, 2_000, 4_000};
     private static final int[] ACCOUNT_RANGE = {1_000, 4_000, 8_000, 13_000};
     private static final int[] FLIGHT_RANGE = {1_000, 2_000, 4_000, 8_000};
+    private static final int[] THREADS = {1, 2, 4, 8};
     private static final int COLLECTIONS = 4;
 
     @Option(names = "--upstreams", defaultValue = "500", description = "upstreams (default: ${DEFAULT-VALUE})")
@@ -38,6 +39,9 @@
     @Override
     public Integer call() throws AdmissionRefusedException, InterruptedException, NoUpstreamException {
         measureTime();
+        for (int threads : THREADS) {
+            measureThreads(threads);
+        }
         slope("upstream", UPSTREAM_RANGE, size -> heapOf(size, 1, size));
         slope("account", ACCOUNT_RANGE, size -> heapOf(10, size, size));
         slope("request in flight", FLIGHT_RANGE, this::heapInFlight);
@@ -75,6 +79,34 @@
                 allocated / decisions);
     }
 
+    /** Measures decisions a second of several threads, which would not grow if all requests shared a lock. */
+    private void measureThreads(int threads) throws InterruptedException {
+        DecisionFixture fixture = new DecisionFixture(upstreams, accounts);
+        List<Thread> workers = new ArrayList<>();
+        long start = System.nanoTime();
+        for (int worker = 0; worker < threads; worker++) {
+            int first = worker * decisions;
+            workers.add(Thread.ofPlatform().start(() -> decideAll(fixture, first)));
+        }
+        for (Thread worker : workers) {
+            worker.join();
+        }
+        double seconds = (System.nanoTime() - start) / 1e9;
+        System.out.println("threads=" + threads + " decisionsPerSecond=" + Math.round(threads * decisions / seconds));
+    }
+
+    private void decideAll(DecisionFixture fixture, int first) {
+        try {
+            for (int number = first; number < first + decisions; number++) {
+                fixture.decide(number).end();
+            }
+        } catch (AdmissionRefusedException | NoUpstreamException refused) {
+            throw new IllegalStateException("the measured capacity is too small", refused);
+        } catch (InterruptedException stop) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Measures the heap of a state of some size. */
     private interface HeapMeasure {
         long bytes(int size) throws AdmissionRefusedException, InterruptedException, NoUpstreamException;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/admission/PendingRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/admission/PendingRequest.java
@@ -5,6 +5,9 @@
 
 /** A request that waits for its turn, and later the ticket's record of what it holds. */
 final class PendingRequest {
+    /** Calls to plain services are estimated at no tokens; with no work at all, accounts would not take turns. */
+    private static final double LEAST_WORK = 1e-6;
+
     final AdmissionRequest request;
     final AccountState account;
     final WorkEstimate expected;
@@ -27,7 +30,8 @@
         this.expected = expected;
         this.arrival = arrival;
         this.prefillWork = expected.promptTokens() / capacity.prefillTokensPerSecond();
-        this.work = prefillWork + expected.outputTokens() / capacity.outputTokensPerSecond();
+        double outputWork = expected.outputTokens() / capacity.outputTokensPerSecond();
+        this.work = Math.max(LEAST_WORK, prefillWork + outputWork);
     }
 
     ClientAccountId account() {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/admission/FairAdmissionTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/admission/FairAdmissionTest.java
@@ -93,6 +93,28 @@
         assertFalse(later.isDone(), "the large account has had its turn");
     }
 
+    /** Guards against accounts that do not take turns for calls whose work is not known in tokens. */
+    @Test
+    void accountsTakeTurnsForCallsWithoutTokens() {
+        FairQueue queue = new FairQueue();
+        for (int call = 0; call < 5; call++) {
+            queue.add(callWithoutTokens(large));
+        }
+        queue.add(callWithoutTokens(small));
+        List<String> order = new ArrayList<>();
+        while (queue.size() > 0) {
+            order.add(queue.poll().account().value());
+        }
+        assertTrue(order.indexOf("small") <= 1, "order " + order);
+    }
+
+    private PendingRequest callWithoutTokens(ClientAccountParameters parameters) {
+        WorkEstimate none = new WorkEstimate(0, 0);
+        AdmissionRequest request =
+                new AdmissionRequest(parameters, AdmissionWorld.SERVICE, none, Duration.ofSeconds(1));
+        return new PendingRequest(request, new AccountState(parameters, 1, 0), none, SMALL, 0);
+    }
+
     /** Guards against capacity that is lost with each request whose caller goes away while it waits. */
     @Test
     void aCancelledRequestTakesNoRoom() {
