--- a/modules/banyantally-daemon/src/main/java/io/banyantally/daemon/Main.java
+++ b/modules/banyantally-daemon/src/main/java/io/banyantally/daemon/Main.java
@@ -1,5 +1,7 @@
 package io.banyantally.daemon;
 
+import io.banyantally.daemon.operator.OperatorCommand;
+import picocli.AutoComplete.GenerateCompletion;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -9,7 +11,7 @@
         mixinStandardHelpOptions = true,
         version = "banyantally 0.1.0",
         description = "Serves language models and the services around them on a limited fleet.",
-        subcommands = {EntryCommand.class, TimelineCommand.class})
+        subcommands = {EntryCommand.class, OperatorCommand.class, TimelineCommand.class, GenerateCompletion.class})
 public final class Main {
 
     private Main() {}
