Check in the usage rows that only the owner begins a report

Cause: with the authority check before a report removed on a scratch copy, no row failed, since a stale owner reports the same figures. The promise also says that no window is reported by two processes that believe in their charge.

Change: the fake usage interface fails when a report begins at a VM whose authority has ended. The usage tests pass with it.

--- a/modules/banyantally/src/test/java/io/banyantally/internal/usage/UsageVm.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/usage/UsageVm.java
@@ -56,7 +56,10 @@
                 UsageSealer.WINDOW,
                 store,
                 new UsageGatherer(this, self, handler, store, () -> UsageWorld.ZONES, clock, Runnable::run),
-                (report, fencingNumber) -> world.sink.report(this, report, world.listener),
+                (report, fencingNumber) -> {
+                    world.requireOwner(this);
+                    world.sink.report(this, report, world.listener);
+                },
                 clock,
                 invariants,
                 timeline);
--- a/modules/banyantally/src/test/java/io/banyantally/internal/usage/UsageWorld.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/usage/UsageWorld.java
@@ -174,6 +174,12 @@
         sealer = Optional.of(vm.sealerFor(authority));
     }
 
+    /** Fails if a VM begins a report after its authority ended. */
+    void requireOwner(UsageVm vm) {
+        assertTrue(
+                owner.filter(current -> current.vm == vm && current.granted).isPresent(), "reported without authority");
+    }
+
     void pass() {
         if (sealer.isEmpty() || !owner.orElseThrow().vm.alive) {
             return;
