--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/PromptTexts.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/load/PromptTexts.java
@@ -1,6 +1,6 @@
 package io.banyantally.standins.load;
 
-import io.banyantally.standins.engine.PromptBlocks;
+import io.banyantally.standins.engine.PromptTokens;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
@@ -42,7 +42,7 @@
     /** A text of a length in tokens. */
     static String text(long textSeed, int tokens) {
         SplittableRandom random = new SplittableRandom(textSeed);
-        int characters = tokens * PromptBlocks.CHARACTERS_PER_TOKEN;
+        int characters = tokens * PromptTokens.CHARACTERS_PER_TOKEN;
         StringBuilder text = new StringBuilder(characters);
         while (text.length() < characters) {
             text.append(WORDS[random.nextInt(WORDS.length)]).append(' ');
