Keep the periodic tasks of routing and admission running

A fault in one round, such as a malformed message, ended the task without a sign: engines were polled no more and waiting requests were let in only when others ended. The fault is now logged and the next round runs.

No test strikes this fault.

--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/experiment/HtmlReport.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/experiment/HtmlReport.java
@@ -12,6 +12,9 @@
     private static final double MICROS_PER_MILLI = 1e3;
     private static final double PERCENTILE = 95;
 
+    /** A policy without good requests has no meaningful cost; the bar ends here. */
+    private static final double HIGHEST_COST_SHOWN = 2;
+
     private final Comparison comparison;
     private final List<Site> sites;
     private final List<Double> loads;
@@ -74,9 +77,6 @@
         html.append("</section>\n");
     }
 
-    /** A policy without good requests has no meaningful cost; the bar ends here. */
-    private static final double HIGHEST_COST_SHOWN = 2;
-
     private String bars(String title, Site site, double load, ToDoubleFunction<RunResult> value) {
         List<Bar> bars = policies.stream()
                 .map(policy -> new Bar(policy.title(), comparison.spread(site, load, policy, value)))
--- a/modules/banyantally/src/main/java/io/banyantally/internal/admission/FairAdmission.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/admission/FairAdmission.java
@@ -3,6 +3,7 @@
 import io.banyantally.internal.admission.AdmissionRefusedException.Reason;
 import io.banyantally.internal.configuration.ClientAccountParameters;
 import io.banyantally.internal.configuration.ConfigurationView;
+import io.banyantally.internal.logging.EventLog;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.model.ClientAccountId;
@@ -20,6 +21,7 @@
  * {@link #exchangeDemand} instead.
  */
 public final class FairAdmission implements Admission {
+    private static final EventLog LOG = EventLog.of(FairAdmission.class);
     private static final Duration ATTEND_INTERVAL = Duration.ofMillis(5);
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -54,10 +56,19 @@
         running = false;
     }
 
+    /** A fault in one round must not end the task: later rounds would be missing without a sign. */
+    private static void runGuarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException fault) {
+            LOG.error("admission_task_failed", fault);
+        }
+    }
+
     private void repeat(Duration interval, Runnable task) {
         try {
             while (running) {
-                task.run();
+                runGuarded(task);
                 Thread.sleep(interval);
             }
         } catch (InterruptedException stop) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/LoadAwareRouter.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/LoadAwareRouter.java
@@ -6,6 +6,7 @@
 import io.banyantally.internal.configuration.ConfigurationView;
 import io.banyantally.internal.configuration.ServiceKind;
 import io.banyantally.internal.configuration.ServiceTemplate;
+import io.banyantally.internal.logging.EventLog;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.timeline.Timeline;
@@ -24,6 +25,7 @@
  * with peers; a simulation calls {@link #poll} and {@link #exchange} instead.
  */
 public final class LoadAwareRouter implements Router, CapacityView {
+    private static final EventLog LOG = EventLog.of(LoadAwareRouter.class);
     private static final Duration POLL_INTERVAL = Duration.ofMillis(500);
     private static final Duration EXCHANGE_INTERVAL = Duration.ofMillis(100);
     private static final long CAPACITY_VALID_NANOS = 20_000_000L;
@@ -84,10 +86,19 @@
         running = false;
     }
 
+    /** A fault in one round must not end the task: later rounds would be missing without a sign. */
+    private static void runGuarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException fault) {
+            LOG.error("routing_task_failed", fault);
+        }
+    }
+
     private void repeat(Duration interval, Runnable task) {
         try {
             while (running) {
-                task.run();
+                runGuarded(task);
                 Thread.sleep(interval);
             }
         } catch (InterruptedException stop) {
