--- a/modules/banyantally/src/main/java/io/banyantally/internal/fleet/FleetPlanTask.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/fleet/FleetPlanTask.java
@@ -17,8 +17,8 @@
 import java.util.function.Supplier;
 
 /**
- * The work of the owner of {@code fleet-<service>}: makes the plan of the service and writes it to the scope's record. The
- * plan's number is the record's sequence, so it never falls, whoever owns the scope.
+ * The work of the owner of {@code fleet-<service>}: makes the plan of the service and writes it to the scope's record. A new
+ * owner goes on from the plan in the record, so the plan's number never falls, whoever owns the scope.
  */
 public final class FleetPlanTask implements ScopeTask {
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/membership/Membership.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/membership/Membership.java
@@ -105,7 +105,11 @@
         Map<AvailabilityZone, CallerAddress> ofEachZone = new LinkedHashMap<>();
         drawn.forEach(address -> ofEachZone.putIfAbsent(address.zone(), address));
         Set<CallerAddress> chosen = new LinkedHashSet<>(ofEachZone.values());
-        drawn.stream().limit(Math.max(0, MAXIMUM_ADDRESSES - chosen.size())).forEach(chosen::add);
+        drawn.stream()
+                .filter(address -> !chosen.contains(address))
+                .limit(Math.max(0, MAXIMUM_ADDRESSES - chosen.size()))
+                .toList()
+                .forEach(chosen::add);
         return chosen;
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/UpstreamHolds.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/UpstreamHolds.java
@@ -132,7 +132,7 @@
         if (hold == null || hold.fencingNumber() != fencingNumber) {
             long now = clock.nanoTime();
             long first = nextSequence();
-            hold = new OwnedHold(authority, fencingNumber, first, now, now);
+            hold = new OwnedHold(authority, fencingNumber, first, now, now, false);
             if (!table.put(key, new Hold(fencingNumber, first, true, now + TIME_TO_LIVE.toNanos()))) {
                 return false;
             }
@@ -140,7 +140,9 @@
             untold = true;
             return false;
         }
-        return authority.isGranted() && isReady(key, hold);
+        boolean ready = authority.isGranted() && isReady(key, hold);
+        owned.replace(key, hold, hold.withReady(ready));
+        return ready;
     }
 
     /** Ends a hold of this VM's owner. */
@@ -204,12 +206,13 @@
         renewOwned();
         long now = clock.nanoTime();
         boolean unsure = !table.isSynced() || table.hasExpired();
-        boolean tells = untold || (!owned.isEmpty() && now - nextTell >= 0);
+        boolean awaits = owned.values().stream().anyMatch(hold -> !hold.ready());
+        boolean tells = untold || (awaits && now - nextTell >= 0);
         if (unsure || tells) {
             untold = false;
             nextTell = now + TELL_INTERVAL.toNanos();
             List<Peer> peers = network.peers();
-            boolean allAnswered = exchangeWithAll(peers, tells);
+            boolean allAnswered = exchangeWithAll(peers, awaits);
             boolean isAlone = entryVms.get().map(vms -> isOnly(vms)).orElse(false);
             if (unsure && allAnswered && (!peers.isEmpty() || isAlone)) {
                 table.dropExpired(now);
--- a/modules/banyantally/src/test/java/io/banyantally/internal/membership/DirectorySpreadTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/membership/DirectorySpreadTest.java
@@ -5,9 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.banyantally.internal.invariant.Promise;
+import io.banyantally.model.Incarnation;
+import io.banyantally.platform.DirectoryEntry;
 import io.banyantally.testing.FaultRow;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -29,6 +32,7 @@
         BOTH_READERS_KILLED,
         READER_PAUSED,
         BOTH_READERS_CUT_FROM_PLATFORM,
+        ALL_READERS_CUT_FROM_PLATFORM,
         ONE_LINK_CUT,
         CUT_FROM_ALL_PEERS,
         ANSWERS_LOST,
@@ -94,6 +98,19 @@
         }
     }
 
+    @Test
+    @FaultRow(promise = Promise.LEAVING_GETS_NO_NEW_WORK, step = "taking a list over", fault = "answer delayed")
+    void anAnswerThatWasDelayedDoesNotReplaceAFresherList() {
+        SpreadWorld world = new SpreadWorld(1, 1);
+        DirectoryLog log = new DirectoryLog(new Incarnation(1), world.clock);
+        Map<String, DirectoryEntry> live = Map.copyOf(world.platform);
+        world.startLeaving();
+        assertTrue(log.offer(world.platform, world.clock.nanoTime()));
+        assertFalse(
+                log.offer(live, world.clock.nanoTime() - Duration.ofMillis(300).toNanos()));
+        assertTrue(SpreadWorld.isLeaving(log.list()));
+    }
+
     @Test
     @FaultRow(promise = Promise.LEAVING_GETS_NO_NEW_WORK, step = "reading", fault = "platform down")
     void theLastListStaysWhileNobodyCanRead() {
@@ -145,6 +162,8 @@
                 world.hub.isolate(readers.getFirst().peer.vm());
             }
             case BOTH_READERS_CUT_FROM_PLATFORM -> readers.forEach(vm -> vm.cutFromPlatform = true);
+            case ALL_READERS_CUT_FROM_PLATFORM ->
+                world.vms.stream().filter(world::isReader).forEach(vm -> vm.cutFromPlatform = true);
             case ONE_LINK_CUT ->
                 world.hub.cut(other.peer.vm(), readers.getFirst().peer.vm());
             case CUT_FROM_ALL_PEERS -> world.hub.isolate(other.peer.vm());
--- a/modules/banyantally/src/test/java/io/banyantally/internal/routing/HoldFaultMatrixTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/routing/HoldFaultMatrixTest.java
@@ -5,6 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.banyantally.internal.invariant.Promise;
+import io.banyantally.internal.peer.PeerException;
+import io.banyantally.internal.peer.Topic;
+import io.banyantally.model.UpstreamId;
 import io.banyantally.testing.FaultRow;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -122,6 +125,80 @@
                 .allMatch(vm -> vm.table.held().isEmpty()));
     }
 
+    /** Guards against a long change during which the hold ends although its owner lives. */
+    @Test
+    @FaultRow(promise = Promise.NO_PLANNED_CUT, step = "changing", fault = "change longer than the hold")
+    void aHoldLastsWhileItsOwnerRenewsIt() {
+        rounds(100, () -> world.changing);
+        world.changeEndsAt = world.clock.nanoTime()
+                + UpstreamHolds.TIME_TO_LIVE.multipliedBy(2).toNanos();
+        world.run(UpstreamHolds.TIME_TO_LIVE.plusSeconds(5));
+        assertTrue(world.changing);
+        assertEquals(List.of(), world.violations);
+    }
+
+    /** Guards against a VM that was paused for so long that its hold expired, although the owner renewed it meanwhile. */
+    @Test
+    @FaultRow(promise = Promise.NO_PLANNED_CUT, step = "changing", fault = "paused longer than the hold, then cut off")
+    void aVmThatWakesKeepsAnExpiredHoldUntilItHasAskedItsPeers() {
+        rounds(100, () -> world.changing);
+        world.changeEndsAt = world.clock.nanoTime() + Duration.ofSeconds(60).toNanos();
+        world.pause(world.vms.getLast(), UpstreamHolds.TIME_TO_LIVE.plusSeconds(3));
+        world.run(UpstreamHolds.TIME_TO_LIVE.plusSeconds(6));
+        world.hub.restoreAll();
+        world.run(Duration.ofSeconds(5));
+        assertTrue(world.changing);
+        assertEquals(List.of(), world.violations);
+    }
+
+    /** Guards against a delayed confirmation of an earlier owner's hold that counts for a later owner. */
+    @Test
+    @FaultRow(promise = Promise.NO_PLANNED_CUT, step = "hold asked", fault = "owner replaced and sender cut off")
+    void aConfirmationOfAnEarlierHoldDoesNotCount() throws PeerException {
+        HoldVm sender = world.vms.getLast();
+        HoldReport late = new HoldReport(
+                sender.peer.vm().value(),
+                sender.peer.incarnation().toString(),
+                List.of(new HoldReport.HeldWork(HoldWorld.SCOPE.name(), HoldWorld.UPSTREAM.value(), 1, 1_000, 0)));
+        HoldVm successor = world.vms.get(1);
+        sender.network.request(
+                successor.peer.vm(),
+                new Topic("routing.hold"),
+                HoldMessage.CODEC.encode(new HoldMessage(false, List.of(), List.of(late))),
+                Duration.ofSeconds(1));
+        world.hub.isolate(sender.peer.vm());
+        world.elect(successor);
+        rounds(50, () -> world.changing);
+        assertFalse(world.changing);
+        assertEquals(List.of(), world.violations);
+    }
+
+    /** Guards against a confirmation of a process that is gone; the one that took its place has confirmed nothing. */
+    @Test
+    @FaultRow(promise = Promise.NO_PLANNED_CUT, step = "hold confirmed", fault = "sender restarted")
+    void aConfirmationDoesNotOutliveItsProcess() {
+        rounds(1, () -> false);
+        world.run(Duration.ofSeconds(2));
+        world.vms.forEach(HoldVm::endWork);
+        world.vms.forEach(vm -> vm.holds.step());
+        world.clock.advance(UpstreamHolds.TELL_INTERVAL);
+        world.vms.forEach(vm -> vm.holds.step());
+        world.restart(world.vms.getLast());
+        assertFalse(world.listener.prepareChange(HoldWorld.UPSTREAM, HoldWorld.TARGET));
+    }
+
+    /** Guards against a change for which two owners have prepared. */
+    @Test
+    @FaultRow(promise = Promise.NO_CONFLICTING_ORDERS, step = "hold confirmed", fault = "owner replaced")
+    void anOwnerThatWasReplacedIsNeverToldThatItMayGoOn() {
+        rounds(2, () -> false);
+        HoldTable table = world.ownerVm.table;
+        long soon = world.clock.nanoTime() + Duration.ofSeconds(10).toNanos();
+        table.put(new HoldKey(HoldWorld.SCOPE.name(), new UpstreamId("engine-2")), new Hold(99, 1, true, soon));
+        rounds(100, () -> world.changing);
+        assertFalse(world.changing);
+    }
+
     /** Guards against a delayed message of an earlier owner that ends the hold of the present one. */
     @Test
     @FaultRow(promise = Promise.NO_PLANNED_CUT, step = "hold confirmed", fault = "owner replaced")
--- a/modules/banyantally/src/test/java/io/banyantally/internal/routing/HoldVm.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/routing/HoldVm.java
@@ -7,6 +7,7 @@
 import io.banyantally.internal.invariant.Invariants;
 import io.banyantally.internal.orders.UpstreamChangeListener;
 import io.banyantally.internal.peer.Peer;
+import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.timeline.Timeline;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.FencingNumber;
@@ -20,6 +21,7 @@
 final class HoldVm {
 
     final Peer peer;
+    final PeerNetwork network;
     final Invariants invariants;
     final UpstreamGate gate;
     final UpstreamHolds holds;
@@ -33,18 +35,13 @@
     HoldVm(HoldWorld world, String name, String zone) {
         this.world = world;
         peer = new Peer(new VmId(name), new Incarnation(world.random.nextLong()), new AvailabilityZone(zone));
+        network = world.hub.join(peer);
         Timeline timeline = new Timeline(peer.vm(), peer.incarnation(), 100, event -> {});
         invariants = new Invariants(new MetricRegistry(), timeline);
         table = new HoldTable(world.clock, timeline);
         gate = new UpstreamGate(table, world.clock, invariants);
         holds = new UpstreamHolds(
-                peer,
-                world.hub.join(peer),
-                world.clock,
-                table,
-                gate,
-                () -> Optional.of(world.listed),
-                HoldWorld.DRAIN_LIMIT);
+                peer, network, world.clock, table, gate, () -> Optional.of(world.listed), HoldWorld.DRAIN_LIMIT);
         gate.update(world.directory());
     }
 
--- a/modules/banyantally/src/test/java/io/banyantally/internal/routing/HoldWorld.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/routing/HoldWorld.java
@@ -32,7 +32,7 @@
     static final Scope SCOPE = new Scope("chat@north");
     static final Duration DRAIN_LIMIT = Duration.ofSeconds(60);
     static final Duration STEP = Duration.ofMillis(100);
-    private static final EngineTarget TARGET =
+    static final EngineTarget TARGET =
             new EngineTarget(new ModelName("m"), "1", List.<AdapterName>of(), EngineRole.PREFILL);
 
     final ManualClock clock = new ManualClock();
