Run prefill stages and estimate work without cached prompts

Cause: the router offered a prefill engine and nobody used it; admission charged prompt tokens that an engine already held; the restart test of the peer network once met a port that another process had taken. Ruled out: failing the request when the prefill engine fails, since the decoding engine can compute the prompt; a new port in the restart test, which would not test the reconnection to the same address.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/Generation.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/Generation.java
@@ -95,7 +95,9 @@
     }
 
     private boolean streamFrom(Route route) throws RequestRefusedException, IOException, InterruptedException {
-        try (AnswerStream answer = services.connector().engine(route.upstream()).generate(nextRequest())) {
+        GenerationRequest request = nextRequest();
+        new PrefillRunner(services).run(route, request);
+        try (AnswerStream answer = services.connector().engine(route.upstream()).generate(request)) {
             while (true) {
                 AnswerChunk chunk = answer.next();
                 if (chunk.last()) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/GenerationEndpoint.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/GenerationEndpoint.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.banyantally.internal.admission.AdmissionRequest;
 import io.banyantally.internal.admission.AdmissionTicket;
+import io.banyantally.internal.admission.WorkEstimate;
 import io.banyantally.internal.configuration.ClientAccountParameters;
 import io.banyantally.internal.configuration.ConfigurationView;
 import io.banyantally.internal.configuration.ServiceTemplate;
@@ -49,7 +50,8 @@
         CompletionJson json = new CompletionJson(services.exchangeIds().next(), body);
         AnswerWriter writer =
                 body.stream() ? new EventStreamWriter(exchange, json) : new WholeAnswerWriter(exchange, json);
-        AdmissionRequest request = new AdmissionRequest(account, service, body.work(), timeLimit);
+        WorkEstimate work = services.estimator().estimate(service, body.prompt(), body.work());
+        AdmissionRequest request = new AdmissionRequest(account, service, work, timeLimit);
         try (AdmissionTicket ticket = admission.admit(request)) {
             new Generation(services, account, service, body, ticket, writer).run();
         } catch (RequestRefusedException refused) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/UpstreamAccess.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/UpstreamAccess.java
@@ -4,12 +4,14 @@
 import io.banyantally.internal.routing.Router;
 import io.banyantally.internal.routing.UpstreamConnector;
 import io.banyantally.internal.routing.UpstreamGate;
+import io.banyantally.internal.routing.WorkEstimator;
 import io.banyantally.internal.timeline.Timeline;
 import io.banyantally.internal.usage.UsageRecorder;
 
 /** What requests need of the rest of the system to reach upstreams. */
 public record UpstreamAccess(
         Router router,
+        WorkEstimator estimator,
         UpstreamConnector connector,
         UpstreamGate gate,
         DemandMeter demand,
--- a/modules/banyantally/src/main/java/io/banyantally/internal/membership/RosterUpkeep.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/membership/RosterUpkeep.java
@@ -49,12 +49,23 @@
             Optional<Set<VmId>> listed = directory.entryVms();
             if (listed.isPresent() && directory.age().compareTo(LIST_AGE_LIMIT) <= 0) {
                 noteMissing(listed.get(), missingSince);
-                removeOne(missingSince);
             }
+            attend(missingSince);
             Thread.sleep(INTERVAL);
         }
     }
 
+    private void attend(Map<VmId, Long> missingSince) {
+        try {
+            // A VM that joined and died before its change was confirmed leaves the roster in between two sets.
+            if (roster.settle()) {
+                removeOne(missingSince);
+            }
+        } catch (ConfigurationNotWrittenException | ConfigurationOutcomeUnknownException failure) {
+            LOG.warn("roster_upkeep_failed", EventField.of("reason", failure.getMessage()));
+        }
+    }
+
     private void noteMissing(Set<VmId> listed, Map<VmId, Long> missingSince) {
         Set<VmId> members = configuration.current().roster();
         missingSince.keySet().removeIf(vm -> listed.contains(vm) || !members.contains(vm));
@@ -64,22 +75,15 @@
     }
 
     /** One at a time, since two rosters that differ by more need not share a majority. */
-    private void removeOne(Map<VmId, Long> missingSince) {
+    private void removeOne(Map<VmId, Long> missingSince)
+            throws ConfigurationNotWrittenException, ConfigurationOutcomeUnknownException {
         Optional<VmId> gone = missingSince.entrySet().stream()
                 .filter(entry -> clock.since(entry.getValue()).compareTo(MISSING_LIMIT) > 0)
                 .map(Map.Entry::getKey)
                 .min(VmId::compareTo);
-        if (gone.isEmpty()) {
-            return;
-        }
-        try {
-            roster.remove(gone.get());
+        if (gone.isPresent() && roster.remove(gone.get())) {
             missingSince.remove(gone.get());
-        } catch (ConfigurationNotWrittenException | ConfigurationOutcomeUnknownException failure) {
-            LOG.warn(
-                    "roster_removal_failed",
-                    EventField.of("vm", gone.get()),
-                    EventField.of("reason", failure.getMessage()));
+            LOG.info("roster_vm_removed", EventField.of("vm", gone.get()));
         }
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/LoadAwareRouter.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/LoadAwareRouter.java
@@ -24,7 +24,7 @@
  * Routes by expected first-token time and token interval. {@link #start} runs the tasks that poll engines and exchange load
  * with peers; a simulation calls {@link #poll} and {@link #exchange} instead.
  */
-public final class LoadAwareRouter implements Router, CapacityView {
+public final class LoadAwareRouter implements Router, CapacityView, WorkEstimator {
     private static final EventLog LOG = EventLog.of(LoadAwareRouter.class);
     private static final Duration POLL_INTERVAL = Duration.ofMillis(500);
     private static final Duration EXCHANGE_INTERVAL = Duration.ofMillis(100);
@@ -161,6 +161,11 @@
         }
     }
 
+    @Override
+    public WorkEstimate estimate(ServiceName service, String prompt, WorkEstimate whole) {
+        return estimate(service, whole, PrefixHashes.of(prompt));
+    }
+
     /** Estimates a generation's work without the part of the prompt that some upstream probably holds. */
     public WorkEstimate estimate(ServiceName service, WorkEstimate whole, long[] hashes) {
         int cached = 0;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/timeline/EventKind.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/timeline/EventKind.java
@@ -50,6 +50,8 @@
     UPSTREAM_RETURNED,
     /** A request was refused. */
     REQUEST_REFUSED,
+    /** A prefill engine or the copy of its KV cache failed; the decoding engine computes the prompt itself. */
+    PREFILL_FAILED,
     /** A request went on at another upstream. */
     REQUEST_RESUMED,
     /** A request that had been accepted did not get its whole answer. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/wiring/EntryDaemon.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/EntryDaemon.java
@@ -1,7 +1,7 @@
 package io.banyantally.internal.wiring;
 
 import io.banyantally.StartFailedException;
-import io.banyantally.internal.configuration.ConfigurationTasks;
+import io.banyantally.internal.configuration.ConfigurationPart;
 import io.banyantally.internal.http.EntryServer;
 import io.banyantally.internal.http.ServerException;
 import io.banyantally.internal.logging.EventLog;
@@ -34,7 +34,7 @@
     private final DirectorySpread directory;
     private final DirectoryCatalogue catalogue;
     private final UpstreamGate gate;
-    private final ConfigurationTasks configuration;
+    private final ConfigurationPart configuration;
     private final EntryServer server;
     private final BackgroundTasks background;
     private final PeerSelection peers;
@@ -47,7 +47,7 @@
             Membership membership,
             DirectorySpread directory,
             DirectoryCatalogue catalogue,
-            ConfigurationTasks configuration,
+            ConfigurationPart configuration,
             EntryServer server,
             BackgroundTasks background,
             PeerSelection peers,
--- a/modules/banyantally/src/main/java/io/banyantally/internal/wiring/RequestModule.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/RequestModule.java
@@ -24,7 +24,6 @@
 import io.banyantally.internal.routing.HoldTable;
 import io.banyantally.internal.routing.HoldingCatalogue;
 import io.banyantally.internal.routing.LoadAwareRouter;
-import io.banyantally.internal.routing.Router;
 import io.banyantally.internal.routing.RouterSettings;
 import io.banyantally.internal.routing.UpstreamCatalogue;
 import io.banyantally.internal.routing.UpstreamConnector;
@@ -94,9 +93,6 @@
                 ThreadLocalRandom::current);
     }
 
-    @Binds
-    abstract Router router(LoadAwareRouter router);
-
     @Provides
     @Singleton
     static FairAdmission fairAdmission(
@@ -129,14 +125,14 @@
     @Provides
     @Singleton
     static UpstreamAccess upstreams(
-            Router router,
+            LoadAwareRouter router,
             UpstreamConnector connector,
             UpstreamGate gate,
             DemandMeter demand,
             UsageRecorder usage,
             Peer self,
             Timeline timeline) {
-        return new UpstreamAccess(router, connector, gate, demand, usage, new ExchangeIds(self), timeline);
+        return new UpstreamAccess(router, router, connector, gate, demand, usage, new ExchangeIds(self), timeline);
     }
 
     @Provides
--- a/modules/banyantally/src/test/java/io/banyantally/internal/peer/TcpPeerNetworkTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/peer/TcpPeerNetworkTest.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
@@ -28,6 +29,9 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
     private static final int REQUESTS = 200;
 
+    /** A loopback address of its own, so that no other process takes the port between a stop and a restart. */
+    private static final InetAddress ADDRESS = loopbackAddressOfThisProcess();
+
     private final CountDownLatch released = new CountDownLatch(1);
     private TcpPeerNetwork first;
     private TcpPeerNetwork second;
@@ -112,11 +116,7 @@
         second.close();
         awaitPeers(first, 0);
         Peer restarted = new Peer(new VmId("second"), new Incarnation(99), new AvailabilityZone("zone"));
-        second = new TcpPeerNetwork(
-                restarted,
-                "site",
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
-                MonotonicClock.SYSTEM);
+        second = new TcpPeerNetwork(restarted, "site", new InetSocketAddress(ADDRESS, port), MonotonicClock.SYSTEM);
         second.start();
         awaitPeers(first, 1);
         assertEquals(new Incarnation(99), first.peers().getFirst().incarnation());
@@ -143,14 +143,23 @@
 
     private static TcpPeerNetwork network(String vm, String site) throws IOException {
         Peer self = new Peer(new VmId(vm), Incarnation.draw(), new AvailabilityZone("zone"));
-        TcpPeerNetwork network = new TcpPeerNetwork(
-                self, site, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MonotonicClock.SYSTEM);
+        TcpPeerNetwork network =
+                new TcpPeerNetwork(self, site, new InetSocketAddress(ADDRESS, 0), MonotonicClock.SYSTEM);
         network.start();
         return network;
     }
 
     private static InetSocketAddress addressOf(TcpPeerNetwork network) {
-        return new InetSocketAddress(InetAddress.getLoopbackAddress(), network.port());
+        return new InetSocketAddress(ADDRESS, network.port());
+    }
+
+    private static InetAddress loopbackAddressOfThisProcess() {
+        long process = ProcessHandle.current().pid();
+        try {
+            return InetAddress.getByAddress(new byte[] {127, 77, (byte) (process >> 8), (byte) (process | 1)});
+        } catch (UnknownHostException impossible) {
+            throw new IllegalStateException(impossible);
+        }
     }
 
     private static void awaitPeers(PeerNetwork network, int count) throws InterruptedException {
