--- a/modules/banyantally/src/main/java/io/banyantally/internal/membership/DirectoryLog.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/membership/DirectoryLog.java
@@ -13,7 +13,7 @@
 /** The freshest list that this VM knows, with a number for the last change of each entry, so that peers can ask for changes. */
 final class DirectoryLog {
 
-    /** Changes in one answer; about 150 bytes each, so that an answer stays well below the payload limit. */
+    /** Changes in one answer; an entry may have 500 bytes until the payload limit is reached. */
     static final int CHANGES_PER_ANSWER = 2_000;
 
     /** Removals that are remembered; a peer that missed more gets the whole list. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/membership/PeerChoice.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/membership/PeerChoice.java
@@ -26,7 +26,7 @@
     /** The two readers of the own zone and the two VMs that replace them, so that a killed reader leaves no gap. */
     static final int OWN_READERS = 2 * ReaderChoice.READERS_IN_A_ZONE;
 
-    /** VMs of the own zone beside its readers; with 30% of the VMs killed, one in 10,000 VMs loses all of them and all readers. */
+    /** VMs of the own zone beside its readers; with 30% of the VMs killed at random, all ten fail with probability 0.3^10. */
     static final int OWN_ZONE = 6;
 
     /** VMs of other zones, spread evenly over the zones and at least one in each, for usage replicas and callers. */
