--- a/modules/banyantally-stand-ins/src/test/java/io/banyantally/standins/processes/TestSite.java
+++ b/modules/banyantally-stand-ins/src/test/java/io/banyantally/standins/processes/TestSite.java
@@ -106,7 +106,7 @@
     private void awaitReady() throws InterruptedException {
         long limit = System.nanoTime() + READY_LIMIT.toNanos();
         for (String address : entryAddresses) {
-            while (send("GET", address, "/readyz", "").statusCode() != 200) {
+            while (send("GET", address, "/readyz", "").statusCode() != 200 || !knowsAllDaemons(address)) {
                 if (System.nanoTime() > limit) {
                     throw new IllegalStateException(address + " is not ready");
                 }
@@ -115,6 +115,11 @@
         }
     }
 
+    /** A daemon that has just started gives only its own address until it has heard its peers. */
+    private boolean knowsAllDaemons(String address) {
+        return json(send("GET", address, "/v1/addresses", "")).get("addresses").size() == ENTRIES;
+    }
+
     private void putTemplates() {
         operator("PUT", "services/assistant", """
                 {"service":"assistant","kind":"MODEL","models":["assistant"],"adapters":[],"routes":[],"minimumReplicas":1,"maximumReplicas":1,
--- a/modules/banyantally/src/main/java/io/banyantally/internal/wiring/AuthorityModule.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/AuthorityModule.java
@@ -6,7 +6,6 @@
 import io.banyantally.internal.authority.AuthoritySettings;
 import io.banyantally.internal.authority.CandidateRanking;
 import io.banyantally.internal.authority.ProcessIdentity;
-import io.banyantally.internal.authority.RendezvousRanking;
 import io.banyantally.internal.authority.Scope;
 import io.banyantally.internal.authority.ScopeManager;
 import io.banyantally.internal.authority.ScopeTask;
@@ -14,6 +13,8 @@
 import io.banyantally.internal.fleet.ConfiguredScopes;
 import io.banyantally.internal.fleet.FleetController;
 import io.banyantally.internal.fleet.FleetScopes;
+import io.banyantally.internal.membership.DirectorySpread;
+import io.banyantally.internal.membership.ReaderRanking;
 import io.banyantally.internal.membership.RosterUpkeep;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.PeerNetwork;
@@ -23,6 +24,7 @@
 import jakarta.inject.Singleton;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /** The scopes that this VM is a candidate for. */
 @Module
@@ -36,8 +38,9 @@
 
     @Provides
     @Singleton
-    static CandidateRanking ranking(Peer self, PeerNetwork network) {
-        return new RendezvousRanking(self.vm(), network::peers);
+    static CandidateRanking ranking(Peer self, PeerNetwork network, DirectorySpread directory) {
+        return new ReaderRanking(
+                self, network::peers, () -> directory.entryVms().map(Set::size).orElse(0));
     }
 
     @Provides
