--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/DecisionFixture.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/DecisionFixture.java
@@ -9,6 +9,7 @@
 import io.banyantally.internal.configuration.Configuration;
 import io.banyantally.internal.configuration.ServiceKind;
 import io.banyantally.internal.configuration.ServiceTemplate;
+import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.routing.KnownUpstream;
 import io.banyantally.internal.routing.LoadAwareRouter;
 import io.banyantally.internal.routing.NoUpstreamException;
@@ -53,7 +54,13 @@
     private final List<ClientAccountParameters> accounts = new ArrayList<>();
     private final long[][] prefixes = new long[PREFIXES][PREFIX_BLOCKS];
 
+    /** Creates a VM without peers. */
     DecisionFixture(int upstreams, int accountCount) {
+        this(SELF, new NoPeers(), upstreams, accountCount);
+    }
+
+    /** Creates a VM that exchanges load and demand over a network. */
+    DecisionFixture(VmId self, PeerNetwork network, int upstreams, int accountCount) {
         List<KnownUpstream> known = new ArrayList<>();
         for (int upstream = 0; upstream < upstreams; upstream++) {
             UpstreamId id = new UpstreamId("upstream-" + upstream);
@@ -70,16 +77,16 @@
         }
         Configuration configuration = configuration();
         router = new LoadAwareRouter(
-                SELF,
+                self,
                 MonotonicClock.SYSTEM,
                 service -> known,
                 new NoConnector(),
                 () -> configuration,
-                new NoPeers(),
-                new Timeline(SELF, new Incarnation(1), 100, event -> {}),
+                network,
+                new Timeline(self, new Incarnation(1), 100, event -> {}),
                 RouterSettings.in(ZONE),
                 ThreadLocalRandom::current);
-        admission = new FairAdmission(SELF, MonotonicClock.SYSTEM, router, () -> configuration, new NoPeers());
+        admission = new FairAdmission(self, MonotonicClock.SYSTEM, router, () -> configuration, network);
     }
 
     private static ClientAccountParameters account(String id) {
@@ -95,6 +102,16 @@
         return new Configuration(Revision.NONE, Map.of(SERVICE, template), byId, Map.of(), Set.of(SELF));
     }
 
+    /** Exchanges load with all peers once. */
+    void exchangeLoad() {
+        router.exchange();
+    }
+
+    /** Exchanges demand with all peers once. */
+    void exchangeDemand() {
+        admission.exchangeDemand();
+    }
+
     /** A request that was admitted and routed. */
     record Decided(AdmissionTicket ticket, Route route) {
         void end() {
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/MeasureCommand.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/MeasureCommand.java
@@ -9,7 +9,12 @@
 @Command(
         name = "measure",
         mixinStandardHelpOptions = true,
-        subcommands = {ConfigurationMeasurement.class, AdapterMeasurement.class, DecisionCostCommand.class},
+        subcommands = {
+            ConfigurationMeasurement.class,
+            AdapterMeasurement.class,
+            DecisionCostCommand.class,
+            ExchangeCostCommand.class
+        },
         description = "Measures single parts of the system.")
 public final class MeasureCommand implements Runnable {
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/LoadMessage.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/LoadMessage.java
@@ -1,14 +1,20 @@
 package io.banyantally.internal.routing;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.List;
 
-/** What a VM tells its peers: its work in flight, the reports that it polled, the cache events that it read, and new prefixes that it sent. */
+/**
+ * What a VM tells its peers: its work in flight, the reports that it polled, the cache events that it read, and new prefixes
+ * that it sent. Entries are arrays without field names, which were more than half of the bytes.
+ */
 record LoadMessage(
         List<UpstreamWork> work, List<PolledReport> reports, List<CacheChange> cacheChanges, List<Sent> sent) {
     /** The sender's work in flight at one upstream; upstreams without any are left out. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record UpstreamWork(String upstream, long prefillTokens, int streams) {}
 
     /** A load report that the sender polled; {@code ageMillis} is the time since then. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record PolledReport(
             String upstream,
             long number,
@@ -20,8 +26,10 @@
             long ageMillis) {}
 
     /** A cache event that the sender read. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record CacheChange(String upstream, long prefixHash, boolean stored) {}
 
     /** Prefixes that the sender sent to an upstream which was not known to hold them. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record Sent(String upstream, List<Long> prefixHashes) {}
 }
