--- a/modules/banyantally/src/main/java/io/banyantally/internal/admission/FairAdmission.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/admission/FairAdmission.java
@@ -3,9 +3,9 @@
 import io.banyantally.internal.admission.AdmissionRefusedException.Reason;
 import io.banyantally.internal.configuration.ClientAccountParameters;
 import io.banyantally.internal.configuration.ConfigurationView;
-import io.banyantally.internal.logging.EventLog;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.internal.time.PeriodicTasks;
 import io.banyantally.model.ClientAccountId;
 import io.banyantally.model.ServiceName;
 import io.banyantally.model.VmId;
@@ -21,7 +21,6 @@
  * {@link #exchangeDemand} instead.
  */
 public final class FairAdmission implements Admission {
-    private static final EventLog LOG = EventLog.of(FairAdmission.class);
     private static final Duration ATTEND_INTERVAL = Duration.ofMillis(5);
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -30,7 +29,7 @@
     private final DemandExchange exchange;
     private final Map<ClientAccountId, AccountState> accounts = new ConcurrentHashMap<>();
     private final Map<ServiceName, ServiceGate> gates = new ConcurrentHashMap<>();
-    private volatile boolean running;
+    private final PeriodicTasks tasks = new PeriodicTasks();
 
     /** Creates the admission of one VM and sets its handler for the topic {@code admission.demand}. */
     public FairAdmission(
@@ -46,34 +45,13 @@
 
     /** Starts the periodic tasks. */
     public void start() {
-        running = true;
-        Thread.ofVirtual().name("admission-attend").start(() -> repeat(ATTEND_INTERVAL, this::attend));
-        Thread.ofVirtual().name("admission-demand").start(() -> repeat(DemandExchange.INTERVAL, exchange::round));
+        tasks.start("admission-attend", ATTEND_INTERVAL, this::attend);
+        tasks.start("admission-demand", DemandExchange.INTERVAL, exchange::round);
     }
 
     /** Stops the periodic tasks. Requests that wait are still answered when running ones end. */
     public void stop() {
-        running = false;
-    }
-
-    /** A fault in one round must not end the task: later rounds would be missing without a sign. */
-    private static void runGuarded(Runnable task) {
-        try {
-            task.run();
-        } catch (RuntimeException fault) {
-            LOG.error("admission_task_failed", fault);
-        }
-    }
-
-    private void repeat(Duration interval, Runnable task) {
-        try {
-            while (running) {
-                runGuarded(task);
-                Thread.sleep(interval);
-            }
-        } catch (InterruptedException stop) {
-            Thread.currentThread().interrupt();
-        }
+        tasks.stop();
     }
 
     /** Lets waiting requests go on where there is room now, and refuses those that have waited too long. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/LoadAwareRouter.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/LoadAwareRouter.java
@@ -6,9 +6,9 @@
 import io.banyantally.internal.configuration.ConfigurationView;
 import io.banyantally.internal.configuration.ServiceKind;
 import io.banyantally.internal.configuration.ServiceTemplate;
-import io.banyantally.internal.logging.EventLog;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.internal.time.PeriodicTasks;
 import io.banyantally.internal.timeline.Timeline;
 import io.banyantally.model.ServiceName;
 import io.banyantally.model.UpstreamId;
@@ -25,7 +25,6 @@
  * with peers; a simulation calls {@link #poll} and {@link #exchange} instead.
  */
 public final class LoadAwareRouter implements Router, CapacityView, WorkEstimator {
-    private static final EventLog LOG = EventLog.of(LoadAwareRouter.class);
     private static final Duration POLL_INTERVAL = Duration.ofMillis(500);
     private static final Duration EXCHANGE_INTERVAL = Duration.ofMillis(100);
     private static final long CAPACITY_VALID_NANOS = 20_000_000L;
@@ -45,7 +44,7 @@
     private final OutlierEjection ejection;
     private final CandidateChoice candidates;
     private volatile double copyTokensPerSecond;
-    private volatile boolean running;
+    private final PeriodicTasks tasks = new PeriodicTasks();
 
     /**
      * Creates the router of one VM and sets its handler for the topic {@code routing.load}.
@@ -76,34 +75,13 @@
 
     /** Starts the periodic tasks. */
     public void start() {
-        running = true;
-        Thread.ofVirtual().name("routing-poll").start(() -> repeat(POLL_INTERVAL, this::poll));
-        Thread.ofVirtual().name("routing-exchange").start(() -> repeat(EXCHANGE_INTERVAL, this::exchange));
+        tasks.start("routing-poll", POLL_INTERVAL, this::poll);
+        tasks.start("routing-exchange", EXCHANGE_INTERVAL, this::exchange);
     }
 
     /** Stops the periodic tasks. */
     public void stop() {
-        running = false;
-    }
-
-    /** A fault in one round must not end the task: later rounds would be missing without a sign. */
-    private static void runGuarded(Runnable task) {
-        try {
-            task.run();
-        } catch (RuntimeException fault) {
-            LOG.error("routing_task_failed", fault);
-        }
-    }
-
-    private void repeat(Duration interval, Runnable task) {
-        try {
-            while (running) {
-                runGuarded(task);
-                Thread.sleep(interval);
-            }
-        } catch (InterruptedException stop) {
-            Thread.currentThread().interrupt();
-        }
+        tasks.stop();
     }
 
     /** Polls the engines that fall to this VM, once. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/wiring/BackgroundTasks.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/BackgroundTasks.java
@@ -7,6 +7,7 @@
 import io.banyantally.internal.logging.EventLog;
 import io.banyantally.internal.routing.LoadAwareRouter;
 import io.banyantally.internal.routing.UpstreamHolds;
+import io.banyantally.internal.time.PeriodicTasks;
 import io.banyantally.internal.timeline.EventField;
 import io.banyantally.internal.usage.UsageReplicator;
 import io.banyantally.internal.usage.ZoneUsageFlush;
@@ -14,9 +15,6 @@
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
 import java.time.Duration;
-import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.ThreadLocalRandom;
 
 /** The tasks that run beside the requests: upkeep of the call ledger, load and demand, usage, and owned scopes. */
 @Singleton
@@ -35,7 +33,8 @@
     private final ScopeManager scopes;
     private final UpstreamHolds holds;
     private final FleetDemand demand;
-    private final List<Thread> tasks = new CopyOnWriteArrayList<>();
+    private final PeriodicTasks tasks = new PeriodicTasks();
+    private Thread replication;
 
     @Inject
     BackgroundTasks(
@@ -60,9 +59,9 @@
     void start() {
         router.start();
         admission.start();
-        tasks.add(Thread.ofVirtual().name("usage-replicator").start(replicator));
-        repeat("call-ledger", StoredCallLedger.MAINTENANCE_INTERVAL, ledger::maintain);
-        repeat("usage-flush", ZoneUsageFlush.INTERVAL, this::flush);
+        replication = Thread.ofVirtual().name("usage-replicator").start(replicator);
+        tasks.startWithJitter("call-ledger", StoredCallLedger.MAINTENANCE_INTERVAL, ledger::maintain);
+        tasks.startWithJitter("usage-flush", ZoneUsageFlush.INTERVAL, this::flush);
         holds.start();
         demand.start();
         scopes.start();
@@ -76,27 +75,14 @@
         }
     }
 
-    private void repeat(String name, Duration interval, Runnable step) {
-        tasks.add(Thread.ofVirtual().name(name).start(() -> {
-            try {
-                Thread.sleep(ThreadLocalRandom.current().nextLong(interval.toMillis()));
-                while (true) {
-                    step.run();
-                    Thread.sleep(interval);
-                }
-            } catch (InterruptedException stopped) {
-                Thread.currentThread().interrupt();
-            }
-        }));
-    }
-
     /** Hands over all scopes, in bounded time; call it before the tasks are stopped. */
     boolean releaseScopes() throws InterruptedException {
         return scopes.stop(RELEASE_LIMIT);
     }
 
     void stop() {
-        tasks.forEach(Thread::interrupt);
+        tasks.stop();
+        replication.interrupt();
         holds.stop();
         demand.stop();
         router.stop();
