--- a/modules/banyantally/src/main/java/io/banyantally/internal/admission/DemandExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/admission/DemandExchange.java
@@ -32,7 +32,7 @@
     private static final Duration TIMEOUT = Duration.ofMillis(200);
     private static final double NANOS_PER_SECOND = 1e9;
 
-    /** After a request or a change of share an account is told for this long; then peers keep the last word. */
+    /** After a request or a change of share an account is told for this long; then peers keep the last message. */
     private static final Duration TELL_FOR = Duration.ofSeconds(30);
 
     /** The part of an even share of the upstreams that a VM keeps without demand, so that it can begin at once. */
@@ -106,7 +106,7 @@
                 heard(peer.vm(), CODEC.decode(peers.request(peer.vm(), TOPIC, CODEC.encode(message(peer)), TIMEOUT)));
                 answered.add(peer.vm());
             } catch (PeerException unreachable) {
-                // The peer's last word stays in force, and without its answer no share is raised.
+                // The peer's last message stays in force, and without its answer no share is raised.
                 answered.remove(peer.vm());
             }
         }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/fleet/FleetDemand.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/fleet/FleetDemand.java
@@ -108,7 +108,7 @@
             DemandReport own = new DemandReport(wantsOthers, List.of(asTold(self.vm(), told.get(self.vm()))));
             take(DemandReport.CODEC.decode(network.request(peer, TOPIC, DemandReport.CODEC.encode(own), TIMEOUT)));
         } catch (PeerException unreachable) {
-            // Its last word counts until it is too old.
+            // Its last message counts until it is too old.
         }
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/InFlightRequests.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/InFlightRequests.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 
-/** Counts the requests that run on this VM, and closes the door at the end of a graceful shutdown. */
+/** Counts the requests that run on this VM, and stops accepting more at the end of a graceful shutdown. */
 public final class InFlightRequests {
 
     private final ReentrantLock lock = new ReentrantLock();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/settings/JsonFields.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/settings/JsonFields.java
@@ -12,7 +12,7 @@
 
 /**
  * Reads the fields of a JSON object and collects every problem instead of stopping at the first. After reading, call
- * {@link #finish()} to find the unknown fields. A wrong field reads as a stand-in value, which is never used, because the
+ * {@link #finish()} to find the unknown fields. A wrong field reads as a placeholder, which is never used, because the
  * settings are refused.
  */
 public final class JsonFields {
@@ -40,18 +40,18 @@
     }
 
     /** Reads a text and converts it; an {@link IllegalArgumentException} of the conversion is a problem. */
-    public <T> T text(String name, String allowed, T standIn, Function<String, T> convert) {
+    public <T> T text(String name, String allowed, T placeholder, Function<String, T> convert) {
         Optional<JsonNode> value = value(name, allowed);
         if (value.isEmpty()) {
-            return standIn;
+            return placeholder;
         }
         if (!value.get().isTextual()) {
-            return problem(name, value.get(), allowed, standIn);
+            return problem(name, value.get(), allowed, placeholder);
         }
         try {
             return convert.apply(value.get().textValue());
         } catch (IllegalArgumentException invalid) {
-            return problem(name, value.get(), allowed, standIn);
+            return problem(name, value.get(), allowed, placeholder);
         }
     }
 
@@ -174,9 +174,9 @@
         return Optional.of(value);
     }
 
-    private <T> T problem(String name, JsonNode found, String allowed, T standIn) {
+    private <T> T problem(String name, JsonNode found, String allowed, T placeholder) {
         problems.add(new SettingsProblem(pathOf(name), describe(found), allowed));
-        return standIn;
+        return placeholder;
     }
 
     private String pathOf(String name) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/time/PeriodicTasks.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/time/PeriodicTasks.java
@@ -25,7 +25,7 @@
         start(name, Duration.ZERO, interval, step);
     }
 
-    /** Starts to repeat a step, the first time at a random moment within the interval, so that VMs do not act in step. */
+    /** Starts to repeat a step, the first time at a random moment within the interval, so that VMs do not all act at once. */
     public void startWithJitter(String name, Duration interval, Runnable step) {
         start(name, Duration.ofMillis(ThreadLocalRandom.current().nextLong(interval.toMillis())), interval, step);
     }
--- a/modules/banyantally/src/main/java/io/banyantally/platform/KeyValueStore.java
+++ b/modules/banyantally/src/main/java/io/banyantally/platform/KeyValueStore.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 
 /**
- * The platform's key-value service. It is small and has outages: callers keep calls few, set no hope on an answer and treat
+ * The platform's key-value service. It is small and has outages: callers make few calls, do not rely on an answer and treat
  * {@link OutcomeUnknownException} as "may have happened". Values hold at most {@link #MAXIMUM_VALUE_BYTES}.
  */
 public interface KeyValueStore {
