Wait for the acceptor when the peer network closes

Cause: the port of a closed ServerSocket stays bound until the thread that is blocked in accept has left it, so a network that was started again on the same port could fail with "Address already in use". Ruled out: another process (the test listens on a loopback address of its own and still failed); connections in TIME_WAIT, which SO_REUSEADDR covers. Change: close joins the acceptor, at most 5 s.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/peer/TcpPeerNetwork.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/peer/TcpPeerNetwork.java
@@ -23,6 +23,7 @@
 public final class TcpPeerNetwork implements PeerNetwork, AutoCloseable {
 
     private static final EventLog LOG = EventLog.of(TcpPeerNetwork.class);
+    private static final Duration ACCEPTOR_END_LIMIT = Duration.ofSeconds(5);
     private static final Duration HELLO_TIMEOUT = Duration.ofSeconds(2);
 
     /** An answer that can't be queued for this long is dropped; the asker's own time limit is shorter. */
@@ -36,6 +37,7 @@
     private final Map<VmId, PeerLink> links = new ConcurrentHashMap<>();
     private final Set<FrameConnection> accepted = ConcurrentHashMap.newKeySet();
     private ServerSocket server;
+    private Thread acceptor;
     private volatile boolean closed;
 
     /** Creates a network that is not started yet. */
@@ -51,7 +53,7 @@
         server = new ServerSocket();
         server.setReuseAddress(true);
         server.bind(listenAddress);
-        Thread.ofVirtual().name("peer-acceptor").start(this::acceptConnections);
+        acceptor = Thread.ofVirtual().name("peer-acceptor").start(this::acceptConnections);
     }
 
     /** Returns the port on which peers connect. */
@@ -179,7 +181,7 @@
                 String.valueOf(cause.getMessage()).getBytes(StandardCharsets.UTF_8));
     }
 
-    /** Closes all connections. */
+    /** Closes all connections. The port can be bound again when it returns. */
     @Override
     public synchronized void close() throws IOException {
         closed = true;
@@ -187,5 +189,15 @@
         links.clear();
         accepted.forEach(FrameConnection::close);
         server.close();
+        awaitAcceptor();
+    }
+
+    /** The port stays bound until the thread that is blocked in accept has left it. */
+    private void awaitAcceptor() {
+        try {
+            acceptor.join(ACCEPTOR_END_LIMIT);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
