--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/Generation.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/Generation.java
@@ -75,6 +75,9 @@
         try {
             return services.router().choose(request);
         } catch (NoUpstreamException none) {
+            if (!failed.isEmpty()) {
+                recordFailure(none.getMessage());
+            }
             throw failure(ErrorType.NO_UPSTREAM, none.getMessage());
         }
     }
@@ -155,12 +158,7 @@
         failed.add(upstream);
         mayHaveRun |= !(failure instanceof NotSentException || failure instanceof UpstreamRefusedException);
         if (!ticket.tryRetry()) {
-            services.timeline()
-                    .record(
-                            EventKind.REQUEST_FAILED,
-                            EventField.of("account", account.account()),
-                            EventField.of("upstream", upstream),
-                            EventField.of("reason", failure.getMessage()));
+            recordFailure(failure.getMessage());
             throw failure(ErrorType.UPSTREAM_FAILED, "the upstream failed and the retry budget is used up");
         }
         services.timeline()
@@ -172,6 +170,16 @@
                         EventField.of("reason", failure.getMessage()));
     }
 
+    private void recordFailure(String reason) {
+        services.timeline()
+                .record(
+                        EventKind.REQUEST_FAILED,
+                        EventField.of("account", account.account()),
+                        EventField.of("tried", failed),
+                        EventField.of("tokens", nextIndex),
+                        EventField.of("reason", reason));
+    }
+
     private RequestRefusedException failure(ErrorType typeIfNotRun, String message) {
         return mayHaveRun
                 ? RequestRefusedException.mayHaveRun(ErrorType.UPSTREAM_FAILED, message)
