End the test site's processes when its start fails

Cause: eight processes of a test site were still running after the tests: its constructor had failed halfway, so nothing closed it. Ruled out: the demo script, which ends its processes in a trap. Change: each process of a test site ends with the test's own process. Conclusion: a failed start no longer leaves processes behind.

--- a/modules/banyantally-stand-ins/src/test/java/io/banyantally/standins/processes/RunningProcess.java
+++ b/modules/banyantally-stand-ins/src/test/java/io/banyantally/standins/processes/RunningProcess.java
@@ -43,6 +43,8 @@
                 .redirectOutput(output.toFile())
                 .redirectError(folder.resolve(name + ".log").toFile())
                 .start();
+        // A site whose start fails halfway must not leave processes behind when the tests end.
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
         return new RunningProcess(name, process, output);
     }
 
