Decide in one place which upstream failures may have run

Cause: three classes each listed the failures that prove that an upstream did not run a request, and a new failure type would have had to be added in all of them. Change: UpstreamException.mayHaveRun, true unless a type says otherwise; Generation, PlainCall and SingleSend ask it. Conclusion: a new failure type counts as "may have run" by default.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/Generation.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/Generation.java
@@ -15,9 +15,7 @@
 import io.banyantally.upstream.AnswerChunk;
 import io.banyantally.upstream.AnswerStream;
 import io.banyantally.upstream.GenerationRequest;
-import io.banyantally.upstream.NotSentException;
 import io.banyantally.upstream.UpstreamException;
-import io.banyantally.upstream.UpstreamRefusedException;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.HashSet;
@@ -156,7 +154,7 @@
 
     private void prepareResume(UpstreamId upstream, UpstreamException failure) throws RequestRefusedException {
         failed.add(upstream);
-        mayHaveRun |= !(failure instanceof NotSentException || failure instanceof UpstreamRefusedException);
+        mayHaveRun |= failure.mayHaveRun();
         if (!ticket.tryRetry()) {
             recordFailure(failure.getMessage());
             throw failure(ErrorType.UPSTREAM_FAILED, "the upstream failed and the retry budget is used up");
--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/PlainCall.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/PlainCall.java
@@ -19,7 +19,6 @@
 import io.banyantally.upstream.ServiceAnswer;
 import io.banyantally.upstream.ServiceCall;
 import io.banyantally.upstream.UpstreamException;
-import io.banyantally.upstream.UpstreamRefusedException;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -156,10 +155,9 @@
     }
 
     private static RequestRefusedException failureOf(UpstreamException failure) {
-        if (failure instanceof NotSentException || failure instanceof UpstreamRefusedException) {
-            return RequestRefusedException.notRun(ErrorType.CALL_NOT_RUN, RETRY_AFTER, failure.getMessage());
-        }
-        return RequestRefusedException.mayHaveRun(ErrorType.OUTCOME_UNKNOWN, failure.getMessage());
+        return failure.mayHaveRun()
+                ? RequestRefusedException.mayHaveRun(ErrorType.OUTCOME_UNKNOWN, failure.getMessage())
+                : RequestRefusedException.notRun(ErrorType.CALL_NOT_RUN, RETRY_AFTER, failure.getMessage());
     }
 
     private String requestHash() {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/idempotency/SingleSend.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/idempotency/SingleSend.java
@@ -1,12 +1,7 @@
 package io.banyantally.internal.idempotency;
 
-import io.banyantally.upstream.AnswerTruncatedException;
-import io.banyantally.upstream.NotSentException;
 import io.banyantally.upstream.ServiceAnswer;
-import io.banyantally.upstream.StaleFencingNumberException;
 import io.banyantally.upstream.UpstreamException;
-import io.banyantally.upstream.UpstreamRefusedException;
-import io.banyantally.upstream.WrongAnswerException;
 import java.time.Duration;
 
 /**
@@ -38,12 +33,8 @@
     }
 
     private static CallOutcome outcomeOf(UpstreamException failure) {
-        return switch (failure) {
-            case NotSentException notSent -> new CallOutcome.NotRun(notSent.getMessage(), RETRY_AFTER);
-            case UpstreamRefusedException refused -> new CallOutcome.NotRun(refused.getMessage(), RETRY_AFTER);
-            case AnswerTruncatedException truncated -> new CallOutcome.Unknown(truncated.getMessage());
-            case WrongAnswerException wrong -> new CallOutcome.Unknown(wrong.getMessage());
-            case StaleFencingNumberException stale -> new CallOutcome.Unknown(stale.getMessage());
-        };
+        return failure.mayHaveRun()
+                ? new CallOutcome.Unknown(failure.getMessage())
+                : new CallOutcome.NotRun(failure.getMessage(), RETRY_AFTER);
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/upstream/NotSentException.java
+++ b/modules/banyantally/src/main/java/io/banyantally/upstream/NotSentException.java
@@ -14,4 +14,9 @@
     public NotSentException(String message, Throwable cause) {
         super(message, cause);
     }
+
+    @Override
+    public boolean mayHaveRun() {
+        return false;
+    }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/upstream/UpstreamException.java
+++ b/modules/banyantally/src/main/java/io/banyantally/upstream/UpstreamException.java
@@ -19,4 +19,9 @@
     protected UpstreamException(String message, Throwable cause) {
         super(message, cause);
     }
+
+    /** Returns whether the upstream may have run the request; false only if that is certain. */
+    public boolean mayHaveRun() {
+        return true;
+    }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/upstream/UpstreamRefusedException.java
+++ b/modules/banyantally/src/main/java/io/banyantally/upstream/UpstreamRefusedException.java
@@ -14,4 +14,9 @@
     public UpstreamRefusedException(String message, Throwable cause) {
         super(message, cause);
     }
+
+    @Override
+    public boolean mayHaveRun() {
+        return false;
+    }
 }
