--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -0,0 +1,245 @@
+package io.banyantally;
+
+import com.codahale.metrics.MetricRegistry;
+import io.banyantally.deployment.DocumentReader;
+import io.banyantally.deployment.RequestDialect;
+import io.banyantally.internal.adapter.AdapterHttpClient;
+import io.banyantally.internal.adapter.HttpClientSettings;
+import io.banyantally.internal.deployment.ActiveConfiguration;
+import io.banyantally.internal.deployment.ConfigurationHolder;
+import io.banyantally.internal.deployment.MemberEntry;
+import io.banyantally.internal.deployment.MemberList;
+import io.banyantally.internal.deployment.MemberPresence;
+import io.banyantally.internal.deployment.OwnKeys;
+import io.banyantally.internal.deployment.PrefixFollower;
+import io.banyantally.internal.deployment.PrefixListener;
+import io.banyantally.internal.deployment.ReplicaRegistry;
+import io.banyantally.internal.deployment.StoreHealth;
+import io.banyantally.internal.duty.DutyLease;
+import io.banyantally.internal.duty.FleetKeeper;
+import io.banyantally.internal.duty.StageKeeper;
+import io.banyantally.internal.duty.UsageLedger;
+import io.banyantally.internal.duty.UsagePublisher;
+import io.banyantally.internal.duty.UsageReporter;
+import io.banyantally.internal.forwarding.ForwardingServices;
+import io.banyantally.internal.forwarding.GatewayServer;
+import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.placement.LeastLoadedPlacement;
+import io.banyantally.internal.placement.PromptPlacement;
+import io.banyantally.internal.placement.RetryAllowance;
+import io.banyantally.internal.placement.UpstreamTracks;
+import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.internal.time.PeriodicTasks;
+import io.banyantally.internal.time.Sleeper;
+import io.banyantally.internal.time.WallClock;
+import io.banyantally.internal.timeline.EventField;
+import io.banyantally.platform.DutyHolder;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.ThreadLocalRandom;
+
+/**
+ * One process of the gateway: it forwards callers' requests to upstreams by the operator's configuration, and takes its
+ * turn at the duties.
+ *
+ * <pre>{@code
+ * Gateway gateway = new GatewayBuilder().setSettings(settings).setPlatform(platform).create();
+ * gateway.start();
+ * gateway.drainAndStop();
+ * }</pre>
+ */
+public final class Gateway {
+
+    private static final EventLog LOG = EventLog.of(Gateway.class);
+
+    /** Links between VMs and upstreams answer in milliseconds; a lost packet is better met by another upstream. */
+    private static final HttpClientSettings UPSTREAM_CLIENT =
+            new HttpClientSettings(Duration.ofMillis(400), Duration.ofMillis(1500), 32);
+
+    private static final Duration UPKEEP_INTERVAL = Duration.ofMillis(200);
+    private static final Duration PROBE_INTERVAL = Duration.ofMillis(60);
+
+    private final GatewaySettings settings;
+    private final GatewayPlatform platform;
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final StoreHealth health = new StoreHealth(MonotonicClock.SYSTEM);
+    private final MemberList members = new MemberList();
+    private final ConfigurationHolder configuration;
+    private final ReplicaRegistry replicas;
+    private final UpstreamTracks tracks = new UpstreamTracks(MonotonicClock.SYSTEM);
+    private final UsageLedger usage;
+    private final DutyLease duties;
+    private final MemberPresence presence;
+    private final UsagePublisher usagePublisher;
+    private final AdapterHttpClient client;
+    private final GatewayServer server;
+    private final PeriodicTasks tasks = new PeriodicTasks();
+    private volatile boolean draining;
+
+    Gateway(GatewaySettings settings, GatewayPlatform platform) {
+        this.settings = settings;
+        this.platform = platform;
+        String lifetime =
+                Long.toHexString(ThreadLocalRandom.current().nextLong()).toLowerCase(Locale.ROOT);
+        WallClock wallClock = WallClock.system();
+        DocumentReader documents = platform.documents();
+        RequestDialect dialect = platform.dialect();
+        configuration = new ConfigurationHolder(platform.keys().configuration(), documents);
+        replicas = new ReplicaRegistry(documents, health, MonotonicClock.SYSTEM);
+        usage = new UsageLedger(wallClock, settings.usageWindow());
+        usagePublisher = new UsagePublisher(platform.store(), usage, health, settings.vm(), lifetime);
+        duties = new DutyLease(
+                platform.store(), members, health, wallClock, settings.vm(), lifetime, settings.dutyTimeToLive());
+        MemberEntry own = new MemberEntry(settings.vm(), settings.zone(), settings.callersText());
+        presence = new MemberPresence(platform.store(), own, health);
+        client = AdapterHttpClient.start(UPSTREAM_CLIENT);
+        LeastLoadedPlacement balanced = new LeastLoadedPlacement(new SplittableRandom());
+        RetryAllowance retries = new RetryAllowance(
+                MonotonicClock.SYSTEM,
+                settings.retryLimit(),
+                () -> members.members().size());
+        ForwardingServices services = new ForwardingServices(
+                configuration,
+                replicas,
+                tracks,
+                new PromptPlacement(balanced),
+                balanced,
+                retries,
+                dialect,
+                client,
+                usage,
+                metrics,
+                MonotonicClock.SYSTEM);
+        server = new GatewayServer(settings.callers(), services, platform.handlers(this));
+        configuration.observe(adopted -> server.apply(adopted.document().limits()));
+        metrics.registerGauge("requests.open", server::openRequests);
+    }
+
+    /**
+     * Starts all tasks and accepts connections.
+     *
+     * @throws StartFailedException if an address can't be listened at
+     */
+    public void start() throws StartFailedException {
+        follow(platform.keys().configuration().path(), configuration);
+        follow(platform.keys().replicaPrefix(), replicas);
+        follow(OwnKeys.LIVE_PREFIX, members);
+        try {
+            server.start();
+        } catch (IOException failure) {
+            throw new StartFailedException(failure.getMessage(), failure);
+        }
+        tasks.start("presence", MemberPresence.RENEWAL_INTERVAL, this::keepPresence);
+        tasks.start("usage", UsagePublisher.INTERVAL, usagePublisher::publish);
+        tasks.startWithJitter("duty-lease", DutyLease.INTERVAL, duties::refresh);
+        tasks.start("upkeep", UPKEEP_INTERVAL, this::upkeep);
+        tasks.start("probe-callers", PROBE_INTERVAL, server::probeCallers);
+        startDuties();
+        LOG.info("started", EventField.of("vm", settings.vm()), EventField.of("callers", settings.callersText()));
+    }
+
+    private void follow(String prefix, PrefixListener listener) {
+        PrefixFollower follower = new PrefixFollower(platform.store(), prefix, listener, health, Sleeper.SYSTEM);
+        tasks.startOnce("follow " + prefix, follower);
+    }
+
+    private void startDuties() {
+        UsageReporter reporter =
+                new UsageReporter(platform.store(), usage, platform.usage(), health, settings.usageDueTime());
+        FleetKeeper fleet = new FleetKeeper(replicas, platform.replicaOrdering(), MonotonicClock.SYSTEM);
+        StageKeeper stages = new StageKeeper(replicas, platform.stageOrdering(), MonotonicClock.SYSTEM);
+        tasks.start("usage-reports", UsageReporter.INTERVAL, () -> onDuty(reporter::run));
+        tasks.start(
+                "fleet",
+                FleetKeeper.INTERVAL,
+                () -> onDuty(holder -> withConfiguration(active -> fleet.run(holder, active))));
+        tasks.start(
+                "stages",
+                StageKeeper.INTERVAL,
+                () -> onDuty(holder -> withConfiguration(active -> stages.run(holder, active))));
+    }
+
+    private void onDuty(Step<DutyHolder> duty) {
+        Optional<DutyHolder> holder = duties.held();
+        if (holder.isPresent()) {
+            run(duty, holder.get());
+        }
+    }
+
+    private void withConfiguration(Step<ActiveConfiguration> step) {
+        configuration.current().ifPresent(active -> run(step, active));
+    }
+
+    private static <T> void run(Step<T> step, T value) {
+        try {
+            step.run(value);
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void keepPresence() {
+        if (configuration.current().isPresent()) {
+            presence.refresh();
+        }
+    }
+
+    private void upkeep() {
+        replicas.dropLapsed();
+        tracks.retain(replicas.all());
+    }
+
+    /** Returns whether this VM takes callers. */
+    public boolean isReady() {
+        return !draining && configuration.current().isPresent();
+    }
+
+    /** Returns where callers may connect, as {@code address:port}: all VMs that serve, this one included while it does. */
+    public List<String> callerAddresses() {
+        List<String> addresses = members.members().stream()
+                .map(MemberEntry::callers)
+                .filter(address -> !draining || !address.equals(settings.callersText()))
+                .toList();
+        return addresses.isEmpty() && isReady() ? List.of(settings.callersText()) : addresses;
+    }
+
+    /** Returns the counters and latency histograms. */
+    public MetricRegistry metrics() {
+        return metrics;
+    }
+
+    /**
+     * Shuts down gracefully: leaves the addresses first, accepts until callers' copies of them have run out, finishes every
+     * request, and stops.
+     *
+     * @return false if requests still ran at the end of the grace period and were cut
+     */
+    public boolean drainAndStop() throws InterruptedException {
+        long end = System.nanoTime()
+                + settings.gracePeriod().minus(settings.stopMargin()).toNanos();
+        draining = true;
+        LOG.info("draining", EventField.of("open_requests", server.openRequests()));
+        duties.stop();
+        presence.withdraw();
+        Thread.sleep(settings.addressLifetime());
+        server.closeConnections();
+        Thread.sleep(settings.connectionCloseTime());
+        boolean empty = server.awaitRequests(Duration.ofNanos(Math.max(0, end - System.nanoTime())));
+        usagePublisher.publish();
+        tasks.stop();
+        server.stop();
+        client.close();
+        LOG.info("stopped", EventField.of("requests_cut", server.openRequests()));
+        return empty;
+    }
+
+    /** A step that may wait. */
+    @FunctionalInterface
+    private interface Step<T> {
+        void run(T value) throws InterruptedException;
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
@@ -0,0 +1,66 @@
+package io.banyantally;
+
+import io.banyantally.internal.placement.RetryAllowance.RetryLimit;
+import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.VmId;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+/**
+ * The settings of one gateway process.
+ *
+ * @param callers where callers connect
+ * @param usageWindow the length of a usage window
+ * @param usageDueTime how long after its end a window is reported at the latest
+ * @param dutyTimeToLive how long the duties stay with a holder that no longer renews them
+ * @param retryRatio repeats to a service for each request, over all VMs
+ * @param retryExtra repeats to a service beside those in each window, over all VMs
+ * @param retryWindow the sliding window of both
+ * @param gracePeriod the time from the signal to stop until the process is killed
+ * @param addressLifetime how long callers use addresses that they were told
+ */
+public record GatewaySettings(
+        VmId vm,
+        AvailabilityZone zone,
+        InetSocketAddress callers,
+        Duration usageWindow,
+        Duration usageDueTime,
+        Duration dutyTimeToLive,
+        double retryRatio,
+        int retryExtra,
+        Duration retryWindow,
+        Duration gracePeriod,
+        Duration addressLifetime) {
+
+    /** Between the end of a graceful shutdown and the kill. */
+    private static final Duration STOP_MARGIN = Duration.ofMillis(700);
+
+    /** The time for callers' last requests on connections that are being closed. */
+    private static final Duration CONNECTION_CLOSE_TIME = Duration.ofMillis(800);
+
+    /** Rejects a grace period in which a graceful shutdown does not fit. */
+    public GatewaySettings {
+        Duration least = addressLifetime.plus(CONNECTION_CLOSE_TIME).plus(STOP_MARGIN);
+        if (gracePeriod.compareTo(least) <= 0) {
+            throw new IllegalArgumentException(
+                    "grace period " + gracePeriod + " is too short; a shutdown needs more than " + least);
+        }
+    }
+
+    /** Returns where callers connect, as {@code address:port}. */
+    public String callersText() {
+        return callers.getAddress().getHostAddress() + ":" + callers.getPort();
+    }
+
+    Duration stopMargin() {
+        return STOP_MARGIN;
+    }
+
+    Duration connectionCloseTime() {
+        return CONNECTION_CLOSE_TIME;
+    }
+
+    RetryLimit retryLimit() {
+        return new RetryLimit(retryRatio, retryExtra, retryWindow);
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/deployment/RequestDialect.java
@@ -0,0 +1,23 @@
+package io.banyantally.deployment;
+
+import io.banyantally.upstream.HeaderField;
+import java.util.List;
+
+/** Translates between the headers of a deployment and what the gateway decides by. */
+public interface RequestDialect {
+
+    /** Reads the headers of a caller's request. */
+    RequestFacts readRequest(List<HeaderField> headers) throws MalformedRequestException;
+
+    /** Returns the headers to send to an upstream: those of the caller that may pass, and those of the system. */
+    List<HeaderField> upstreamHeaders(List<HeaderField> callerHeaders, UpstreamSend send);
+
+    /** Reads the status and headers of an upstream's answer. */
+    AnswerFacts readAnswer(int status, List<HeaderField> headers);
+
+    /** Returns the headers of an upstream's answer that go to the caller. */
+    List<HeaderField> callerHeaders(List<HeaderField> upstreamHeaders);
+
+    /** Returns the headers that an answer of the gateway itself carries for a request. */
+    List<HeaderField> ownAnswerHeaders(RequestFacts facts);
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/deployment/RouteRule.java
@@ -0,0 +1,50 @@
+package io.banyantally.deployment;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * One route of the configuration.
+ *
+ * @param prefix the start of the paths that belong to the route; begins and ends with a slash
+ * @param timeout the longest time that a request is kept without an answer
+ * @param latencyTarget the time within which an answer is on time
+ * @param priority the rank of the route; 0 is the most urgent
+ * @param services the services that serve the route; several while traffic is split
+ * @param attempts the most upstreams to which one request is sent
+ * @param anonymous whether requests need no key
+ * @param resumable whether a broken stream may be continued at another upstream
+ */
+public record RouteRule(
+        String name,
+        String host,
+        String prefix,
+        RequestKind kind,
+        Duration timeout,
+        Duration latencyTarget,
+        int priority,
+        List<ServiceShare> services,
+        int attempts,
+        boolean anonymous,
+        boolean resumable) {
+
+    /** Rejects prefixes without slashes at both ends, routes without services, and attempts below 1. */
+    public RouteRule {
+        if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
+            throw new IllegalArgumentException(
+                    "prefix '" + prefix + "' of route " + name + " must begin and end with a slash");
+        }
+        if (services.isEmpty()) {
+            throw new IllegalArgumentException("route " + name + " names no service");
+        }
+        if (attempts < 1) {
+            throw new IllegalArgumentException("route " + name + " allows " + attempts + " attempts; 1 is the least");
+        }
+        services = List.copyOf(services);
+    }
+
+    /** Returns whether a request that may have run may be sent once more. */
+    public boolean isRepeatable() {
+        return kind == RequestKind.IDEMPOTENT || (kind == RequestKind.STREAMING && resumable);
+    }
+}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -30,6 +30,10 @@
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final int MAXIMUM_THREADS = 64;
+
+    private static final HttpClientSettings DEFAULTS =
+            new HttpClientSettings(CONNECT_TIMEOUT, POOLED_IDLE_TIMEOUT, MAXIMUM_THREADS);
+
     private static final int CONNECTIONS_PER_ADDRESS = 4096;
 
     /** One buffer of this size is held for each open answer, whatever its reader does. */
@@ -43,7 +47,12 @@
 
     /** Starts a client; close it when the process drains. */
     public static AdapterHttpClient start() {
-        QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS);
+        return start(DEFAULTS);
+    }
+
+    /** Starts a client with settings of its own; close it when the process drains. */
+    public static AdapterHttpClient start(HttpClientSettings settings) {
+        QueuedThreadPool threads = new QueuedThreadPool(settings.threads());
         threads.setName("adapter");
         threads.setDaemon(true);
         HttpClient client = new HttpClient();
@@ -51,8 +60,9 @@
         client.setFollowRedirects(false);
         client.setHttpCookieStore(new HttpCookieStore.Empty());
         client.setUserAgentField(null);
-        client.setConnectTimeout(CONNECT_TIMEOUT.toMillis());
-        client.setIdleTimeout(POOLED_IDLE_TIMEOUT.toMillis());
+        client.setDefaultRequestContentType(null);
+        client.setConnectTimeout(settings.connectTimeout().toMillis());
+        client.setIdleTimeout(settings.pooledIdleTimeout().toMillis());
         client.setMaxConnectionsPerDestination(CONNECTIONS_PER_ADDRESS);
         client.setMaxRequestsQueuedPerDestination(CONNECTIONS_PER_ADDRESS);
         client.setResponseBufferSize(RESPONSE_BUFFER_BYTES);
@@ -89,6 +99,14 @@
         }
     }
 
+    /**
+     * Sends a call whose time limit holds for the whole answer, and returns at once. Another task may close the exchange
+     * while one waits for its headers.
+     */
+    public HttpExchange prepare(HttpCall call) throws ExchangeException, InterruptedException {
+        return begin(call, System.nanoTime() + call.timeLimit().toNanos(), call.timeLimit());
+    }
+
     /** Sends a call whose answer does not matter, and does not wait. */
     void sendWithoutAnswer(HttpCall call) {
         request(call)
@@ -162,8 +180,7 @@
             }
         });
         if (call.body().length > 0) {
-            String type = request.getHeaders().get(HttpHeader.CONTENT_TYPE);
-            request.body(new BytesRequestContent(type == null ? "application/json" : type, call.body()));
+            request.body(new BytesRequestContent(request.getHeaders().get(HttpHeader.CONTENT_TYPE), call.body()));
         }
         return request;
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpCall.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpCall.java
@@ -4,6 +4,7 @@
 import io.banyantally.upstream.SendPermission;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -26,6 +27,7 @@
         SendPermission permission) {
 
     private static final SendPermission ALWAYS = () -> true;
+    private static final List<HeaderField> JSON = List.of(new HeaderField("Content-Type", "application/json"));
 
     /** A call that may be repeated, on a pooled connection. */
     public static HttpCall read(InetSocketAddress address, String target, Duration timeLimit) {
@@ -33,17 +35,24 @@
     }
 
     /** A call on a pooled connection with a JSON body. */
-    static HttpCall query(InetSocketAddress address, String target, Object body, Duration timeLimit) {
-        return new HttpCall(address, "POST", target, List.of(), WireFormat.encode(body), false, timeLimit, ALWAYS);
+    public static HttpCall query(InetSocketAddress address, String target, Object body, Duration timeLimit) {
+        return new HttpCall(address, "POST", target, JSON, WireFormat.encode(body), false, timeLimit, ALWAYS);
     }
 
     /** A call with a JSON body that has an effect, on a connection of its own. */
-    static HttpCall write(InetSocketAddress address, String target, Object body, Duration timeLimit) {
-        return new HttpCall(address, "POST", target, List.of(), WireFormat.encode(body), true, timeLimit, ALWAYS);
+    public static HttpCall write(InetSocketAddress address, String target, Object body, Duration timeLimit) {
+        return new HttpCall(address, "POST", target, JSON, WireFormat.encode(body), true, timeLimit, ALWAYS);
+    }
+
+    /** Returns the same call with further headers. */
+    public HttpCall withHeaders(List<HeaderField> further) {
+        List<HeaderField> all = new ArrayList<>(headers);
+        all.addAll(further);
+        return new HttpCall(address, method, target, List.copyOf(all), body, ownConnection, timeLimit, permission);
     }
 
     /** Returns the same call, sent only if the permission is granted once the connection is open. */
-    HttpCall withPermission(SendPermission sendPermission) {
+    public HttpCall withPermission(SendPermission sendPermission) {
         return new HttpCall(address, method, target, headers, body, true, timeLimit, sendPermission);
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -50,7 +50,7 @@
     }
 
     /** Waits for the headers of the answer, at most the call's time limit. */
-    void awaitHeaders() throws ExchangeException, InterruptedException {
+    public void awaitHeaders() throws ExchangeException, InterruptedException {
         try {
             response = listener.get(call.timeLimit().toMillis(), TimeUnit.MILLISECONDS);
         } catch (ExecutionException failure) {
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixFollower.java
@@ -0,0 +1,101 @@
+package io.banyantally.internal.deployment;
+
+import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.time.Sleeper;
+import io.banyantally.internal.timeline.EventField;
+import io.banyantally.platform.CoordinationStore;
+import io.banyantally.platform.CoordinationStore.StoreChanges;
+import io.banyantally.platform.CoordinationStore.StoreListing;
+import io.banyantally.platform.HistoryDiscardedException;
+import io.banyantally.platform.StoreException;
+import io.banyantally.platform.StoreRevision;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+
+/**
+ * Keeps a listener up to date with all items under a prefix: one listing, then watches from revision to revision. A watch
+ * that fails goes on from the same revision; one whose history is gone begins with a listing.
+ */
+public final class PrefixFollower implements Runnable {
+
+    /**
+     * How long one watch waits. A connection that has gone silent is noticed only after this time, which has to leave room
+     * for a new call within the two seconds in which a configuration must be in force.
+     */
+    static final Duration WATCH_TIME = Duration.ofSeconds(3);
+
+    /** Gathers changes that come close together into one call, since the store counts calls. */
+    static final Duration GATHER_TIME = Duration.ofMillis(40);
+
+    /** Between calls to a store that fails; every process retries, so the delay is jittered up to twice this. */
+    static final Duration RETRY_DELAY = Duration.ofMillis(200);
+
+    private static final EventLog LOG = EventLog.of(PrefixFollower.class);
+
+    private final CoordinationStore store;
+    private final String prefix;
+    private final PrefixListener listener;
+    private final StoreHealth health;
+    private final Sleeper sleeper;
+
+    /** Creates a follower; {@link #run} follows until its thread is interrupted. */
+    public PrefixFollower(
+            CoordinationStore store, String prefix, PrefixListener listener, StoreHealth health, Sleeper sleeper) {
+        this.store = store;
+        this.prefix = prefix;
+        this.listener = listener;
+        this.health = health;
+        this.sleeper = sleeper;
+    }
+
+    @Override
+    public void run() {
+        Optional<StoreRevision> position = Optional.empty();
+        while (!Thread.currentThread().isInterrupted()) {
+            try {
+                position = Optional.of(advance(position));
+            } catch (InterruptedException stopped) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    private StoreRevision advance(Optional<StoreRevision> position) throws InterruptedException {
+        Optional<StoreRevision> from = position;
+        while (true) {
+            try {
+                return from.isEmpty() ? list() : watch(from.get());
+            } catch (HistoryDiscardedException discarded) {
+                health.answered();
+                LOG.info("watch_restarted", EventField.of("prefix", prefix), EventField.of("after", from.get()));
+                from = Optional.empty();
+            } catch (StoreException failure) {
+                health.failed("follow " + prefix, failure);
+                pause(RETRY_DELAY);
+            }
+        }
+    }
+
+    private StoreRevision list() throws StoreException {
+        StoreListing listing = store.list(prefix);
+        health.answered();
+        listener.listed(listing);
+        return listing.at();
+    }
+
+    private StoreRevision watch(StoreRevision after) throws StoreException, InterruptedException {
+        StoreChanges changes = store.awaitChanges(prefix, after, WATCH_TIME);
+        health.answered();
+        if (!changes.changes().isEmpty()) {
+            listener.changed(changes);
+            sleeper.sleep(GATHER_TIME);
+        }
+        return changes.at();
+    }
+
+    private void pause(Duration shortest) throws InterruptedException {
+        long nanos = shortest.toNanos();
+        sleeper.sleep(Duration.ofNanos(nanos + ThreadLocalRandom.current().nextLong(nanos)));
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetTargets.java
@@ -0,0 +1,44 @@
+package io.banyantally.internal.duty;
+
+import io.banyantally.deployment.ScalingRule;
+import io.banyantally.model.AvailabilityZone;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Decides how many upstreams of a service to run in each availability zone.
+ *
+ * <p>Answers the load of long prompts whose mix swings within seconds: an upstream that is ordered takes longer to start
+ * than a swing lasts, so the capacity has to be there before. Reclaimable upstreams cost a fraction of the others, and
+ * spreading them over all zones bounds what one reclaim takes away. One upstream that cannot be reclaimed stays in each
+ * zone where the service's bounds ask for one.
+ */
+public final class FleetTargets {
+
+    private FleetTargets() {}
+
+    /** Returns the orders that bring the service to its target, in the order in which they should be placed. */
+    public static List<FleetTarget> of(ScalingRule rule) {
+        List<FleetTarget> targets = new ArrayList<>();
+        List<Map.Entry<AvailabilityZone, Double>> zones = rule.zonePrices().entrySet().stream()
+                .sorted(Map.Entry.<AvailabilityZone, Double>comparingByValue()
+                        .thenComparing(Map.Entry.comparingByKey(Comparator.comparing(AvailabilityZone::value))))
+                .toList();
+        for (Map.Entry<AvailabilityZone, Double> zone : zones) {
+            int steady = rule.cheapPrice().isPresent() ? Math.max(rule.minimum(), 1) : rule.maximum();
+            int cheap = rule.cheapPrice().isPresent() ? Math.max(rule.maximum() - steady, 0) : 0;
+            targets.add(new FleetTarget(zone.getKey(), true, cheap));
+            targets.add(new FleetTarget(zone.getKey(), false, Math.min(steady, rule.maximum())));
+        }
+        return targets;
+    }
+
+    /**
+     * A number of upstreams to run in an availability zone.
+     *
+     * @param cheap whether the platform may reclaim them
+     */
+    public record FleetTarget(AvailabilityZone zone, boolean cheap, int count) {}
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageLedger.java
@@ -0,0 +1,58 @@
+package io.banyantally.internal.duty;
+
+import io.banyantally.internal.time.WallClock;
+import io.banyantally.model.ClientAccountId;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Counts the requests that began to run through this process, by usage window. */
+public final class UsageLedger {
+
+    /** Windows kept; the holder of the duties sums up a window within two of its length after its end. */
+    static final int WINDOWS_KEPT = 8;
+
+    private final WallClock clock;
+    private final long windowMillis;
+    private final TreeMap<Long, Map<ClientAccountId, Long>> windows = new TreeMap<>();
+    private long changes;
+
+    /** Creates an empty ledger. */
+    public UsageLedger(WallClock clock, Duration window) {
+        if (!window.isPositive()) {
+            throw new IllegalArgumentException("usage window " + window + " must be positive");
+        }
+        this.clock = clock;
+        this.windowMillis = window.toMillis();
+    }
+
+    /** Counts a request that began to run now. */
+    public synchronized void began(ClientAccountId account) {
+        windows.computeIfAbsent(currentWindow(), number -> new HashMap<>()).merge(account, 1L, Long::sum);
+        changes++;
+        while (windows.size() > WINDOWS_KEPT) {
+            windows.pollFirstEntry();
+        }
+    }
+
+    /** Returns the number of the present window. */
+    public long currentWindow() {
+        return Math.floorDiv(clock.millis(), windowMillis);
+    }
+
+    /** Returns the time since the end of a window; negative while it is open. */
+    public Duration sinceEnd(long window) {
+        return Duration.ofMillis(clock.millis() - (window + 1) * windowMillis);
+    }
+
+    /** Returns a number that rises with every count. */
+    public synchronized long changes() {
+        return changes;
+    }
+
+    /** Returns the counts of the windows kept. */
+    public synchronized WindowCounts snapshot() {
+        return new WindowCounts(windows);
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
@@ -0,0 +1,49 @@
+package io.banyantally.internal.duty;
+
+import io.banyantally.internal.adapter.WireFormat;
+import io.banyantally.internal.deployment.OwnKeys;
+import io.banyantally.internal.deployment.StoreHealth;
+import io.banyantally.model.VmId;
+import io.banyantally.platform.CoordinationStore;
+import io.banyantally.platform.StoreException;
+import io.banyantally.platform.StoreKey;
+import io.banyantally.platform.StoreTransaction;
+import java.time.Duration;
+import java.util.Optional;
+
+/** Writes what this process has counted to the store, so that it survives the process. */
+public final class UsagePublisher {
+
+    /** The most usage that the death of a process loses: one second of one VM, a part of the 5% that a report may be off. */
+    public static final Duration INTERVAL = Duration.ofSeconds(1);
+
+    private final CoordinationStore store;
+    private final UsageLedger ledger;
+    private final StoreHealth health;
+    private final StoreKey key;
+    private long publishedChanges;
+
+    /** Creates a publisher for one lifetime of a process. */
+    public UsagePublisher(CoordinationStore store, UsageLedger ledger, StoreHealth health, VmId vm, String lifetime) {
+        this.store = store;
+        this.ledger = ledger;
+        this.health = health;
+        this.key = OwnKeys.usageCounts(vm, lifetime);
+    }
+
+    /** Writes the counts if there are new ones. */
+    public synchronized void publish() {
+        long changes = ledger.changes();
+        if (changes == publishedChanges) {
+            return;
+        }
+        try {
+            store.apply(StoreTransaction.put(key, WireFormat.encode(ledger.snapshot()), Optional.empty()));
+            publishedChanges = changes;
+            health.answered();
+        } catch (StoreException failure) {
+            // The next round writes all counts again.
+            health.failed("publish usage", failure);
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageReporter.java
@@ -0,0 +1,204 @@
+package io.banyantally.internal.duty;
+
+import io.banyantally.internal.adapter.WireFormat;
+import io.banyantally.internal.deployment.OwnKeys;
+import io.banyantally.internal.deployment.StoreHealth;
+import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.timeline.EventField;
+import io.banyantally.model.ClientAccountId;
+import io.banyantally.platform.CoordinationStore;
+import io.banyantally.platform.CoordinationStore.StoreItem;
+import io.banyantally.platform.CoordinationStore.StoreListing;
+import io.banyantally.platform.DutyHolder;
+import io.banyantally.platform.PlatformException;
+import io.banyantally.platform.RevisionConflictException;
+import io.banyantally.platform.StoreException;
+import io.banyantally.platform.StoreKey;
+import io.banyantally.platform.StoreTransaction;
+import io.banyantally.platform.UsageWindowSink;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Reports usage windows on behalf of all VMs. The counts of a window are sealed in the store before their first report, so
+ * that every report of the window, by whichever holder, carries the same counts.
+ */
+public final class UsageReporter {
+
+    /** Rounds of the reporter. */
+    public static final Duration INTERVAL = Duration.ofMillis(500);
+
+    /** From the end of a window until all VMs have published their counts of it: one interval and two calls. */
+    static final Duration SETTLE_TIME = UsagePublisher.INTERVAL.plusMillis(900);
+
+    /** Sealed windows and counts of ended processes are deleted after this time. */
+    static final Duration RETENTION = Duration.ofSeconds(60);
+
+    /** Deletions in one transaction; the store takes at most 32 entries. */
+    private static final int DELETIONS_AT_ONCE = 24;
+
+    private static final EventLog LOG = EventLog.of(UsageReporter.class);
+
+    private final CoordinationStore store;
+    private final UsageLedger ledger;
+    private final UsageWindowSink sink;
+    private final StoreHealth health;
+    private final Duration dueTime;
+    private final Set<Long> reported = new HashSet<>();
+
+    /**
+     * Creates a reporter.
+     *
+     * @param dueTime how long after its end a window may still be reported
+     */
+    public UsageReporter(
+            CoordinationStore store, UsageLedger ledger, UsageWindowSink sink, StoreHealth health, Duration dueTime) {
+        this.store = store;
+        this.ledger = ledger;
+        this.sink = sink;
+        this.health = health;
+        this.dueTime = dueTime;
+    }
+
+    /** Reports the windows that have settled and are not reported yet. */
+    public void run(DutyHolder holder) throws InterruptedException {
+        Set<Long> open = openWindows();
+        if (open.isEmpty()) {
+            return;
+        }
+        try {
+            StoreListing listing = store.list(OwnKeys.USAGE_PREFIX);
+            health.answered();
+            for (long window : open) {
+                report(holder, window, listing);
+            }
+        } catch (StoreException failure) {
+            health.failed("gather usage", failure);
+        }
+    }
+
+    private Set<Long> openWindows() {
+        Set<Long> open = new TreeSet<>();
+        for (long window = ledger.currentWindow() - 1; ledger.sinceEnd(window).compareTo(dueTime) < 0; window--) {
+            if (ledger.sinceEnd(window).compareTo(SETTLE_TIME) >= 0 && !reported.contains(window)) {
+                open.add(window);
+            }
+        }
+        reported.removeIf(window -> ledger.sinceEnd(window).compareTo(RETENTION) > 0);
+        return open;
+    }
+
+    private void report(DutyHolder holder, long window, StoreListing listing)
+            throws StoreException, InterruptedException {
+        SealedCounts sealed =
+                alreadySealed(window, listing).or(() -> seal(window, listing)).orElse(null);
+        if (sealed == null || !holder.permission().isGranted()) {
+            return;
+        }
+        try {
+            sink.report(holder, window, sealed.counts());
+            reported.add(window);
+            LOG.info(
+                    "usage_reported",
+                    EventField.of("window", window),
+                    EventField.of("accounts", sealed.counts().size()),
+                    EventField.of(
+                            "requests",
+                            sealed.counts().values().stream()
+                                    .mapToLong(Long::longValue)
+                                    .sum()),
+                    EventField.of("fencing", holder.fencing()),
+                    EventField.of("age_ms", ledger.sinceEnd(window).toMillis()));
+        } catch (PlatformException failure) {
+            // The sealed counts stay, so that a later attempt repeats the same report.
+            LOG.warn(
+                    "usage_report_failed",
+                    EventField.of("window", window),
+                    EventField.of("reason", failure.getMessage()));
+        }
+    }
+
+    private static Optional<SealedCounts> alreadySealed(long window, StoreListing listing) {
+        StoreKey key = OwnKeys.sealedWindow(window);
+        for (StoreItem item : listing.items()) {
+            if (item.key().equals(key)) {
+                try {
+                    return Optional.of(WireFormat.decode(item.value(), SealedCounts.class));
+                } catch (IOException unreadable) {
+                    LOG.error("sealed_usage_unreadable", unreadable, EventField.of("key", key));
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<SealedCounts> seal(long window, StoreListing listing) {
+        SealedCounts counts = new SealedCounts(window, sum(window, listing));
+        StoreTransaction transaction = StoreTransaction.create(
+                        OwnKeys.sealedWindow(window), WireFormat.encode(counts), Optional.empty())
+                .andDelete(outdated(listing));
+        try {
+            store.apply(transaction);
+            health.answered();
+            return Optional.of(counts);
+        } catch (RevisionConflictException other) {
+            LOG.info("usage_sealed_by_another", EventField.of("window", window));
+        } catch (StoreException failure) {
+            health.failed("seal usage", failure);
+        }
+        return Optional.empty();
+    }
+
+    private static Map<ClientAccountId, Long> sum(long window, StoreListing listing) {
+        Map<ClientAccountId, Long> total = new HashMap<>();
+        for (StoreItem item : listing.items()) {
+            counts(item)
+                    .ifPresent(counts -> counts.of(window)
+                            .forEach((account, requests) -> total.merge(account, requests, Long::sum)));
+        }
+        return total;
+    }
+
+    private List<StoreKey> outdated(StoreListing listing) {
+        List<StoreKey> keys = new ArrayList<>();
+        for (StoreItem item : listing.items()) {
+            if (keys.size() < DELETIONS_AT_ONCE && newestWindow(item).stream().anyMatch(this::isOutdated)) {
+                keys.add(item.key());
+            }
+        }
+        return keys;
+    }
+
+    private boolean isOutdated(long window) {
+        return ledger.sinceEnd(window).compareTo(RETENTION) > 0;
+    }
+
+    private static Optional<Long> newestWindow(StoreItem item) {
+        if (OwnKeys.isSealedWindow(item.key())) {
+            String path = item.key().path();
+            return Optional.of(Long.parseLong(path.substring(path.lastIndexOf('/') + 1)));
+        }
+        return counts(item)
+                .flatMap(counts -> counts.byWindow().keySet().stream().max(Long::compare));
+    }
+
+    private static Optional<WindowCounts> counts(StoreItem item) {
+        if (!OwnKeys.isUsageCounts(item.key())) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(WireFormat.decode(item.value(), WindowCounts.class));
+        } catch (IOException unreadable) {
+            LOG.error("usage_counts_unreadable", unreadable, EventField.of("key", item.key()));
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/WindowCounts.java
@@ -0,0 +1,21 @@
+package io.banyantally.internal.duty;
+
+import io.banyantally.model.ClientAccountId;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Requests that began to run, by usage window and client account. */
+public record WindowCounts(Map<Long, Map<ClientAccountId, Long>> byWindow) {
+
+    /** Copies the counts. */
+    public WindowCounts {
+        Map<Long, Map<ClientAccountId, Long>> copy = new HashMap<>();
+        byWindow.forEach((window, counts) -> copy.put(window, Map.copyOf(counts)));
+        byWindow = Map.copyOf(copy);
+    }
+
+    /** Returns the counts of a window. */
+    public Map<ClientAccountId, Long> of(long window) {
+        return byWindow.getOrDefault(window, Map.of());
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/AdmittedRequest.java
@@ -0,0 +1,45 @@
+package io.banyantally.internal.forwarding;
+
+import io.banyantally.deployment.AccountRule;
+import io.banyantally.deployment.RequestFacts;
+import io.banyantally.deployment.RouteRule;
+import io.banyantally.deployment.ServiceRule;
+import io.banyantally.model.ClientAccountId;
+import io.banyantally.upstream.HeaderField;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+
+/**
+ * A request that passed all checks.
+ *
+ * @param deadline the monotonic time at which it must have an answer, in nanoseconds
+ */
+record AdmittedRequest(
+        RouteRule route,
+        ServiceRule service,
+        RequestFacts facts,
+        Optional<AccountRule> accountRule,
+        List<HeaderField> headers,
+        byte[] body,
+        long deadline) {
+
+    /** The rank of engine requests that is sent when neither route nor account sets one. */
+    private static final int LOWEST_URGENCY = 9;
+
+    Optional<ClientAccountId> account() {
+        return accountRule.map(AccountRule::account);
+    }
+
+    /** Returns the rank among the requests of an engine; empty for other services. */
+    OptionalInt urgency() {
+        if (service.engine().isEmpty()) {
+            return OptionalInt.empty();
+        }
+        int rank = accountRule
+                .map(AccountRule::priority)
+                .orElse(OptionalInt.empty())
+                .orElse(route.priority());
+        return OptionalInt.of(Math.clamp(rank, 0, LOWEST_URGENCY));
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/CallerExchange.java
@@ -0,0 +1,124 @@
+package io.banyantally.internal.forwarding;
+
+import io.banyantally.upstream.HeaderField;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.List;
+import java.util.Optional;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+
+/** One request of a caller and its answer, with blocking reads and writes. */
+final class CallerExchange {
+
+    private final Request request;
+    private final Response response;
+    private volatile Optional<Runnable> whenGone = Optional.empty();
+    private volatile boolean wholeRequestRead;
+    private volatile boolean gone;
+
+    CallerExchange(Request request, Response response) {
+        this.request = request;
+        this.response = response;
+    }
+
+    String method() {
+        return request.getMethod();
+    }
+
+    String host() {
+        String host = request.getHeaders().get(HttpHeader.HOST);
+        return host == null ? "" : host;
+    }
+
+    /** Returns the path as the caller sent it, without the query. */
+    String path() {
+        String path = request.getHttpURI().getPath();
+        return path == null ? "" : path;
+    }
+
+    /** Returns the path and query as the caller sent them. */
+    String target() {
+        return request.getHttpURI().getPathQuery();
+    }
+
+    List<HeaderField> headers() {
+        return request.getHeaders().stream()
+                .map(field -> new HeaderField(field.getName(), field.getValue()))
+                .toList();
+    }
+
+    /** Reads the whole body; an answer of {@code null} means that it is larger than the limit. */
+    byte[] readBody(int maximumBytes) throws IOException {
+        if (request.getLength() > maximumBytes) {
+            return null;
+        }
+        try (InputStream input = Content.Source.asInputStream(request)) {
+            byte[] body = input.readNBytes(maximumBytes + 1);
+            wholeRequestRead = true;
+            return body.length > maximumBytes ? null : body;
+        }
+    }
+
+    /** Sends a whole answer. */
+    void answer(int status, List<HeaderField> headers, byte[] body) throws IOException {
+        begin(status, headers);
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
+        try (OutputStream output = Content.Sink.asOutputStream(response)) {
+            output.write(body);
+        }
+    }
+
+    /** Starts an answer whose body is written piece by piece. */
+    OutputStream startAnswer(int status, List<HeaderField> headers) {
+        begin(status, headers);
+        return Content.Sink.asOutputStream(response);
+    }
+
+    private void begin(int status, List<HeaderField> headers) {
+        response.setStatus(status);
+        headers.forEach(field -> response.getHeaders().add(field.name(), field.value()));
+    }
+
+    /** Asks the caller to open another connection for its next request. */
+    void closeAfterAnswer() {
+        response.getHeaders().put(HttpHeader.CONNECTION, "close");
+    }
+
+    boolean isCommitted() {
+        return response.isCommitted();
+    }
+
+    /** Sets what to do when the caller leaves; runs it at once if the caller has left. */
+    void whenGone(Runnable action) {
+        whenGone = Optional.of(action);
+        if (gone) {
+            action.run();
+        }
+    }
+
+    /** Forgets what to do when the caller leaves. */
+    void clearWhenGone() {
+        whenGone = Optional.empty();
+    }
+
+    boolean isGone() {
+        return gone;
+    }
+
+    /** Looks whether the caller has left. */
+    void probe() {
+        if (gone || !wholeRequestRead) {
+            return;
+        }
+        EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+        if (endPoint instanceof ProbingEndPoint probing && probing.isClosedByCaller()) {
+            gone = true;
+            whenGone.ifPresent(Runnable::run);
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EventAssembler.java
@@ -0,0 +1,79 @@
+package io.banyantally.internal.forwarding;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * Cuts the bytes of an event stream after whole events, so that a stream that breaks inside an event can be continued
+ * without a torn or repeated event.
+ */
+final class EventAssembler {
+
+    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private OptionalLong lastEvent;
+
+    /** Creates an assembler for a stream of which the caller already has events up to {@code lastEvent}. */
+    EventAssembler(OptionalLong lastEvent) {
+        this.lastEvent = lastEvent;
+    }
+
+    /** Adds bytes and returns those that complete events; empty if none is complete. */
+    Optional<byte[]> add(byte[] bytes, int count) {
+        pending.write(bytes, 0, count);
+        byte[] all = pending.toByteArray();
+        int end = endOfLastEvent(all);
+        if (end == 0) {
+            return Optional.empty();
+        }
+        pending.reset();
+        pending.write(all, end, all.length - end);
+        byte[] whole = java.util.Arrays.copyOf(all, end);
+        readIds(whole);
+        return Optional.of(whole);
+    }
+
+    /** Returns the bytes after the last whole event, and forgets them. */
+    byte[] takeRest() {
+        byte[] rest = pending.toByteArray();
+        pending.reset();
+        return rest;
+    }
+
+    /** Returns the id of the last whole event. */
+    OptionalLong lastEvent() {
+        return lastEvent;
+    }
+
+    private static int endOfLastEvent(byte[] bytes) {
+        for (int index = bytes.length - 1; index > 0; index--) {
+            if (bytes[index] == '\n') {
+                boolean blankLine =
+                        bytes[index - 1] == '\n' || (index > 2 && bytes[index - 1] == '\r' && bytes[index - 2] == '\n');
+                if (blankLine) {
+                    return index + 1;
+                }
+            }
+        }
+        return 0;
+    }
+
+    private void readIds(byte[] events) {
+        String text = new String(events, StandardCharsets.UTF_8);
+        int at = text.startsWith("id:") ? 0 : text.lastIndexOf("\nid:");
+        int last = text.lastIndexOf("\nid:");
+        at = last >= 0 ? last + 1 : at;
+        if (at < 0) {
+            return;
+        }
+        int end = text.indexOf('\n', at);
+        try {
+            lastEvent =
+                    OptionalLong.of(Long.parseLong(text.substring(at + 3, end).strip()));
+        } catch (NumberFormatException notANumber) {
+            // A stream without numbers cannot be continued; it is still passed on.
+            lastEvent = OptionalLong.empty();
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -0,0 +1,235 @@
+package io.banyantally.internal.forwarding;
+
+import io.banyantally.deployment.AccountRule;
+import io.banyantally.deployment.MalformedRequestException;
+import io.banyantally.deployment.ReplicaEntry;
+import io.banyantally.deployment.RequestFacts;
+import io.banyantally.deployment.RequestKind;
+import io.banyantally.deployment.RouteRule;
+import io.banyantally.deployment.ServiceRule;
+import io.banyantally.deployment.ServiceShare;
+import io.banyantally.internal.deployment.ActiveConfiguration;
+import io.banyantally.internal.placement.Candidate;
+import io.banyantally.internal.placement.Placement;
+import io.banyantally.model.ServiceName;
+import io.banyantally.model.UpstreamId;
+import io.banyantally.upstream.HeaderField;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+/** Serves one request of a caller, from its checks to its last byte. */
+final class ForwardedRequest {
+
+    /** When a caller may return to a VM that has not read a configuration yet. */
+    private static final Duration RETRY_WITHOUT_CONFIGURATION = Duration.ofMillis(300);
+
+    /** When a caller may return after its upstream was full; queues there change within some ten milliseconds. */
+    private static final Duration RETRY_WHEN_FULL = Duration.ofMillis(60);
+
+    /** When a caller may return to a service without upstreams. */
+    private static final Duration RETRY_WITHOUT_UPSTREAM = Duration.ofMillis(400);
+
+    private final ForwardingServices services;
+    private final CallerExchange caller;
+    private final RequestLog log;
+    private String routeName = "none";
+
+    ForwardedRequest(ForwardingServices services, CallerExchange caller) {
+        this.services = services;
+        this.caller = caller;
+        this.log = new RequestLog(services.clock());
+    }
+
+    void run() throws IOException, InterruptedException {
+        List<HeaderField> headers = caller.headers();
+        Optional<RequestFacts> facts = Optional.empty();
+        try {
+            facts = Optional.of(services.dialect().readRequest(headers));
+            log.add("request", facts.get().attempt());
+            forward(admit(facts.get(), headers));
+        } catch (MalformedRequestException malformed) {
+            log.add("detail", malformed.getMessage());
+            refuse(Refusal.wrong(Refusal.BAD_REQUEST, "malformed"), facts);
+        } catch (RefusedException refused) {
+            refuse(refused.refusal(), facts);
+        } catch (IOException cut) {
+            log.add("detail", String.valueOf(cut.getMessage()));
+            log.write(services.metrics(), routeName, 0, caller.isGone() ? "caller_gone" : "cut");
+            throw cut;
+        }
+    }
+
+    private AdmittedRequest admit(RequestFacts facts, List<HeaderField> headers) throws RefusedException, IOException {
+        ActiveConfiguration configuration = services.configuration()
+                .current()
+                .orElseThrow(
+                        () -> new RefusedException(Refusal.notRun("no_configuration", RETRY_WITHOUT_CONFIGURATION)));
+        log.add("configuration", configuration.version());
+        RouteRule route = configuration
+                .route(caller.host(), caller.path())
+                .orElseThrow(() -> new RefusedException(Refusal.wrong(Refusal.NOT_FOUND, "no_route")));
+        routeName = route.kind().name().toLowerCase(Locale.ROOT);
+        log.add("route", route.name());
+        Optional<AccountRule> account = facts.key().flatMap(configuration::account);
+        account.ifPresent(known -> log.add("account", known.account()));
+        if (account.isEmpty() && configuration.requiresKeys() && !route.anonymous()) {
+            throw new RefusedException(Refusal.wrong(Refusal.UNAUTHORIZED, "unknown_key"));
+        }
+        byte[] body = caller.readBody(configuration.document().limits().bodyBytes());
+        if (body == null) {
+            throw new RefusedException(Refusal.wrong(Refusal.BODY_TOO_LARGE, "body_too_large"));
+        }
+        ServiceName serviceName = chooseService(route);
+        ServiceRule service = configuration
+                .service(serviceName)
+                .orElseGet(() -> new ServiceRule(serviceName, Integer.MAX_VALUE, Optional.empty(), Optional.empty()));
+        log.add("service", serviceName);
+        Duration limit = facts.patience()
+                .filter(patience -> patience.compareTo(route.timeout()) < 0)
+                .orElse(route.timeout());
+        return new AdmittedRequest(route, service, facts, account, headers, body, log.arrived() + limit.toNanos());
+    }
+
+    private static ServiceName chooseService(RouteRule route) {
+        int total = route.services().stream().mapToInt(ServiceShare::weight).sum();
+        if (total <= 0) {
+            return route.services().getFirst().service();
+        }
+        int drawn = ThreadLocalRandom.current().nextInt(total);
+        for (ServiceShare share : route.services()) {
+            drawn -= share.weight();
+            if (drawn < 0) {
+                return share.service();
+            }
+        }
+        return route.services().getLast().service();
+    }
+
+    private void forward(AdmittedRequest request) throws RefusedException, IOException, InterruptedException {
+        services.retries().requested(request.service().name());
+        UpstreamSender sender = new UpstreamSender(services, caller, request, log);
+        Set<UpstreamId> tried = new HashSet<>();
+        int sends = 0;
+        boolean mayHaveRun = false;
+        while (true) {
+            Optional<Placement.Choice> choice = place(request, tried);
+            if (choice.isEmpty()) {
+                throw new RefusedException(
+                        mayHaveRun
+                                ? Refusal.mayHaveRun("no_other_upstream")
+                                : Refusal.notRun("no_upstream", jittered(RETRY_WITHOUT_UPSTREAM)));
+            }
+            tried.add(choice.get().candidate().entry().id());
+            sends++;
+            SendOutcome outcome = sender.send(choice.get());
+            mayHaveRun |= outcome instanceof SendOutcome.Unknown;
+            if (finished(request, sender, outcome, sends, mayHaveRun)) {
+                return;
+            }
+        }
+    }
+
+    /** Ends the request if nothing more is to be tried; otherwise the caller sends it to another upstream. */
+    private boolean finished(
+            AdmittedRequest request, UpstreamSender sender, SendOutcome outcome, int sends, boolean mayHaveRun)
+            throws RefusedException, IOException {
+        boolean timeLeft = remaining(request).toMillis() > 0;
+        switch (outcome) {
+            case SendOutcome.Delivered delivered -> {
+                log.write(services.metrics(), routeName, 200, delivered.reason());
+                return true;
+            }
+            case SendOutcome.CallerGone left -> throw new IOException("the caller has left: " + left.reason());
+            case SendOutcome.Answered answer -> {
+                boolean failed = answer.status() >= 500;
+                if (failed && timeLeft && request.route().isRepeatable() && mayRepeat(request, sends)) {
+                    return false;
+                }
+                caller.answer(answer.status(), services.dialect().callerHeaders(answer.headers()), answer.body());
+                log.write(services.metrics(), routeName, answer.status(), answer.reason());
+                return true;
+            }
+            case SendOutcome.NotRun refused -> {
+                if (timeLeft && mayRepeat(request, sends)) {
+                    return false;
+                }
+                log.add("detail", refused.reason());
+                if (sender.hasDelivered()) {
+                    throw new IOException("no upstream continues the stream");
+                }
+                throw new RefusedException(
+                        mayHaveRun
+                                ? Refusal.mayHaveRun("upstream_refused")
+                                : Refusal.notRun("upstream_refused", jittered(RETRY_WHEN_FULL)));
+            }
+            case SendOutcome.Unknown lost -> {
+                if (timeLeft && request.route().isRepeatable() && mayRepeat(request, sends)) {
+                    return false;
+                }
+                log.add("detail", lost.reason());
+                if (sender.hasDelivered()) {
+                    throw new IOException("the stream broke: " + lost.reason());
+                }
+                throw new RefusedException(timeLeft ? Refusal.mayHaveRun("upstream_failed") : Refusal.timedOut());
+            }
+        }
+    }
+
+    private boolean mayRepeat(AdmittedRequest request, int sends) {
+        return sends < request.route().attempts()
+                && services.retries().tryTake(request.service().name());
+    }
+
+    private Optional<Placement.Choice> place(AdmittedRequest request, Set<UpstreamId> tried) {
+        List<ReplicaEntry> untried = new ArrayList<>();
+        for (ReplicaEntry entry :
+                services.replicas().accepting(request.service().name())) {
+            boolean canDecode = request.service().engine().isEmpty()
+                    || entry.stage() != io.banyantally.deployment.EngineStage.PREFILL;
+            if (canDecode && !tried.contains(entry.id())) {
+                untried.add(entry);
+            }
+        }
+        List<Candidate> candidates = services.tracks().candidates(untried);
+        Placement placement = request.service().engine().isPresent() ? services.engines() : services.plain();
+        return placement.choose(request.facts().prompt(), candidates);
+    }
+
+    private Duration remaining(AdmittedRequest request) {
+        return Duration.ofNanos(request.deadline() - services.clock().nanoTime());
+    }
+
+    private void refuse(Refusal refusal, Optional<RequestFacts> facts) throws IOException {
+        List<HeaderField> headers = new ArrayList<>();
+        facts.ifPresent(known -> headers.addAll(services.dialect().ownAnswerHeaders(known)));
+        refusal.retryAfter().ifPresent(after -> headers.add(new HeaderField("Retry-After", seconds(after))));
+        if (refusal.status() == Refusal.BODY_TOO_LARGE || refusal.status() == Refusal.BAD_REQUEST) {
+            // The rest of the request is not read, so the connection cannot carry another one.
+            caller.closeAfterAnswer();
+        }
+        log.write(services.metrics(), routeName, refusal.status(), refusal.reason());
+        caller.answer(refusal.status(), headers, new byte[0]);
+    }
+
+    private static String seconds(Duration duration) {
+        return String.format(Locale.ROOT, "%.3f", duration.toMillis() / (double) TimeUnit.SECONDS.toMillis(1));
+    }
+
+    /** Spreads the return of callers that are refused together over twice the time. */
+    private static Duration jittered(Duration shortest) {
+        return shortest.plusMillis(ThreadLocalRandom.current().nextLong(shortest.toMillis() + 1));
+    }
+
+    /** Returns whether the route's requests are answered with events. */
+    static boolean isStream(RouteRule route) {
+        return route.kind() == RequestKind.STREAMING;
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
@@ -0,0 +1,31 @@
+package io.banyantally.internal.forwarding;
+
+import com.codahale.metrics.MetricRegistry;
+import io.banyantally.deployment.RequestDialect;
+import io.banyantally.internal.adapter.AdapterHttpClient;
+import io.banyantally.internal.deployment.ConfigurationHolder;
+import io.banyantally.internal.deployment.ReplicaRegistry;
+import io.banyantally.internal.duty.UsageLedger;
+import io.banyantally.internal.placement.Placement;
+import io.banyantally.internal.placement.RetryAllowance;
+import io.banyantally.internal.placement.UpstreamTracks;
+import io.banyantally.internal.time.MonotonicClock;
+
+/**
+ * What forwarding needs of the rest of the gateway.
+ *
+ * @param engines chooses among engines
+ * @param plain chooses among upstreams of plain services
+ */
+public record ForwardingServices(
+        ConfigurationHolder configuration,
+        ReplicaRegistry replicas,
+        UpstreamTracks tracks,
+        Placement engines,
+        Placement plain,
+        RetryAllowance retries,
+        RequestDialect dialect,
+        AdapterHttpClient client,
+        UsageLedger usage,
+        MetricRegistry metrics,
+        MonotonicClock clock) {}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
@@ -0,0 +1,150 @@
+package io.banyantally.internal.forwarding;
+
+import io.banyantally.deployment.CallerLimits;
+import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.timeline.EventField;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import org.eclipse.jetty.http.HttpCompliance;
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** The HTTP server of a gateway: one address for callers, and one for each other handler. */
+public final class GatewayServer {
+
+    private static final EventLog LOG = EventLog.of(GatewayServer.class);
+    private static final int PLATFORM_THREADS = 16;
+    private static final int ACCEPT_QUEUE = 1024;
+
+    /** Callers use connections up to their idle limit; the server closes later, so that no request meets a close. */
+    private static final Duration IDLE_MARGIN = Duration.ofSeconds(5);
+
+    /** Until a configuration says more. */
+    private static final Duration FIRST_IDLE_TIMEOUT = Duration.ofSeconds(20);
+
+    /** Room for the request line and for headers that the limit of the configuration does not count. */
+    private static final int HEADER_MARGIN_BYTES = 1024;
+
+    private final Server server;
+    private final OpenExchanges open = new OpenExchanges();
+    private final ForwardingHandler forwarding;
+    private final HttpConfiguration callerConfiguration = configuration();
+    private final ServerConnector callers;
+    private final Map<Integer, Handler> handlers;
+
+    /** Creates a server that is not started yet; {@code handlers} answer at their own addresses. */
+    public GatewayServer(
+            InetSocketAddress callersAddress, ForwardingServices services, Map<InetSocketAddress, Handler> handlers) {
+        QueuedThreadPool threads = new QueuedThreadPool(PLATFORM_THREADS);
+        threads.setName("http");
+        threads.setVirtualThreadsExecutor(Executors.newVirtualThreadPerTaskExecutor());
+        this.server = new Server(threads);
+        this.forwarding = new ForwardingHandler(services, open);
+        this.callers = new ProbingConnector(server, new HttpConnectionFactory(callerConfiguration));
+        bind(callers, callersAddress);
+        Map<Integer, Handler> byPort = new java.util.HashMap<>();
+        handlers.forEach((address, handler) -> {
+            bind(new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration())), address);
+            byPort.put(address.getPort(), handler);
+        });
+        this.handlers = Map.copyOf(byPort);
+        List<Handler> all = new ArrayList<>(handlers.values());
+        all.add(forwarding);
+        server.setHandler(new ByPort(all));
+        server.setErrorHandler(new PlainErrorHandler());
+    }
+
+    private static HttpConfiguration configuration() {
+        HttpConfiguration configuration = new HttpConfiguration();
+        configuration.setSendServerVersion(false);
+        configuration.setSendDateHeader(false);
+        configuration.setHttpCompliance(HttpCompliance.RFC7230);
+        // Paths go on as the caller wrote them, so none is ambiguous here.
+        configuration.setUriCompliance(UriCompliance.UNSAFE);
+        return configuration;
+    }
+
+    private void bind(ServerConnector connector, InetSocketAddress address) {
+        connector.setHost(address.getAddress().getHostAddress());
+        connector.setPort(address.getPort());
+        connector.setIdleTimeout(FIRST_IDLE_TIMEOUT.toMillis());
+        connector.setAcceptQueueSize(ACCEPT_QUEUE);
+        server.addConnector(connector);
+    }
+
+    /** Applies the limits of a configuration to connections that are opened from now on. */
+    public void apply(CallerLimits limits) {
+        callerConfiguration.setRequestHeaderSize(limits.headerBytes() + HEADER_MARGIN_BYTES);
+        callers.setIdleTimeout(limits.idleTimeout().plus(IDLE_MARGIN).toMillis());
+    }
+
+    /** Starts to accept connections. */
+    public void start() throws IOException {
+        try {
+            server.start();
+        } catch (Exception failure) {
+            throw new IOException("cannot listen at " + callers.getHost() + ":" + callers.getPort(), failure);
+        }
+    }
+
+    /** Returns where callers connect. */
+    public InetSocketAddress callersAddress() {
+        return new InetSocketAddress(callers.getHost(), callers.getLocalPort());
+    }
+
+    /** Cancels the requests whose callers have left. */
+    public void probeCallers() {
+        open.probe();
+    }
+
+    /** Returns how many requests are being answered. */
+    public int openRequests() {
+        return open.size();
+    }
+
+    /** From now on every answer closes its connection, so that callers move to other VMs. */
+    public void closeConnections() {
+        forwarding.closeConnections();
+    }
+
+    /** Waits until all requests are answered; returns false if some are open after {@code limit}. */
+    public boolean awaitRequests(Duration limit) throws InterruptedException {
+        return forwarding.awaitEmpty(limit);
+    }
+
+    /** Closes all connections. */
+    public void stop() {
+        try {
+            server.stop();
+        } catch (Exception failure) {
+            LOG.error("server_stop_failed", failure, EventField.of("open_requests", open.size()));
+        }
+    }
+
+    /** Finds the handler of the address that a request came to. */
+    private final class ByPort extends Handler.Sequence {
+
+        ByPort(List<Handler> all) {
+            super(all);
+        }
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) throws Exception {
+            Handler handler = handlers.getOrDefault(Request.getLocalPort(request), forwarding);
+            return handler.handle(request, response, callback);
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/Refusal.java
@@ -0,0 +1,41 @@
+package io.banyantally.internal.forwarding;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * An answer of the gateway itself.
+ *
+ * @param reason one word for logs and metrics
+ * @param retryAfter when the caller may return; only for requests that did not run
+ */
+record Refusal(int status, String reason, Optional<Duration> retryAfter) {
+
+    static final int BAD_REQUEST = 400;
+    static final int UNAUTHORIZED = 401;
+    static final int NOT_FOUND = 404;
+    static final int BODY_TOO_LARGE = 413;
+    static final int BAD_GATEWAY = 502;
+    static final int UNAVAILABLE = 503;
+    static final int TIMEOUT = 504;
+
+    /** The request cannot be served by anyone as it is. */
+    static Refusal wrong(int status, String reason) {
+        return new Refusal(status, reason, Optional.empty());
+    }
+
+    /** The request has not run and never will. */
+    static Refusal notRun(String reason, Duration retryAfter) {
+        return new Refusal(UNAVAILABLE, reason, Optional.of(retryAfter));
+    }
+
+    /** The request may have run. */
+    static Refusal mayHaveRun(String reason) {
+        return new Refusal(BAD_GATEWAY, reason, Optional.empty());
+    }
+
+    /** The route's timeout has passed. */
+    static Refusal timedOut() {
+        return new Refusal(TIMEOUT, "timed_out", Optional.empty());
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -0,0 +1,292 @@
+package io.banyantally.internal.forwarding;
+
+import io.banyantally.deployment.AnswerFacts;
+import io.banyantally.deployment.PromptFacts;
+import io.banyantally.deployment.ReplicaEntry;
+import io.banyantally.deployment.RequestKind;
+import io.banyantally.deployment.UpstreamSend;
+import io.banyantally.internal.adapter.ExchangeException;
+import io.banyantally.internal.adapter.HttpCall;
+import io.banyantally.internal.adapter.HttpExchange;
+import io.banyantally.internal.adapter.NothingSentException;
+import io.banyantally.internal.placement.Placement;
+import io.banyantally.internal.placement.UpstreamTrack;
+import io.banyantally.upstream.HeaderField;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+/** Sends one request to upstreams, one after the other, and passes a stream on to the caller. */
+final class UpstreamSender {
+
+    private static final int SUCCESS_FIRST = 200;
+    private static final int SUCCESS_LAST = 299;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int COPY_BYTES = 16 * 1024;
+
+    /** Answers of plain services are kept whole before they are passed on, so that a torn one is not passed on. */
+    private static final int LARGEST_WHOLE_ANSWER = 8 * 1024 * 1024;
+
+    /** How long the end of an answer may take after its last byte of content. */
+    private static final Duration FINISH_TIME = Duration.ofMillis(200);
+
+    private final ForwardingServices services;
+    private final CallerExchange caller;
+    private final AdmittedRequest request;
+    private final RequestLog log;
+    private final int promptTokens;
+    private Optional<OutputStream> answer = Optional.empty();
+    private OptionalLong lastEvent;
+    private boolean counted;
+    private int sends;
+
+    UpstreamSender(ForwardingServices services, CallerExchange caller, AdmittedRequest request, RequestLog log) {
+        this.services = services;
+        this.caller = caller;
+        this.request = request;
+        this.log = log;
+        this.promptTokens =
+                request.facts().prompt().map(PromptFacts::promptTokens).orElse(0);
+        this.lastEvent = request.facts().lastEvent();
+    }
+
+    /** Returns whether the caller has received a part of the answer. */
+    boolean hasDelivered() {
+        return answer.isPresent();
+    }
+
+    /** Sends the request to the chosen upstream and waits for the end of the answer. */
+    SendOutcome send(Placement.Choice choice) throws InterruptedException {
+        ReplicaEntry upstream = choice.candidate().entry();
+        UpstreamTrack track = services.tracks().of(upstream);
+        sends++;
+        long began = services.clock().nanoTime();
+        track.sent(promptTokens);
+        SendOutcome outcome;
+        try {
+            outcome = exchange(upstream, track);
+        } finally {
+            track.ended(promptTokens);
+            caller.clearWhenGone();
+        }
+        judge(track, upstream, outcome);
+        log.add("upstream" + sends, upstream.id());
+        log.add(
+                "placed" + sends,
+                choice.reason() + String.format(Locale.ROOT, ":%.1f", choice.costMillis()) + ":own="
+                        + choice.candidate().outstanding() + ":load_age_ms="
+                        + TimeUnit.NANOSECONDS.toMillis(choice.candidate().loadAgeNanos()));
+        log.add(
+                "result" + sends,
+                outcome.reason() + ":"
+                        + TimeUnit.NANOSECONDS.toMillis(services.clock().nanoTime() - began));
+        return outcome;
+    }
+
+    private void judge(UpstreamTrack track, ReplicaEntry upstream, SendOutcome outcome) {
+        switch (outcome) {
+            case SendOutcome.Delivered delivered -> services.tracks().succeeded(track);
+            case SendOutcome.Answered answered -> {
+                if (answered.status() >= 500) {
+                    // Applications fail requests of their own accord; only what never succeeds counts.
+                    track.health().released();
+                } else {
+                    services.tracks().succeeded(track);
+                }
+            }
+            case SendOutcome.Unknown unknown -> {
+                if (services.clock().nanoTime() < request.deadline()) {
+                    failed(track, upstream, unknown.reason());
+                } else {
+                    track.health().released();
+                }
+            }
+            case SendOutcome.NotRun refused -> {
+                if (refused.reason().equals("not_connected") || refused.reason().equals("other_instance")) {
+                    failed(track, upstream, refused.reason());
+                } else {
+                    track.health().released();
+                }
+            }
+            case SendOutcome.CallerGone gone -> track.health().released();
+        }
+    }
+
+    private void failed(UpstreamTrack track, ReplicaEntry upstream, String reason) {
+        services.tracks().failed(track, services.replicas().accepting(upstream.service()), reason);
+    }
+
+    private SendOutcome exchange(ReplicaEntry upstream, UpstreamTrack track) throws InterruptedException {
+        Duration remaining =
+                Duration.ofNanos(request.deadline() - services.clock().nanoTime());
+        if (remaining.toMillis() <= 0) {
+            return new SendOutcome.NotRun("no_time_left");
+        }
+        try (HttpExchange exchange = services.client().prepare(call(upstream, remaining))) {
+            if (request.route().kind() != RequestKind.NON_IDEMPOTENT) {
+                caller.whenGone(exchange::close);
+            }
+            exchange.awaitHeaders();
+            return receive(exchange, track);
+        } catch (NothingSentException unsent) {
+            return caller.isGone()
+                    ? new SendOutcome.CallerGone("before_send")
+                    : new SendOutcome.NotRun("not_connected");
+        } catch (ExchangeException failure) {
+            return caller.isGone() ? new SendOutcome.CallerGone("during_run") : new SendOutcome.Unknown("no_answer");
+        }
+    }
+
+    private HttpCall call(ReplicaEntry upstream, Duration remaining) {
+        UpstreamSend send = new UpstreamSend(
+                remaining,
+                upstream.id(),
+                request.account(),
+                request.urgency(),
+                hasDelivered() ? lastEvent : OptionalLong.empty());
+        boolean ownConnection = request.route().kind() == RequestKind.NON_IDEMPOTENT;
+        return new HttpCall(
+                upstream.address(),
+                caller.method(),
+                caller.target(),
+                services.dialect().upstreamHeaders(request.headers(), send),
+                request.body(),
+                ownConnection,
+                remaining,
+                () -> true);
+    }
+
+    private SendOutcome receive(HttpExchange exchange, UpstreamTrack track) throws InterruptedException {
+        int status = exchange.status();
+        List<HeaderField> headers = exchange.headers();
+        AnswerFacts facts = services.dialect().readAnswer(status, headers);
+        facts.load().ifPresent(load -> track.reported(load, services.clock().nanoTime()));
+        boolean crossed = facts.attempt().isPresent()
+                && !facts.attempt().get().equals(request.facts().attempt());
+        if (crossed) {
+            return new SendOutcome.Unknown("crossed_answer");
+        }
+        if (facts.otherInstance()) {
+            drain(exchange);
+            return new SendOutcome.NotRun("other_instance");
+        }
+        if (facts.notExecuted()) {
+            drain(exchange);
+            return new SendOutcome.NotRun("upstream_" + status);
+        }
+        boolean success = status >= SUCCESS_FIRST && status <= SUCCESS_LAST;
+        if (success && !facts.signed()) {
+            return new SendOutcome.Unknown("unsigned_answer");
+        }
+        if (!success && (status == Refusal.UNAVAILABLE || status == TOO_MANY_REQUESTS)) {
+            // Passed on, this status would promise that the request has not run, which the upstream does not say.
+            return new SendOutcome.Unknown("upstream_" + status);
+        }
+        return success && request.route().kind() == RequestKind.STREAMING
+                ? stream(exchange, status, headers)
+                : whole(exchange, status, headers);
+    }
+
+    private void drain(HttpExchange exchange) throws InterruptedException {
+        try (InputStream body = exchange.body()) {
+            body.skipNBytes(0);
+            body.readNBytes(COPY_BYTES);
+        } catch (IOException broken) {
+            log.add("refusal_torn", sends);
+            return;
+        }
+        exchange.finish(FINISH_TIME);
+    }
+
+    private SendOutcome whole(HttpExchange exchange, int status, List<HeaderField> headers)
+            throws InterruptedException {
+        countRun();
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        byte[] buffer = new byte[COPY_BYTES];
+        try (InputStream body = exchange.body()) {
+            for (int count = body.read(buffer); count >= 0; count = body.read(buffer)) {
+                bytes.write(buffer, 0, count);
+                if (bytes.size() > LARGEST_WHOLE_ANSWER) {
+                    return new SendOutcome.Unknown("answer_too_large");
+                }
+            }
+        } catch (IOException cut) {
+            return caller.isGone() ? new SendOutcome.CallerGone("during_run") : new SendOutcome.Unknown("answer_cut");
+        }
+        log.answerBegan();
+        exchange.finish(FINISH_TIME);
+        return new SendOutcome.Answered(
+                status, headers, bytes.toByteArray(), status >= 500 ? "upstream_error" : "served");
+    }
+
+    private SendOutcome stream(HttpExchange exchange, int status, List<HeaderField> headers)
+            throws InterruptedException {
+        EventAssembler events = new EventAssembler(lastEvent);
+        byte[] buffer = new byte[COPY_BYTES];
+        try (InputStream body = exchange.body()) {
+            for (int count = read(body, buffer); count >= 0; count = read(body, buffer)) {
+                countRun();
+                Optional<byte[]> whole = events.add(buffer, count);
+                if (whole.isPresent()) {
+                    deliver(status, headers, whole.get());
+                    lastEvent = events.lastEvent();
+                }
+            }
+            if (events.takeRest().length > 0) {
+                return new SendOutcome.Unknown("torn_event");
+            }
+            if (answer.isEmpty()) {
+                return new SendOutcome.Unknown("no_event");
+            }
+            exchange.finish(FINISH_TIME);
+            answer.get().close();
+            return new SendOutcome.Delivered("served");
+        } catch (UpstreamCutException cut) {
+            return caller.isGone()
+                    ? new SendOutcome.CallerGone("during_stream")
+                    : new SendOutcome.Unknown("stream_cut");
+        } catch (IOException callerCut) {
+            return new SendOutcome.CallerGone("during_delivery");
+        }
+    }
+
+    private static int read(InputStream body, byte[] buffer) throws UpstreamCutException {
+        try {
+            return body.read(buffer);
+        } catch (IOException cut) {
+            throw new UpstreamCutException(cut);
+        }
+    }
+
+    private void deliver(int status, List<HeaderField> headers, byte[] events) throws IOException {
+        if (answer.isEmpty()) {
+            log.answerBegan();
+            answer = Optional.of(caller.startAnswer(status, services.dialect().callerHeaders(headers)));
+        }
+        answer.get().write(events);
+    }
+
+    private void countRun() {
+        if (!counted) {
+            counted = true;
+            request.account().ifPresent(services.usage()::began);
+        }
+    }
+
+    /** The upstream broke off its answer. */
+    private static final class UpstreamCutException extends IOException {
+
+        private static final long serialVersionUID = 1L;
+
+        UpstreamCutException(IOException cause) {
+            super(cause);
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
@@ -0,0 +1,53 @@
+package io.banyantally.internal.placement;
+
+import io.banyantally.deployment.PromptFacts;
+import io.banyantally.deployment.ReportedLoad;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses the upstream with the least load.
+ *
+ * <p>Answers the load of plain services: short requests of similar cost on few slots, sent by several VMs that do not see
+ * each other's requests. Own requests count in full; the reported load adds those of others while it is recent. Ties are
+ * broken at random, since a fixed order would send all VMs to the same upstream.
+ */
+public final class LeastLoadedPlacement implements Placement {
+
+    /** A reported load that is older says little about requests that last some ten milliseconds. */
+    static final Duration LOAD_VALIDITY = Duration.ofMillis(150);
+
+    private final RandomGenerator random;
+
+    /** Creates the policy with a source of tie breaks. */
+    public LeastLoadedPlacement(RandomGenerator random) {
+        this.random = random;
+    }
+
+    @Override
+    public Optional<Choice> choose(Optional<PromptFacts> prompt, List<Candidate> candidates) {
+        List<Candidate> shuffled = new ArrayList<>(candidates);
+        for (int last = shuffled.size() - 1; last > 0; last--) {
+            Collections.swap(shuffled, last, random.nextInt(last + 1));
+        }
+        return shuffled.stream()
+                .min(Comparator.comparing((Candidate candidate) -> !candidate.trusted())
+                        .thenComparingDouble(LeastLoadedPlacement::load))
+                .map(chosen -> new Choice(chosen, load(chosen), "least_loaded"));
+    }
+
+    private static double load(Candidate candidate) {
+        double others = 0;
+        if (candidate.loadAgeNanos() < LOAD_VALIDITY.toNanos()
+                && candidate.load().isPresent()) {
+            ReportedLoad load = candidate.load().get();
+            others = Math.max(0, load.running() + load.waiting() - candidate.outstanding());
+        }
+        return (candidate.outstanding() + others) / candidate.entry().slots();
+    }
+}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/Health.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/Health.java
@@ -6,7 +6,7 @@
  * Whether an upstream answers. After failures in a row it is ejected for a time that doubles with each return that fails;
  * it comes back with one request at a time until some have succeeded.
  */
-final class Health {
+public final class Health {
     /** Two failures may be chance, or requests that began together. */
     static final int FAILURES_TO_EJECT = 3;
 
@@ -23,15 +23,21 @@
     private long ejectedUntil;
     private int trials;
 
+    /** Creates the health of an upstream that is trusted. */
+    public Health() {}
+
     /** How far an upstream is trusted. */
-    enum State {
+    public enum State {
+        /** Takes requests. */
         HEALTHY,
+        /** Takes none until its ejection runs out. */
         EJECTED,
+        /** Takes one request at a time. */
         PROBATION
     }
 
     /** Returns the state now; an ejection that has run out becomes probation. */
-    synchronized State state(long now) {
+    public synchronized State state(long now) {
         if (state == State.EJECTED && now >= ejectedUntil) {
             state = State.PROBATION;
             probationSuccesses = 0;
@@ -41,24 +47,25 @@
     }
 
     /** Returns whether a request may go there now, apart from the cap on ejections. */
-    synchronized boolean accepts(long now) {
+    public synchronized boolean accepts(long now) {
         State current = state(now);
         return current == State.HEALTHY || (current == State.PROBATION && trials == 0);
     }
 
-    synchronized boolean isHealthy() {
+    /** Returns whether the upstream is neither ejected nor on probation. */
+    public synchronized boolean isHealthy() {
         return state == State.HEALTHY;
     }
 
     /** Counts a request that was sent. */
-    synchronized void sent() {
+    public synchronized void sent() {
         if (state == State.PROBATION) {
             trials++;
         }
     }
 
     /** Counts a success; returns whether the upstream has become healthy by it. */
-    synchronized boolean succeeded() {
+    public synchronized boolean succeeded() {
         failuresInARow = 0;
         if (state != State.PROBATION) {
             return false;
@@ -73,13 +80,14 @@
     }
 
     /** Counts a failure; returns whether the upstream should be ejected, which the cap may forbid. */
-    synchronized boolean failed() {
+    public synchronized boolean failed() {
         failuresInARow++;
         trials = Math.max(0, trials - 1);
         return state == State.PROBATION || (state == State.HEALTHY && failuresInARow >= FAILURES_TO_EJECT);
     }
 
-    synchronized void eject(long now) {
+    /** Takes the upstream out for a time that doubles with each call. */
+    public synchronized void eject(long now) {
         state = State.EJECTED;
         ejectedUntil = now + nextEjection.toNanos();
         nextEjection = nextEjection.multipliedBy(2);
@@ -89,7 +97,7 @@
     }
 
     /** A request that was neither a success nor a failure has ended. */
-    synchronized void released() {
+    public synchronized void released() {
         trials = Math.max(0, trials - 1);
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/time/PeriodicTasks.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/time/PeriodicTasks.java
@@ -30,6 +30,11 @@
         start(name, Duration.ofMillis(ThreadLocalRandom.current().nextLong(interval.toMillis())), interval, step);
     }
 
+    /** Runs a task until it ends or is stopped. */
+    public void startOnce(String name, Runnable task) {
+        threads.add(Thread.ofVirtual().name(name).start(task));
+    }
+
     private void start(String name, Duration delay, Duration interval, Runnable step) {
         threads.add(Thread.ofVirtual().name(name).start(() -> {
             try {
--- a/modules/banyantally/src/main/java/io/banyantally/platform/StoreException.java
+++ b/modules/banyantally/src/main/java/io/banyantally/platform/StoreException.java
@@ -2,7 +2,11 @@
 
 /** A call to the key-value service that did not succeed. */
 public abstract sealed class StoreException extends PlatformException
-        permits StoreUnavailableException, OutcomeUnknownException, RevisionConflictException, LeaseLapsedException {
+        permits StoreUnavailableException,
+                OutcomeUnknownException,
+                RevisionConflictException,
+                LeaseLapsedException,
+                HistoryDiscardedException {
 
     private static final long serialVersionUID = 1L;
 
