Pace orders by one reading of the clock

Cause: the keepers compared two readings of the clock taken in one expression, so no order was ever due. Change: OrderPacing blocks an order until a moment and reads the clock once.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetKeeper.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetKeeper.java
@@ -14,9 +14,7 @@
 import io.banyantally.platform.PlatformException;
 import io.banyantally.platform.ReplicaOrdering;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 
 /** Orders upstreams until the fleet is what {@link FleetTargets} asks for. */
 public final class FleetKeeper {
@@ -34,14 +32,13 @@
 
     private final ReplicaRegistry replicas;
     private final ReplicaOrdering ordering;
-    private final MonotonicClock clock;
-    private final Map<OrderKey, Long> notBefore = new HashMap<>();
+    private final OrderPacing<OrderKey> pacing;
 
     /** Creates a keeper that has ordered nothing. */
     public FleetKeeper(ReplicaRegistry replicas, ReplicaOrdering ordering, MonotonicClock clock) {
         this.replicas = replicas;
         this.ordering = ordering;
-        this.clock = clock;
+        this.pacing = new OrderPacing<>(clock);
     }
 
     /** Places the orders that are needed now. */
@@ -68,7 +65,7 @@
             boolean wanted =
                     present < target.count() || (present > target.count() && (target.cheap() || cheapAreThere));
             OrderKey key = new OrderKey(service, target);
-            if (wanted && clock.nanoTime() - notBefore.getOrDefault(key, clock.nanoTime()) >= 0) {
+            if (wanted && pacing.isDue(key)) {
                 order(holder, key, rule, present);
             }
         }
@@ -95,7 +92,7 @@
             outcome = failure.getMessage();
             delay = SOLD_OUT_DELAY;
         }
-        notBefore.put(key, clock.nanoTime() + delay.toNanos());
+        pacing.block(key, delay);
         LOG.info(
                 "upstreams_ordered",
                 EventField.of("service", key.service()),
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/StageKeeper.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/StageKeeper.java
@@ -13,8 +13,6 @@
 import io.banyantally.platform.PlatformException;
 import io.banyantally.platform.StageOrdering;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 
 /**
  * Orders engines to decode.
@@ -35,23 +33,21 @@
 
     private final ReplicaRegistry replicas;
     private final StageOrdering ordering;
-    private final MonotonicClock clock;
-    private final Map<UpstreamId, Long> notBefore = new HashMap<>();
+    private final OrderPacing<UpstreamId> pacing;
 
     /** Creates a keeper that has ordered nothing. */
     public StageKeeper(ReplicaRegistry replicas, StageOrdering ordering, MonotonicClock clock) {
         this.replicas = replicas;
         this.ordering = ordering;
-        this.clock = clock;
+        this.pacing = new OrderPacing<>(clock);
     }
 
     /** Orders every engine that does not decode to do so. */
     public void run(DutyHolder holder, ActiveConfiguration configuration) throws InterruptedException {
         for (ServiceRule service : configuration.document().services()) {
             for (ReplicaEntry engine : replicas.accepting(service.name())) {
-                boolean due = clock.nanoTime() - notBefore.getOrDefault(engine.id(), clock.nanoTime()) >= 0;
                 if (engine.stage() == EngineStage.PREFILL
-                        && due
+                        && pacing.isDue(engine.id())
                         && holder.permission().isGranted()) {
                     order(holder, engine);
                 }
@@ -60,7 +56,7 @@
     }
 
     private void order(DutyHolder holder, ReplicaEntry engine) throws InterruptedException {
-        notBefore.put(engine.id(), clock.nanoTime() + REPEAT_DELAY.toNanos());
+        pacing.block(engine.id(), REPEAT_DELAY);
         String outcome;
         try {
             outcome = ordering.order(holder, engine, EngineStage.DECODE) ? "accepted" : "refused";
