Read prompts at prefill engines and refuse what would wait too long

Cause: a decoding engine reads prompts between the tokens of running streams, so each event of 72 tokens took longer than its target, and queues of half a second made every answer late at the peak. Usage of the window in which a VM is cut off is still wrong.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -24,8 +24,8 @@
 import io.banyantally.internal.forwarding.ForwardingServices;
 import io.banyantally.internal.forwarding.GatewayServer;
 import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.placement.EnginePlacement;
 import io.banyantally.internal.placement.LeastLoadedPlacement;
-import io.banyantally.internal.placement.PromptPlacement;
 import io.banyantally.internal.placement.RetryAllowance;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.internal.time.MonotonicClock;
@@ -106,7 +106,7 @@
                 configuration,
                 replicas,
                 tracks,
-                new PromptPlacement(balanced),
+                new EnginePlacement(new SplittableRandom()),
                 balanced,
                 retries,
                 dialect,
--- a/modules/banyantally/src/main/java/io/banyantally/deployment/ReplicaEntry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/deployment/ReplicaEntry.java
@@ -31,4 +31,9 @@
             throw new IllegalArgumentException("upstream " + id + " has " + slots + " slots; 1 is the least");
         }
     }
+
+    /** Returns the same entry with another stage. */
+    public ReplicaEntry withStage(EngineStage newStage) {
+        return new ReplicaEntry(id, service, address, zone, slots, draining, newStage, cheap, bornMillis);
+    }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/deployment/RequestDialect.java
+++ b/modules/banyantally/src/main/java/io/banyantally/deployment/RequestDialect.java
@@ -20,4 +20,10 @@
 
     /** Returns the headers that an answer of the gateway itself carries for a request. */
     List<HeaderField> ownAnswerHeaders(RequestFacts facts);
+
+    /** Reads the answer of a prefill engine. */
+    PrefillAnswer readPrefill(byte[] body) throws UnreadableDocumentException;
+
+    /** Returns the target of a call that frees a KV cache handle. */
+    String freeTarget(String handle);
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -108,7 +108,7 @@
     }
 
     /** Sends a call whose answer does not matter, and does not wait. */
-    void sendWithoutAnswer(HttpCall call) {
+    public void sendWithoutAnswer(HttpCall call) {
         request(call)
                 .timeout(call.timeLimit().toMillis(), TimeUnit.MILLISECONDS)
                 .send(result -> {});
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -55,6 +55,8 @@
             response = listener.get(call.timeLimit().toMillis(), TimeUnit.MILLISECONDS);
         } catch (ExecutionException failure) {
             throw failed("failed", failure.getCause());
+        } catch (CancellationException givenUp) {
+            throw failed("given up by another task", givenUp);
         } catch (TimeoutException failure) {
             abort(failure);
             throw failed("no answer in time", failure);
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EngineSender.java
@@ -0,0 +1,116 @@
+package io.banyantally.internal.forwarding;
+
+import io.banyantally.deployment.AnswerFacts;
+import io.banyantally.deployment.EngineStage;
+import io.banyantally.deployment.HandOver;
+import io.banyantally.deployment.PrefillAnswer;
+import io.banyantally.deployment.ReplicaEntry;
+import io.banyantally.deployment.UnreadableDocumentException;
+import io.banyantally.internal.adapter.ExchangeException;
+import io.banyantally.internal.adapter.HttpCall;
+import io.banyantally.internal.adapter.HttpExchange;
+import io.banyantally.internal.adapter.HttpReply;
+import io.banyantally.internal.adapter.NothingSentException;
+import io.banyantally.internal.placement.Placement;
+import io.banyantally.internal.placement.UpstreamTrack;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** Has the prompt of a request read by a prefill engine. A prompt that is read has not run. */
+final class EngineSender {
+
+    private static final int OK = 200;
+    private static final int LARGEST_ANSWER = 64 * 1024;
+
+    /** The time for a call that frees a handle nobody takes; the engine frees it by itself a little later. */
+    private static final Duration FREE_TIME = Duration.ofMillis(500);
+
+    private final ForwardingServices services;
+    private final CallerExchange caller;
+    private final UpstreamCalls calls;
+    private final RequestLog log;
+
+    EngineSender(ForwardingServices services, CallerExchange caller, UpstreamCalls calls, RequestLog log) {
+        this.services = services;
+        this.caller = caller;
+        this.calls = calls;
+        this.log = log;
+    }
+
+    /** Has the prompt read; empty if it was not, in which case a decoding engine can read it itself. */
+    Optional<HandOver> prefill(Placement.Decision.Send choice) throws InterruptedException {
+        ReplicaEntry engine = choice.candidate().entry();
+        UpstreamTrack track = services.tracks().of(engine);
+        long began = services.clock().nanoTime();
+        track.sent(choice.work());
+        String result = "no_time_left";
+        try {
+            Duration remaining = calls.remaining();
+            if (remaining.isPositive()) {
+                HttpCall call = calls.call(engine, remaining, Optional.empty(), EngineStage.PREFILL);
+                try (HttpExchange exchange = services.client().prepare(call)) {
+                    caller.whenGone(exchange::close);
+                    HttpReply reply = exchange.readWhole(LARGEST_ANSWER);
+                    AnswerFacts facts = services.dialect().readAnswer(reply.status(), reply.headers());
+                    facts.load()
+                            .ifPresent(load ->
+                                    track.reported(load, services.clock().nanoTime()));
+                    result = "upstream_" + reply.status();
+                    if (reply.status() == OK) {
+                        PrefillAnswer answer = services.dialect().readPrefill(reply.body());
+                        services.tracks().succeeded(track);
+                        result = "read";
+                        return Optional.of(new HandOver(engine, answer.handle()));
+                    }
+                }
+                track.health().released();
+            }
+        } catch (NothingSentException unsent) {
+            result = "not_connected";
+            services.tracks().failed(track, services.replicas().accepting(engine.service()), result);
+        } catch (ExchangeException failure) {
+            result = "no_answer";
+            if (!caller.isGone() && calls.remaining().isPositive()) {
+                services.tracks().failed(track, services.replicas().accepting(engine.service()), result);
+            } else {
+                track.health().released();
+            }
+        } catch (UnreadableDocumentException unreadable) {
+            result = "unreadable_answer";
+            services.tracks().failed(track, services.replicas().accepting(engine.service()), result);
+        } finally {
+            track.ended(choice.work());
+            caller.clearWhenGone();
+            log.add("prefill", engine.id());
+            log.add(
+                    "prefill_placed",
+                    choice.reason()
+                            + String.format(
+                                    Locale.ROOT, ":wait_ms=%.1f:work_ms=%.1f", choice.waitMillis(), choice.work())
+                            + ":load_age_ms="
+                            + TimeUnit.NANOSECONDS.toMillis(choice.candidate().loadAgeNanos()));
+            log.add(
+                    "prefill_result",
+                    result + ":"
+                            + TimeUnit.NANOSECONDS.toMillis(services.clock().nanoTime() - began));
+        }
+        return Optional.empty();
+    }
+
+    /** Frees the KV cache of a prompt that nobody will take. */
+    void free(HandOver handOver) {
+        log.add("prefill_freed", handOver.engine().id());
+        services.client()
+                .sendWithoutAnswer(new HttpCall(
+                        handOver.engine().address(),
+                        "DELETE",
+                        services.dialect().freeTarget(handOver.handle()),
+                        java.util.List.of(),
+                        new byte[0],
+                        false,
+                        FREE_TIME,
+                        () -> true));
+    }
+}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -1,15 +1,16 @@
 package io.banyantally.internal.forwarding;
 
 import io.banyantally.deployment.AccountRule;
+import io.banyantally.deployment.HandOver;
 import io.banyantally.deployment.MalformedRequestException;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.RequestFacts;
-import io.banyantally.deployment.RequestKind;
 import io.banyantally.deployment.RouteRule;
 import io.banyantally.deployment.ServiceRule;
 import io.banyantally.deployment.ServiceShare;
 import io.banyantally.internal.deployment.ActiveConfiguration;
 import io.banyantally.internal.placement.Candidate;
+import io.banyantally.internal.placement.EnginePlacement;
 import io.banyantally.internal.placement.Placement;
 import io.banyantally.model.ServiceName;
 import io.banyantally.model.UpstreamId;
@@ -92,6 +93,8 @@
                 .service(serviceName)
                 .orElseGet(() -> new ServiceRule(serviceName, Integer.MAX_VALUE, Optional.empty(), Optional.empty()));
         log.add("service", serviceName);
+        facts.prompt()
+                .ifPresent(prompt -> log.add("tokens", prompt.promptTokens() + "+" + prompt.maximumOutputTokens()));
         Duration limit = facts.patience()
                 .filter(patience -> patience.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
@@ -115,26 +118,50 @@
 
     private void forward(AdmittedRequest request) throws RefusedException, IOException, InterruptedException {
         services.retries().requested(request.service().name());
-        UpstreamSender sender = new UpstreamSender(services, caller, request, log);
+        UpstreamCalls calls = new UpstreamCalls(services, caller, request);
+        UpstreamSender sender = new UpstreamSender(services, caller, request, calls, log);
+        EngineSender engines = new EngineSender(services, caller, calls, log);
         Set<UpstreamId> tried = new HashSet<>();
+        Optional<HandOver> handOver = prefill(request, engines);
         int sends = 0;
         boolean mayHaveRun = false;
-        while (true) {
-            Optional<Placement.Choice> choice = place(request, tried);
-            if (choice.isEmpty()) {
-                throw new RefusedException(
-                        mayHaveRun
-                                ? Refusal.mayHaveRun("no_other_upstream")
-                                : Refusal.notRun("no_upstream", jittered(RETRY_WITHOUT_UPSTREAM)));
-            }
-            tried.add(choice.get().candidate().entry().id());
-            sends++;
-            SendOutcome outcome = sender.send(choice.get());
-            mayHaveRun |= outcome instanceof SendOutcome.Unknown;
-            if (finished(request, sender, outcome, sends, mayHaveRun)) {
-                return;
+        try {
+            while (true) {
+                Placement.Decision.Send choice = place(request, tried, handOver, mayHaveRun);
+                tried.add(choice.candidate().entry().id());
+                sends++;
+                SendOutcome outcome = sender.send(choice, handOver);
+                if (handOver.isPresent() && outcome instanceof SendOutcome.NotRun && mayReadAgain(request)) {
+                    // The KV cache could not be fetched; the same engine reads the prompt itself.
+                    engines.free(handOver.get());
+                    handOver = Optional.empty();
+                    outcome = sender.send(choice, handOver);
+                }
+                if (!(outcome instanceof SendOutcome.NotRun)) {
+                    handOver = Optional.empty();
+                }
+                mayHaveRun |= outcome instanceof SendOutcome.Unknown;
+                if (finished(request, sender, outcome, sends, mayHaveRun)) {
+                    return;
+                }
             }
+        } finally {
+            handOver.ifPresent(engines::free);
+        }
+    }
+
+    /** Has a long prompt read where a prefill engine can do so in time. */
+    private Optional<HandOver> prefill(AdmittedRequest request, EngineSender engines)
+            throws RefusedException, InterruptedException {
+        Placement.Demand demand = demand(request);
+        if (request.service().engine().isEmpty() || !EnginePlacement.isLongPrompt(demand)) {
+            return Optional.empty();
         }
+        return switch (services.engines().decidePrefill(demand, candidates(request, Set.of()))) {
+            case Placement.Decision.Send send -> engines.prefill(send);
+            case Placement.Decision.Full full -> throw full(full);
+            case Placement.Decision.Nobody nobody -> Optional.empty();
+        };
     }
 
     /** Ends the request if nothing more is to be tried; otherwise the caller sends it to another upstream. */
@@ -183,24 +210,59 @@
         }
     }
 
+    private boolean mayReadAgain(AdmittedRequest request) {
+        return remaining(request).toMillis() > 0
+                && services.retries().tryTake(request.service().name());
+    }
+
     private boolean mayRepeat(AdmittedRequest request, int sends) {
         return sends < request.route().attempts()
                 && services.retries().tryTake(request.service().name());
     }
 
-    private Optional<Placement.Choice> place(AdmittedRequest request, Set<UpstreamId> tried) {
-        List<ReplicaEntry> untried = new ArrayList<>();
-        for (ReplicaEntry entry :
-                services.replicas().accepting(request.service().name())) {
-            boolean canDecode = request.service().engine().isEmpty()
-                    || entry.stage() != io.banyantally.deployment.EngineStage.PREFILL;
-            if (canDecode && !tried.contains(entry.id())) {
-                untried.add(entry);
-            }
+    private Placement.Decision.Send place(
+            AdmittedRequest request, Set<UpstreamId> tried, Optional<HandOver> handOver, boolean mayHaveRun)
+            throws RefusedException {
+        List<Candidate> candidates = candidates(request, tried);
+        Placement.Decision decision = request.service().engine().isPresent()
+                ? services.engines()
+                        .decideDecode(
+                                demand(request),
+                                candidates,
+                                handOver.map(HandOver::engine).map(ReplicaEntry::zone))
+                : services.plain().decide(demand(request), candidates);
+        if (decision instanceof Placement.Decision.Send send) {
+            return send;
+        }
+        if (mayHaveRun) {
+            throw new RefusedException(Refusal.mayHaveRun("no_other_upstream"));
         }
-        List<Candidate> candidates = services.tracks().candidates(untried);
-        Placement placement = request.service().engine().isPresent() ? services.engines() : services.plain();
-        return placement.choose(request.facts().prompt(), candidates);
+        if (decision instanceof Placement.Decision.Full full) {
+            throw full(full);
+        }
+        throw new RefusedException(Refusal.notRun("no_upstream", jittered(RETRY_WITHOUT_UPSTREAM)));
+    }
+
+    private RefusedException full(Placement.Decision.Full full) {
+        log.add("wait_ms", (long) full.waitMillis());
+        return new RefusedException(Refusal.notRun("full", full.retryAfter()));
+    }
+
+    private List<Candidate> candidates(AdmittedRequest request, Set<UpstreamId> tried) {
+        List<ReplicaEntry> untried = services
+                .replicas()
+                .accepting(request.service().name())
+                .stream()
+                .filter(entry -> !tried.contains(entry.id()))
+                .toList();
+        return services.tracks().candidates(untried);
+    }
+
+    private Placement.Demand demand(AdmittedRequest request) {
+        return new Placement.Demand(
+                request.facts().prompt(),
+                request.route().latencyTarget(),
+                Duration.ofNanos(services.clock().nanoTime() - log.arrived()));
     }
 
     private Duration remaining(AdmittedRequest request) {
@@ -227,9 +289,4 @@
     private static Duration jittered(Duration shortest) {
         return shortest.plusMillis(ThreadLocalRandom.current().nextLong(shortest.toMillis() + 1));
     }
-
-    /** Returns whether the route's requests are answered with events. */
-    static boolean isStream(RouteRule route) {
-        return route.kind() == RequestKind.STREAMING;
-    }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
@@ -6,6 +6,7 @@
 import io.banyantally.internal.deployment.ConfigurationHolder;
 import io.banyantally.internal.deployment.ReplicaRegistry;
 import io.banyantally.internal.duty.UsageLedger;
+import io.banyantally.internal.placement.EnginePlacement;
 import io.banyantally.internal.placement.Placement;
 import io.banyantally.internal.placement.RetryAllowance;
 import io.banyantally.internal.placement.UpstreamTracks;
@@ -21,7 +22,7 @@
         ConfigurationHolder configuration,
         ReplicaRegistry replicas,
         UpstreamTracks tracks,
-        Placement engines,
+        EnginePlacement engines,
         Placement plain,
         RetryAllowance retries,
         RequestDialect dialect,
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -1,12 +1,11 @@
 package io.banyantally.internal.forwarding;
 
 import io.banyantally.deployment.AnswerFacts;
-import io.banyantally.deployment.PromptFacts;
+import io.banyantally.deployment.EngineStage;
+import io.banyantally.deployment.HandOver;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.RequestKind;
-import io.banyantally.deployment.UpstreamSend;
 import io.banyantally.internal.adapter.ExchangeException;
-import io.banyantally.internal.adapter.HttpCall;
 import io.banyantally.internal.adapter.HttpExchange;
 import io.banyantally.internal.adapter.NothingSentException;
 import io.banyantally.internal.placement.Placement;
@@ -40,20 +39,24 @@
     private final ForwardingServices services;
     private final CallerExchange caller;
     private final AdmittedRequest request;
+    private final UpstreamCalls calls;
     private final RequestLog log;
-    private final int promptTokens;
     private Optional<OutputStream> answer = Optional.empty();
     private OptionalLong lastEvent;
     private boolean counted;
     private int sends;
 
-    UpstreamSender(ForwardingServices services, CallerExchange caller, AdmittedRequest request, RequestLog log) {
+    UpstreamSender(
+            ForwardingServices services,
+            CallerExchange caller,
+            AdmittedRequest request,
+            UpstreamCalls calls,
+            RequestLog log) {
         this.services = services;
         this.caller = caller;
         this.request = request;
+        this.calls = calls;
         this.log = log;
-        this.promptTokens =
-                request.facts().prompt().map(PromptFacts::promptTokens).orElse(0);
         this.lastEvent = request.facts().lastEvent();
     }
 
@@ -63,24 +66,26 @@
     }
 
     /** Sends the request to the chosen upstream and waits for the end of the answer. */
-    SendOutcome send(Placement.Choice choice) throws InterruptedException {
+    SendOutcome send(Placement.Decision.Send choice, Optional<HandOver> handOver) throws InterruptedException {
         ReplicaEntry upstream = choice.candidate().entry();
         UpstreamTrack track = services.tracks().of(upstream);
         sends++;
         long began = services.clock().nanoTime();
-        track.sent(promptTokens);
+        track.sent(choice.work());
         SendOutcome outcome;
         try {
-            outcome = exchange(upstream, track);
+            outcome = exchange(upstream, track, handOver);
         } finally {
-            track.ended(promptTokens);
+            track.ended(choice.work());
             caller.clearWhenGone();
         }
         judge(track, upstream, outcome);
         log.add("upstream" + sends, upstream.id());
         log.add(
                 "placed" + sends,
-                choice.reason() + String.format(Locale.ROOT, ":%.1f", choice.costMillis()) + ":own="
+                choice.reason()
+                        + String.format(Locale.ROOT, ":wait_ms=%.1f:work_ms=%.1f", choice.waitMillis(), choice.work())
+                        + ":own="
                         + choice.candidate().outstanding() + ":load_age_ms="
                         + TimeUnit.NANOSECONDS.toMillis(choice.candidate().loadAgeNanos()));
         log.add(
@@ -123,13 +128,14 @@
         services.tracks().failed(track, services.replicas().accepting(upstream.service()), reason);
     }
 
-    private SendOutcome exchange(ReplicaEntry upstream, UpstreamTrack track) throws InterruptedException {
-        Duration remaining =
-                Duration.ofNanos(request.deadline() - services.clock().nanoTime());
-        if (remaining.toMillis() <= 0) {
+    private SendOutcome exchange(ReplicaEntry upstream, UpstreamTrack track, Optional<HandOver> handOver)
+            throws InterruptedException {
+        Duration remaining = calls.remaining();
+        if (!remaining.isPositive()) {
             return new SendOutcome.NotRun("no_time_left");
         }
-        try (HttpExchange exchange = services.client().prepare(call(upstream, remaining))) {
+        try (HttpExchange exchange =
+                services.client().prepare(calls.call(upstream, remaining, handOver, EngineStage.NONE))) {
             if (request.route().kind() != RequestKind.NON_IDEMPOTENT) {
                 caller.whenGone(exchange::close);
             }
@@ -144,25 +150,6 @@
         }
     }
 
-    private HttpCall call(ReplicaEntry upstream, Duration remaining) {
-        UpstreamSend send = new UpstreamSend(
-                remaining,
-                upstream.id(),
-                request.account(),
-                request.urgency(),
-                hasDelivered() ? lastEvent : OptionalLong.empty());
-        boolean ownConnection = request.route().kind() == RequestKind.NON_IDEMPOTENT;
-        return new HttpCall(
-                upstream.address(),
-                caller.method(),
-                caller.target(),
-                services.dialect().upstreamHeaders(request.headers(), send),
-                request.body(),
-                ownConnection,
-                remaining,
-                () -> true);
-    }
-
     private SendOutcome receive(HttpExchange exchange, UpstreamTrack track) throws InterruptedException {
         int status = exchange.status();
         List<HeaderField> headers = exchange.headers();
@@ -237,6 +224,7 @@
                 if (whole.isPresent()) {
                     deliver(status, headers, whole.get());
                     lastEvent = events.lastEvent();
+                    calls.resumeAfter(lastEvent);
                 }
             }
             if (events.takeRest().length > 0) {
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
@@ -0,0 +1,200 @@
+package io.banyantally.internal.placement;
+
+import io.banyantally.deployment.EngineStage;
+import io.banyantally.deployment.PromptFacts;
+import io.banyantally.deployment.PromptPart;
+import io.banyantally.deployment.ReportedLoad;
+import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.UpstreamId;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import java.util.zip.CRC32C;
+
+/**
+ * Chooses the engine that reads a prompt and the engine that generates its answer, or refuses.
+ *
+ * <p>Answers two loads that swing against each other.
+ *
+ * <ul>
+ *   <li>Long prompts with short outputs, of which two thirds are shared by a session. They are read by prefill engines, at
+ *       twice the rate of others and without stretching the steps of running generations. Each session has a home engine
+ *       by rendezvous hashing, on which all VMs agree without a message, since one engine caches only a part of all
+ *       sessions. A home whose queue exceeds what reading the session elsewhere costs is passed over for the next engines
+ *       of the hash, so that all VMs spill a session to the same place.
+ *   <li>Short prompts with long outputs. They go straight to a decoding engine.
+ * </ul>
+ *
+ * <p>While prompts arrive faster than all engines read, a queue longer than the latency target makes every answer late. A
+ * request that would wait so long is refused at once, which keeps the queue at the length where engines never idle and
+ * answers are in time. The limit is on the wait and not on the request's own reading, so that long prompts are not starved.
+ */
+public final class EnginePlacement {
+
+    /** Prompt tokens that a prefill engine reads in a millisecond. */
+    static final double PREFILL_TOKENS_PER_MILLI = 514;
+
+    /** A decoding engine reads at half of the rate, between the tokens of other requests. */
+    static final double DECODE_TOKENS_PER_MILLI = PREFILL_TOKENS_PER_MILLI / 2;
+
+    /** Shorter prompts are read by the decoding engine: a second call costs more than their reading. */
+    static final int SHORTEST_PREFILL_TOKENS = 1024;
+
+    /** Engines after the home that take a session's overflow. */
+    static final int SPILL_ENGINES = 2;
+
+    /** The part of the latency target for wait and reading; the rest is the first event's tokens and the network. */
+    static final double TARGET_PART = 0.5;
+
+    /** The part of the latency target that a request may wait however long its own reading takes. */
+    static final double WAIT_PART = 0.3;
+
+    /** Reported loads are used up to this age; they change with every request. */
+    static final Duration LOAD_VALIDITY = Duration.ofMillis(300);
+
+    /** Memory goes to an engine of another zone at half the speed and up to three times the price. */
+    static final double OTHER_ZONE_PENALTY = 0.25;
+
+    /** The weight of a request in the moving average of reading times. */
+    private static final double AVERAGE_WEIGHT = 0.02;
+
+    /** The reading time of a request before any was seen, in milliseconds. */
+    private static final double FIRST_AVERAGE_MILLIS = 8;
+
+    /** Refused callers return over this span, so that they do not come back together. */
+    private static final int RETRY_SPREAD_MILLIS = 250;
+
+    /** Breaks ties between engines of equal load. */
+    private static final double TIE_BREAK = 0.01;
+
+    private final RandomGenerator random;
+    private double averageReading = FIRST_AVERAGE_MILLIS;
+
+    /** Creates the policy with a source for tie breaks and for the spread of returning callers. */
+    public EnginePlacement(RandomGenerator random) {
+        this.random = random;
+    }
+
+    /** Returns whether a prompt is worth a call to a prefill engine. */
+    public static boolean isLongPrompt(Placement.Demand demand) {
+        return demand.prompt().isPresent() && demand.prompt().get().promptTokens() >= SHORTEST_PREFILL_TOKENS;
+    }
+
+    /** Chooses the prefill engine of a long prompt. */
+    public synchronized Placement.Decision decidePrefill(Placement.Demand demand, List<Candidate> candidates) {
+        List<Candidate> engines = usable(candidates, EngineStage.PREFILL);
+        if (engines.isEmpty()) {
+            return new Placement.Decision.Nobody();
+        }
+        Placement.Decision.Send best = cheapest(demand, engines);
+        averageReading += (best.work() - averageReading) * AVERAGE_WEIGHT;
+        double limit = longestWait(demand, best.work());
+        if (best.waitMillis() > limit) {
+            long delay = (long) (best.waitMillis() - limit) + random.nextInt(RETRY_SPREAD_MILLIS);
+            return new Placement.Decision.Full(best.waitMillis(), Duration.ofMillis(delay));
+        }
+        return best;
+    }
+
+    /** Chooses the engine that generates the answer; {@code memory} is the zone of the KV cache of the prompt, if any. */
+    public synchronized Placement.Decision decideDecode(
+            Placement.Demand demand, List<Candidate> candidates, Optional<AvailabilityZone> memory) {
+        List<Candidate> engines = usable(candidates, EngineStage.DECODE);
+        if (engines.isEmpty()) {
+            return new Placement.Decision.Nobody();
+        }
+        Candidate least = engines.stream()
+                .min(Comparator.comparingDouble(engine -> occupancy(engine)
+                        + (memory.isPresent()
+                                        && !memory.get().equals(engine.entry().zone())
+                                ? OTHER_ZONE_PENALTY
+                                : 0)
+                        + random.nextDouble() * TIE_BREAK))
+                .orElseThrow();
+        return new Placement.Decision.Send(
+                least, occupancy(least), 0, memory.isPresent() ? "after_prefill" : "least_loaded");
+    }
+
+    private static List<Candidate> usable(List<Candidate> candidates, EngineStage stage) {
+        List<Candidate> ofStage = candidates.stream()
+                .filter(candidate -> candidate.entry().stage() == stage
+                        || (stage == EngineStage.DECODE && candidate.entry().stage() == EngineStage.NONE))
+                .toList();
+        List<Candidate> trusted = ofStage.stream().filter(Candidate::trusted).toList();
+        return trusted.isEmpty() ? ofStage : trusted;
+    }
+
+    private Placement.Decision.Send cheapest(Placement.Demand demand, List<Candidate> engines) {
+        String session = demand.prompt().map(EnginePlacement::sessionOf).orElse("");
+        List<Candidate> ranked = engines.stream()
+                .sorted(Comparator.comparingLong((Candidate engine) ->
+                                weight(session, engine.entry().id()))
+                        .reversed())
+                .limit(1L + SPILL_ENGINES)
+                .toList();
+        Placement.Decision.Send best = null;
+        for (int rank = 0; rank < ranked.size(); rank++) {
+            Candidate engine = ranked.get(rank);
+            Placement.Decision.Send choice = new Placement.Decision.Send(
+                    engine, waitMillis(engine), reading(demand.prompt(), rank), rank == 0 ? "home" : "spilled");
+            if (best == null || choice.waitMillis() + choice.work() < best.waitMillis() + best.work()) {
+                best = choice;
+            }
+        }
+        return best;
+    }
+
+    private static double longestWait(Placement.Demand demand, double work) {
+        double target = demand.latencyTarget().toMillis();
+        return Math.max(WAIT_PART * target, TARGET_PART * target - work);
+    }
+
+    /** Returns how long the prompts that are at an engine keep it busy, as far as this process can know. */
+    private double waitMillis(Candidate engine) {
+        return engine.outstandingWork() + others(engine) * averageReading;
+    }
+
+    /** Returns the part of an engine's slots that is taken. */
+    private static double occupancy(Candidate engine) {
+        return (engine.outstanding() + others(engine)) / engine.entry().slots();
+    }
+
+    /** Returns how many requests of other VMs are at an engine; what was reported counts less the older it is. */
+    private static double others(Candidate engine) {
+        if (engine.loadAgeNanos() >= LOAD_VALIDITY.toNanos() || engine.load().isEmpty()) {
+            return 0;
+        }
+        ReportedLoad load = engine.load().get();
+        double fresh = 1 - engine.loadAgeNanos() / (double) LOAD_VALIDITY.toNanos();
+        return Math.max(0, load.running() + load.waiting() - engine.outstandingAtLoad()) * fresh;
+    }
+
+    /** Returns the last part of a prompt that other requests share. */
+    static String sessionOf(PromptFacts prompt) {
+        List<PromptPart> parts = prompt.parts();
+        return parts.isEmpty() ? "" : parts.get(Math.max(0, parts.size() - 2)).id();
+    }
+
+    private static double reading(Optional<PromptFacts> prompt, int rank) {
+        if (prompt.isEmpty()) {
+            return FIRST_AVERAGE_MILLIS;
+        }
+        List<PromptPart> parts = prompt.get().parts();
+        int own =
+                parts.isEmpty() ? prompt.get().promptTokens() : parts.getLast().tokens();
+        int session =
+                parts.size() < 2 || rank == 0 ? 0 : parts.get(parts.size() - 2).tokens();
+        return (own + session) / PREFILL_TOKENS_PER_MILLI;
+    }
+
+    private static long weight(String session, UpstreamId engine) {
+        CRC32C checksum = new CRC32C();
+        checksum.update((session + "/" + engine.value()).getBytes(StandardCharsets.UTF_8));
+        // A checksum is linear, so names that differ in one place would give related orders without the mixing.
+        long mixed = checksum.getValue() * 0x9E3779B97F4A7C15L;
+        return (mixed ^ (mixed >>> 29)) >>> 1;
+    }
+}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
@@ -1,6 +1,5 @@
 package io.banyantally.internal.placement;
 
-import io.banyantally.deployment.PromptFacts;
 import io.banyantally.deployment.ReportedLoad;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -30,15 +29,16 @@
     }
 
     @Override
-    public Optional<Choice> choose(Optional<PromptFacts> prompt, List<Candidate> candidates) {
+    public Decision decide(Demand demand, List<Candidate> candidates) {
         List<Candidate> shuffled = new ArrayList<>(candidates);
         for (int last = shuffled.size() - 1; last > 0; last--) {
             Collections.swap(shuffled, last, random.nextInt(last + 1));
         }
-        return shuffled.stream()
+        Optional<Candidate> least = shuffled.stream()
                 .min(Comparator.comparing((Candidate candidate) -> !candidate.trusted())
-                        .thenComparingDouble(LeastLoadedPlacement::load))
-                .map(chosen -> new Choice(chosen, load(chosen), "least_loaded"));
+                        .thenComparingDouble(LeastLoadedPlacement::load));
+        return least.<Decision>map(chosen -> new Decision.Send(chosen, 0, 1, "least_loaded"))
+                .orElseGet(Decision.Nobody::new);
     }
 
     private static double load(Candidate candidate) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/Placement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/Placement.java
@@ -1,25 +1,46 @@
 package io.banyantally.internal.placement;
 
 import io.banyantally.deployment.PromptFacts;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
-/** Chooses the upstream of a request. */
+/** Chooses the upstream of a request, or decides that none can serve it in time. */
 @FunctionalInterface
 public interface Placement {
 
-    /**
-     * Chooses among candidates that have not been tried.
-     *
-     * @return the choice; empty if no candidate can take the request
-     */
-    Optional<Choice> choose(Optional<PromptFacts> prompt, List<Candidate> candidates);
+    /** Decides on a request; the candidates are those that have not been tried. */
+    Decision decide(Demand demand, List<Candidate> candidates);
 
     /**
-     * A chosen upstream.
+     * What a request asks for.
      *
-     * @param costMillis what the request is expected to wait there before its answer begins
-     * @param reason the input that decided
+     * @param latencyTarget the time within which its answer should begin
+     * @param elapsed the time since it arrived
      */
-    record Choice(Candidate candidate, double costMillis, String reason) {}
+    record Demand(Optional<PromptFacts> prompt, Duration latencyTarget, Duration elapsed) {}
+
+    /** What was decided. */
+    sealed interface Decision {
+
+        /**
+         * Send the request.
+         *
+         * @param waitMillis the expected time until the upstream begins with it
+         * @param work the time that it keeps the upstream busy, in milliseconds
+         * @param reason the input that decided
+         */
+        record Send(Candidate candidate, double waitMillis, double work, String reason) implements Decision {}
+
+        /**
+         * Refuse the request, since it would wait too long everywhere.
+         *
+         * @param waitMillis the shortest expected wait
+         * @param retryAfter when there should be room
+         */
+        record Full(double waitMillis, Duration retryAfter) implements Decision {}
+
+        /** There is no upstream. */
+        record Nobody() implements Decision {}
+    }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
@@ -17,7 +17,8 @@
     private final ReplicaEntry entry;
     private final Health health = new Health();
     private int outstanding;
-    private long outstandingTokens;
+    private double outstandingWork;
+    private int outstandingAtLoad;
     private Optional<ReportedLoad> load = Optional.empty();
     private long loadAt;
     private double failureShare;
@@ -36,22 +37,23 @@
         return health;
     }
 
-    /** Counts a request that is sent. */
-    public synchronized void sent(int promptTokens) {
+    /** Counts a request that is sent and keeps the upstream busy for {@code work} milliseconds. */
+    public synchronized void sent(double work) {
         outstanding++;
-        outstandingTokens += promptTokens;
+        outstandingWork += work;
         health.sent();
     }
 
     /** Counts the end of a request, whatever it was. */
-    public synchronized void ended(int promptTokens) {
+    public synchronized void ended(double work) {
         outstanding--;
-        outstandingTokens -= promptTokens;
+        outstandingWork = outstanding == 0 ? 0 : outstandingWork - work;
     }
 
     /** Notes the load that came with an answer. */
     public synchronized void reported(ReportedLoad reported, long now) {
         load = Optional.of(reported);
+        outstandingAtLoad = outstanding;
         loadAt = now;
     }
 
@@ -75,6 +77,7 @@
 
     /** Returns what placement decides by. */
     public synchronized Candidate candidate(long now) {
-        return new Candidate(entry, outstanding, outstandingTokens, load, now - loadAt, health.accepts(now));
+        return new Candidate(
+                entry, outstanding, outstandingWork, load, outstandingAtLoad, now - loadAt, health.accepts(now));
     }
 }
