Exchange the work at engines between VMs

Cause: prefill engines do not report their queue and a VM sees a sixth of it, so all VMs filled the queues before one noticed. Change: WorkExchange tells each peer the requests and the work at each upstream every 20 ms; waits are limited alike for long and short prompts; refused sends do not count against attempts; a report waits for the counts of a VM that is cut off; only one upstream that cannot be reclaimed stays.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -21,9 +21,12 @@
 import io.banyantally.internal.duty.UsageLedger;
 import io.banyantally.internal.duty.UsagePublisher;
 import io.banyantally.internal.duty.UsageReporter;
+import io.banyantally.internal.exchange.WorkExchange;
 import io.banyantally.internal.forwarding.ForwardingServices;
 import io.banyantally.internal.forwarding.GatewayServer;
 import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.peer.Peer;
+import io.banyantally.internal.peer.TcpPeerNetwork;
 import io.banyantally.internal.placement.EnginePlacement;
 import io.banyantally.internal.placement.LeastLoadedPlacement;
 import io.banyantally.internal.placement.RetryAllowance;
@@ -33,14 +36,17 @@
 import io.banyantally.internal.time.Sleeper;
 import io.banyantally.internal.time.WallClock;
 import io.banyantally.internal.timeline.EventField;
+import io.banyantally.model.Incarnation;
+import io.banyantally.model.VmId;
 import io.banyantally.platform.DutyHolder;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * One process of the gateway: it forwards callers' requests to upstreams by the operator's configuration, and takes its
@@ -60,6 +66,9 @@
     private static final HttpClientSettings UPSTREAM_CLIENT =
             new HttpClientSettings(Duration.ofMillis(400), Duration.ofMillis(1500), 32);
 
+    /** Tells gateways from other daemons that speak the same protocol between VMs. */
+    private static final String PEER_SITE = "gateway";
+
     private static final Duration UPKEEP_INTERVAL = Duration.ofMillis(200);
     private static final Duration PROBE_INTERVAL = Duration.ofMillis(60);
 
@@ -77,14 +86,16 @@
     private final UsagePublisher usagePublisher;
     private final AdapterHttpClient client;
     private final GatewayServer server;
+    private final TcpPeerNetwork peers;
+    private final WorkExchange exchange;
     private final PeriodicTasks tasks = new PeriodicTasks();
     private volatile boolean draining;
 
     Gateway(GatewaySettings settings, GatewayPlatform platform) {
         this.settings = settings;
         this.platform = platform;
-        String lifetime =
-                Long.toHexString(ThreadLocalRandom.current().nextLong()).toLowerCase(Locale.ROOT);
+        Incarnation incarnation = Incarnation.draw();
+        String lifetime = incarnation.toString();
         WallClock wallClock = WallClock.system();
         DocumentReader documents = platform.documents();
         RequestDialect dialect = platform.dialect();
@@ -94,8 +105,14 @@
         usagePublisher = new UsagePublisher(platform.store(), usage, health, settings.vm(), lifetime);
         duties = new DutyLease(
                 platform.store(), members, health, wallClock, settings.vm(), lifetime, settings.dutyTimeToLive());
-        MemberEntry own = new MemberEntry(settings.vm(), settings.zone(), settings.callersText());
+        MemberEntry own = new MemberEntry(settings.vm(), settings.zone(), settings.callersText(), settings.peersText());
         presence = new MemberPresence(platform.store(), own, health);
+        peers = new TcpPeerNetwork(
+                new Peer(settings.vm(), incarnation, settings.zone()),
+                PEER_SITE,
+                settings.peers(),
+                MonotonicClock.SYSTEM);
+        exchange = new WorkExchange(settings.vm(), peers, tracks, MonotonicClock.SYSTEM, metrics);
         client = AdapterHttpClient.start(UPSTREAM_CLIENT);
         LeastLoadedPlacement balanced = new LeastLoadedPlacement(new SplittableRandom());
         RetryAllowance retries = new RetryAllowance(
@@ -129,6 +146,7 @@
         follow(platform.keys().replicaPrefix(), replicas);
         follow(OwnKeys.LIVE_PREFIX, members);
         try {
+            peers.start();
             server.start();
         } catch (IOException failure) {
             throw new StartFailedException(failure.getMessage(), failure);
@@ -136,6 +154,7 @@
         tasks.start("presence", MemberPresence.RENEWAL_INTERVAL, this::keepPresence);
         tasks.start("usage", UsagePublisher.INTERVAL, usagePublisher::publish);
         tasks.startWithJitter("duty-lease", DutyLease.INTERVAL, duties::refresh);
+        tasks.start("work-exchange", WorkExchange.interval(), exchange::exchange);
         tasks.start("upkeep", UPKEEP_INTERVAL, this::upkeep);
         tasks.start("probe-callers", PROBE_INTERVAL, server::probeCallers);
         startDuties();
@@ -191,6 +210,14 @@
     private void upkeep() {
         replicas.dropLapsed();
         tracks.retain(replicas.all());
+        Map<VmId, InetSocketAddress> known = new HashMap<>();
+        members.members().forEach(member -> known.put(member.vm(), address(member.peers())));
+        peers.setKnownPeers(known);
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
 
     /** Returns whether this VM takes callers. */
@@ -233,10 +260,19 @@
         tasks.stop();
         server.stop();
         client.close();
+        closePeers();
         LOG.info("stopped", EventField.of("requests_cut", server.openRequests()));
         return empty;
     }
 
+    private void closePeers() {
+        try {
+            peers.close();
+        } catch (IOException failure) {
+            LOG.error("peers_not_closed", failure);
+        }
+    }
+
     /** A step that may wait. */
     @FunctionalInterface
     private interface Step<T> {
--- a/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
+++ b/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
@@ -10,6 +10,7 @@
  * The settings of one gateway process.
  *
  * @param callers where callers connect
+ * @param peers where other VMs connect
  * @param usageWindow the length of a usage window
  * @param usageDueTime how long after its end a window is reported at the latest
  * @param dutyTimeToLive how long the duties stay with a holder that no longer renews them
@@ -23,6 +24,7 @@
         VmId vm,
         AvailabilityZone zone,
         InetSocketAddress callers,
+        InetSocketAddress peers,
         Duration usageWindow,
         Duration usageDueTime,
         Duration dutyTimeToLive,
@@ -49,7 +51,16 @@
 
     /** Returns where callers connect, as {@code address:port}. */
     public String callersText() {
-        return callers.getAddress().getHostAddress() + ":" + callers.getPort();
+        return text(callers);
+    }
+
+    /** Returns where other VMs connect, as {@code address:port}. */
+    String peersText() {
+        return text(peers);
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
     Duration stopMargin() {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberEntry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberEntry.java
@@ -7,5 +7,6 @@
  * What a VM publishes of itself.
  *
  * @param callers where callers connect, as {@code address:port}
+ * @param peers where other VMs connect, as {@code address:port}
  */
-public record MemberEntry(VmId vm, AvailabilityZone zone, String callers) {}
+public record MemberEntry(VmId vm, AvailabilityZone zone, String callers, String peers) {}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetTargets.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetTargets.java
@@ -12,8 +12,8 @@
  *
  * <p>Answers the load of long prompts whose mix swings within seconds: an upstream that is ordered takes longer to start
  * than a swing lasts, so the capacity has to be there before. Reclaimable upstreams cost a fraction of the others, and
- * spreading them over all zones bounds what one reclaim takes away. One upstream that cannot be reclaimed stays in each
- * zone where the service's bounds ask for one.
+ * spreading them over all zones bounds what one reclaim takes away. One upstream that cannot be reclaimed stays in the
+ * zone where it costs least, so that a reclaim of all zones leaves one.
  */
 public final class FleetTargets {
 
@@ -27,7 +27,7 @@
                         .thenComparing(Map.Entry.comparingByKey(Comparator.comparing(AvailabilityZone::value))))
                 .toList();
         for (Map.Entry<AvailabilityZone, Double> zone : zones) {
-            int steady = rule.cheapPrice().isPresent() ? Math.max(rule.minimum(), 1) : rule.maximum();
+            int steady = rule.cheapPrice().isEmpty() ? rule.maximum() : zone.equals(zones.getFirst()) ? 1 : 0;
             int cheap = rule.cheapPrice().isPresent() ? Math.max(rule.maximum() - steady, 0) : 0;
             targets.add(new FleetTarget(zone.getKey(), true, cheap));
             targets.add(new FleetTarget(zone.getKey(), false, Math.min(steady, rule.maximum())));
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageLedger.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageLedger.java
@@ -53,6 +53,6 @@
 
     /** Returns the counts of the windows kept. */
     public synchronized WindowCounts snapshot() {
-        return new WindowCounts(windows);
+        return new WindowCounts(currentWindow(), windows);
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
@@ -22,6 +22,7 @@
     private final StoreHealth health;
     private final StoreKey key;
     private long publishedChanges;
+    private long publishedIn;
 
     /** Creates a publisher for one lifetime of a process. */
     public UsagePublisher(CoordinationStore store, UsageLedger ledger, StoreHealth health, VmId vm, String lifetime) {
@@ -31,15 +32,17 @@
         this.key = OwnKeys.usageCounts(vm, lifetime);
     }
 
-    /** Writes the counts if there are new ones. */
+    /** Writes the counts if there are new ones, or if a window has ended since. */
     public synchronized void publish() {
         long changes = ledger.changes();
-        if (changes == publishedChanges) {
+        long window = ledger.currentWindow();
+        if (changes == publishedChanges && window == publishedIn) {
             return;
         }
         try {
             store.apply(StoreTransaction.put(key, WireFormat.encode(ledger.snapshot()), Optional.empty()));
             publishedChanges = changes;
+            publishedIn = window;
             health.answered();
         } catch (StoreException failure) {
             // The next round writes all counts again.
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageReporter.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageReporter.java
@@ -39,6 +39,9 @@
     /** From the end of a window until all VMs have published their counts of it: one interval and two calls. */
     static final Duration SETTLE_TIME = UsagePublisher.INTERVAL.plusMillis(900);
 
+    /** Left of the time in which a window is due when the counts of a silent VM are no longer waited for. */
+    static final Duration REPORT_MARGIN = Duration.ofMillis(2200);
+
     /** Sealed windows and counts of ended processes are deleted after this time. */
     static final Duration RETENTION = Duration.ofSeconds(60);
 
@@ -78,7 +81,9 @@
             StoreListing listing = store.list(OwnKeys.USAGE_PREFIX);
             health.answered();
             for (long window : open) {
-                report(holder, window, listing);
+                if (isComplete(window, listing)) {
+                    report(holder, window, listing);
+                }
             }
         } catch (StoreException failure) {
             health.failed("gather usage", failure);
@@ -96,6 +101,18 @@
         return open;
     }
 
+    /** Returns whether all VMs have published their final counts, or it is too late to wait for one that is cut off. */
+    private boolean isComplete(long window, StoreListing listing) {
+        if (ledger.sinceEnd(window).compareTo(dueTime.minus(REPORT_MARGIN)) >= 0
+                || alreadySealed(window, listing).isPresent()) {
+            return true;
+        }
+        return listing.items().stream()
+                .map(UsageReporter::counts)
+                .flatMap(Optional::stream)
+                .noneMatch(counts -> counts.writtenIn() <= window && counts.writtenIn() >= window - 1);
+    }
+
     private void report(DutyHolder holder, long window, StoreListing listing)
             throws StoreException, InterruptedException {
         SealedCounts sealed =
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/WindowCounts.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/WindowCounts.java
@@ -4,8 +4,12 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Requests that began to run, by usage window and client account. */
-public record WindowCounts(Map<Long, Map<ClientAccountId, Long>> byWindow) {
+/**
+ * Requests that began to run, by usage window and client account.
+ *
+ * @param writtenIn the window in which the counts were written; those of earlier windows are final
+ */
+public record WindowCounts(long writtenIn, Map<Long, Map<ClientAccountId, Long>> byWindow) {
 
     /** Copies the counts. */
     public WindowCounts {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EngineSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EngineSender.java
@@ -27,6 +27,9 @@
     /** The time for a call that frees a handle nobody takes; the engine frees it by itself a little later. */
     private static final Duration FREE_TIME = Duration.ofMillis(500);
 
+    /** What a call takes beside waiting and reading: two ways and the work of this process. */
+    private static final double CALL_MILLIS = 5;
+
     private final ForwardingServices services;
     private final CallerExchange caller;
     private final UpstreamCalls calls;
@@ -44,7 +47,7 @@
         ReplicaEntry engine = choice.candidate().entry();
         UpstreamTrack track = services.tracks().of(engine);
         long began = services.clock().nanoTime();
-        track.sent(choice.work());
+        track.sent(choice.work(), began);
         String result = "no_time_left";
         try {
             Duration remaining = calls.remaining();
@@ -61,10 +64,13 @@
                     if (reply.status() == OK) {
                         PrefillAnswer answer = services.dialect().readPrefill(reply.body());
                         services.tracks().succeeded(track);
+                        noteWait(track, began, choice.work());
                         result = "read";
                         return Optional.of(new HandOver(engine, answer.handle()));
                     }
                 }
+                services.retries().count(engine.service());
+                track.refused(services.clock().nanoTime());
                 track.health().released();
             }
         } catch (NothingSentException unsent) {
@@ -72,6 +78,7 @@
             services.tracks().failed(track, services.replicas().accepting(engine.service()), result);
         } catch (ExchangeException failure) {
             result = "no_answer";
+            services.retries().count(engine.service());
             if (!caller.isGone() && calls.remaining().isPositive()) {
                 services.tracks().failed(track, services.replicas().accepting(engine.service()), result);
             } else {
@@ -81,7 +88,7 @@
             result = "unreadable_answer";
             services.tracks().failed(track, services.replicas().accepting(engine.service()), result);
         } finally {
-            track.ended(choice.work());
+            track.ended(choice.work(), began);
             caller.clearWhenGone();
             log.add("prefill", engine.id());
             log.add(
@@ -99,6 +106,11 @@
         return Optional.empty();
     }
 
+    private void noteWait(UpstreamTrack track, long began, double work) {
+        long now = services.clock().nanoTime();
+        track.waited(TimeUnit.NANOSECONDS.toMillis(now - began) - work - CALL_MILLIS, now);
+    }
+
     /** Frees the KV cache of a prompt that nobody will take. */
     void free(HandOver handOver) {
         log.add("prefill_freed", handOver.engine().id());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -38,6 +38,9 @@
     /** When a caller may return to a service without upstreams. */
     private static final Duration RETRY_WITHOUT_UPSTREAM = Duration.ofMillis(400);
 
+    /** Upstreams that may refuse a request before its caller is told to return later. */
+    private static final int MOST_REFUSALS = 2;
+
     private final ForwardingServices services;
     private final CallerExchange caller;
     private final RequestLog log;
@@ -124,6 +127,7 @@
         Set<UpstreamId> tried = new HashSet<>();
         Optional<HandOver> handOver = prefill(request, engines);
         int sends = 0;
+        int refusals = 0;
         boolean mayHaveRun = false;
         try {
             while (true) {
@@ -131,17 +135,21 @@
                 tried.add(choice.candidate().entry().id());
                 sends++;
                 SendOutcome outcome = sender.send(choice, handOver);
-                if (handOver.isPresent() && outcome instanceof SendOutcome.NotRun && mayReadAgain(request)) {
-                    // The KV cache could not be fetched; the same engine reads the prompt itself.
-                    engines.free(handOver.get());
-                    handOver = Optional.empty();
-                    outcome = sender.send(choice, handOver);
-                }
-                if (!(outcome instanceof SendOutcome.NotRun)) {
+                if (outcome instanceof SendOutcome.NotRun) {
+                    // A refused send has not run anywhere, so it does not count against the route's attempts.
+                    sends--;
+                    refusals++;
+                    if (refusals > 1) {
+                        // Twice refused with the handle: the KV cache may be gone, so it is read again.
+                        handOver.ifPresent(engines::free);
+                        handOver = Optional.empty();
+                    }
+                } else {
                     handOver = Optional.empty();
                 }
                 mayHaveRun |= outcome instanceof SendOutcome.Unknown;
-                if (finished(request, sender, outcome, sends, mayHaveRun)) {
+                boolean mayRepeat = sends < request.route().attempts() && refusals <= MOST_REFUSALS;
+                if (finished(request, sender, outcome, mayRepeat, mayHaveRun)) {
                     return;
                 }
             }
@@ -166,7 +174,7 @@
 
     /** Ends the request if nothing more is to be tried; otherwise the caller sends it to another upstream. */
     private boolean finished(
-            AdmittedRequest request, UpstreamSender sender, SendOutcome outcome, int sends, boolean mayHaveRun)
+            AdmittedRequest request, UpstreamSender sender, SendOutcome outcome, boolean sendsLeft, boolean mayHaveRun)
             throws RefusedException, IOException {
         boolean timeLeft = remaining(request).toMillis() > 0;
         switch (outcome) {
@@ -177,7 +185,7 @@
             case SendOutcome.CallerGone left -> throw new IOException("the caller has left: " + left.reason());
             case SendOutcome.Answered answer -> {
                 boolean failed = answer.status() >= 500;
-                if (failed && timeLeft && request.route().isRepeatable() && mayRepeat(request, sends)) {
+                if (failed && timeLeft && request.route().isRepeatable() && mayRepeat(request, sendsLeft)) {
                     return false;
                 }
                 caller.answer(answer.status(), services.dialect().callerHeaders(answer.headers()), answer.body());
@@ -185,7 +193,7 @@
                 return true;
             }
             case SendOutcome.NotRun refused -> {
-                if (timeLeft && mayRepeat(request, sends)) {
+                if (timeLeft && mayRepeat(request, sendsLeft)) {
                     return false;
                 }
                 log.add("detail", refused.reason());
@@ -198,7 +206,7 @@
                                 : Refusal.notRun("upstream_refused", jittered(RETRY_WHEN_FULL)));
             }
             case SendOutcome.Unknown lost -> {
-                if (timeLeft && request.route().isRepeatable() && mayRepeat(request, sends)) {
+                if (timeLeft && request.route().isRepeatable() && mayRepeat(request, sendsLeft)) {
                     return false;
                 }
                 log.add("detail", lost.reason());
@@ -210,14 +218,8 @@
         }
     }
 
-    private boolean mayReadAgain(AdmittedRequest request) {
-        return remaining(request).toMillis() > 0
-                && services.retries().tryTake(request.service().name());
-    }
-
-    private boolean mayRepeat(AdmittedRequest request, int sends) {
-        return sends < request.route().attempts()
-                && services.retries().tryTake(request.service().name());
+    private boolean mayRepeat(AdmittedRequest request, boolean sendsLeft) {
+        return sendsLeft && services.retries().tryTake(request.service().name());
     }
 
     private Placement.Decision.Send place(
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -71,12 +71,12 @@
         UpstreamTrack track = services.tracks().of(upstream);
         sends++;
         long began = services.clock().nanoTime();
-        track.sent(choice.work());
+        track.sent(choice.work(), began);
         SendOutcome outcome;
         try {
             outcome = exchange(upstream, track, handOver);
         } finally {
-            track.ended(choice.work());
+            track.ended(choice.work(), began);
             caller.clearWhenGone();
         }
         judge(track, upstream, outcome);
@@ -117,6 +117,7 @@
                 if (refused.reason().equals("not_connected") || refused.reason().equals("other_instance")) {
                     failed(track, upstream, refused.reason());
                 } else {
+                    track.refused(services.clock().nanoTime());
                     track.health().released();
                 }
             }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
@@ -46,10 +46,10 @@
     /** Engines after the home that take a session's overflow. */
     static final int SPILL_ENGINES = 2;
 
-    /** The part of the latency target for wait and reading; the rest is the first event's tokens and the network. */
-    static final double TARGET_PART = 0.5;
-
-    /** The part of the latency target that a request may wait however long its own reading takes. */
+    /**
+     * The part of the latency target that a request may wait before its prompt is read; the rest is its reading, the first
+     * event's tokens and the network. The request's own reading does not count, so that long prompts are not starved.
+     */
     static final double WAIT_PART = 0.3;
 
     /** Reported loads are used up to this age; they change with every request. */
@@ -58,11 +58,8 @@
     /** Memory goes to an engine of another zone at half the speed and up to three times the price. */
     static final double OTHER_ZONE_PENALTY = 0.25;
 
-    /** The weight of a request in the moving average of reading times. */
-    private static final double AVERAGE_WEIGHT = 0.02;
-
-    /** The reading time of a request before any was seen, in milliseconds. */
-    private static final double FIRST_AVERAGE_MILLIS = 8;
+    /** The reading time of a prompt of unknown size, in milliseconds. */
+    private static final double UNKNOWN_READING_MILLIS = 8;
 
     /** Refused callers return over this span, so that they do not come back together. */
     private static final int RETRY_SPREAD_MILLIS = 250;
@@ -71,7 +68,6 @@
     private static final double TIE_BREAK = 0.01;
 
     private final RandomGenerator random;
-    private double averageReading = FIRST_AVERAGE_MILLIS;
 
     /** Creates the policy with a source for tie breaks and for the spread of returning callers. */
     public EnginePlacement(RandomGenerator random) {
@@ -90,8 +86,7 @@
             return new Placement.Decision.Nobody();
         }
         Placement.Decision.Send best = cheapest(demand, engines);
-        averageReading += (best.work() - averageReading) * AVERAGE_WEIGHT;
-        double limit = longestWait(demand, best.work());
+        double limit = longestWait(demand);
         if (best.waitMillis() > limit) {
             long delay = (long) (best.waitMillis() - limit) + random.nextInt(RETRY_SPREAD_MILLIS);
             return new Placement.Decision.Full(best.waitMillis(), Duration.ofMillis(delay));
@@ -124,7 +119,9 @@
                         || (stage == EngineStage.DECODE && candidate.entry().stage() == EngineStage.NONE))
                 .toList();
         List<Candidate> trusted = ofStage.stream().filter(Candidate::trusted).toList();
-        return trusted.isEmpty() ? ofStage : trusted;
+        List<Candidate> willing =
+                trusted.stream().filter(candidate -> !candidate.refusing()).toList();
+        return !willing.isEmpty() ? willing : trusted.isEmpty() ? ofStage : trusted;
     }
 
     private Placement.Decision.Send cheapest(Placement.Demand demand, List<Candidate> engines) {
@@ -147,19 +144,19 @@
         return best;
     }
 
-    private static double longestWait(Placement.Demand demand, double work) {
-        double target = demand.latencyTarget().toMillis();
-        return Math.max(WAIT_PART * target, TARGET_PART * target - work);
+    private static double longestWait(Placement.Demand demand) {
+        return WAIT_PART * demand.latencyTarget().toMillis();
     }
 
     /** Returns how long the prompts that are at an engine keep it busy, as far as this process can know. */
     private double waitMillis(Candidate engine) {
-        return engine.outstandingWork() + others(engine) * averageReading;
+        return Math.max(engine.observedWait(), engine.outstandingWork() + engine.peerWork());
     }
 
     /** Returns the part of an engine's slots that is taken. */
     private static double occupancy(Candidate engine) {
-        return (engine.outstanding() + others(engine)) / engine.entry().slots();
+        return (engine.outstanding() + Math.max(engine.peerRequests(), others(engine)))
+                / engine.entry().slots();
     }
 
     /** Returns how many requests of other VMs are at an engine; what was reported counts less the older it is. */
@@ -180,7 +177,7 @@
 
     private static double reading(Optional<PromptFacts> prompt, int rank) {
         if (prompt.isEmpty()) {
-            return FIRST_AVERAGE_MILLIS;
+            return UNKNOWN_READING_MILLIS;
         }
         List<PromptPart> parts = prompt.get().parts();
         int own =
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
@@ -36,17 +36,18 @@
         }
         Optional<Candidate> least = shuffled.stream()
                 .min(Comparator.comparing((Candidate candidate) -> !candidate.trusted())
+                        .thenComparing(Candidate::refusing)
                         .thenComparingDouble(LeastLoadedPlacement::load));
         return least.<Decision>map(chosen -> new Decision.Send(chosen, 0, 1, "least_loaded"))
                 .orElseGet(Decision.Nobody::new);
     }
 
     private static double load(Candidate candidate) {
-        double others = 0;
+        double others = candidate.peerRequests();
         if (candidate.loadAgeNanos() < LOAD_VALIDITY.toNanos()
                 && candidate.load().isPresent()) {
             ReportedLoad load = candidate.load().get();
-            others = Math.max(0, load.running() + load.waiting() - candidate.outstanding());
+            others = Math.max(others, load.running() + load.waiting() - candidate.outstandingAtLoad());
         }
         return (candidate.outstanding() + others) / candidate.entry().slots();
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/RetryAllowance.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/RetryAllowance.java
@@ -53,6 +53,11 @@
         return true;
     }
 
+    /** Counts a repeat that has been sent already, such as a call for which no allowance was asked. */
+    public synchronized void count(ServiceName service) {
+        window(service).repeats.addLast(clock.nanoTime());
+    }
+
     private Window window(ServiceName service) {
         return windows.computeIfAbsent(service, name -> new Window());
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
@@ -3,6 +3,12 @@
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.ReportedLoad;
 import io.banyantally.internal.routing.Health;
+import io.banyantally.model.VmId;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
 /** What this process has seen of one upstream: its own requests there, the last reported load, and failures. */
@@ -14,14 +20,31 @@
     /** An upstream that fails a larger share of its requests is ejected although single requests succeed. */
     private static final double FAILURE_SHARE_TO_EJECT = 0.3;
 
+    /** An upstream that has refused a request is avoided this long; a queue or an order takes some time. */
+    private static final Duration REFUSAL_TIME = Duration.ofMillis(150);
+
+    /** How fast a queue is taken to become shorter while others may still add to it, in milliseconds a millisecond. */
+    private static final double DRAIN_RATE = 1.0;
+
+    /** What a peer said is used this long; a peer that is silent longer is cut off or dead. */
+    private static final Duration PEER_VALIDITY = Duration.ofMillis(500);
+
+    private static final double NANOS_PER_MILLI = 1_000_000;
+
     private final ReplicaEntry entry;
     private final Health health = new Health();
+    private final Deque<Long> sentAt = new ArrayDeque<>();
+    private final Map<VmId, PeerWork> peers = new HashMap<>();
     private int outstanding;
     private double outstandingWork;
     private int outstandingAtLoad;
     private Optional<ReportedLoad> load = Optional.empty();
     private long loadAt;
     private double failureShare;
+    private double measuredWait;
+    private long measuredAt;
+    private long refusedAt;
+    private boolean everRefused;
 
     UpstreamTrack(ReplicaEntry entry) {
         this.entry = entry;
@@ -38,16 +61,30 @@
     }
 
     /** Counts a request that is sent and keeps the upstream busy for {@code work} milliseconds. */
-    public synchronized void sent(double work) {
+    public synchronized void sent(double work, long now) {
         outstanding++;
         outstandingWork += work;
+        sentAt.addLast(now);
         health.sent();
     }
 
     /** Counts the end of a request, whatever it was. */
-    public synchronized void ended(double work) {
+    public synchronized void ended(double work, long sent) {
         outstanding--;
         outstandingWork = outstanding == 0 ? 0 : outstandingWork - work;
+        sentAt.remove(sent);
+    }
+
+    /** Notes how long a request waited for the upstream before it was worked on, in milliseconds. */
+    public synchronized void waited(double millis, long now) {
+        measuredWait = Math.max(0, millis);
+        measuredAt = now;
+    }
+
+    /** Notes that the upstream refused a request without running it. */
+    public synchronized void refused(long now) {
+        refusedAt = now;
+        everRefused = true;
     }
 
     /** Notes the load that came with an answer. */
@@ -75,9 +112,55 @@
         health.eject(now);
     }
 
+    /** Notes the work that another VM has at the upstream. */
+    public synchronized void peerHas(VmId peer, int requests, double millis, long now) {
+        peers.put(peer, new PeerWork(requests, millis, now));
+    }
+
+    /** Returns the work that this process has at the upstream. */
+    public synchronized OwnWork ownWork() {
+        return new OwnWork(outstanding, outstandingWork);
+    }
+
     /** Returns what placement decides by. */
     public synchronized Candidate candidate(long now) {
+        boolean refusing = everRefused && now - refusedAt < REFUSAL_TIME.toNanos();
+        int peerRequests = 0;
+        double peerWork = 0;
+        for (PeerWork work : peers.values()) {
+            if (now - work.at() < PEER_VALIDITY.toNanos()) {
+                peerRequests += work.requests();
+                peerWork += work.millis();
+            }
+        }
         return new Candidate(
-                entry, outstanding, outstandingWork, load, outstandingAtLoad, now - loadAt, health.accepts(now));
+                entry,
+                outstanding,
+                outstandingWork,
+                peerRequests,
+                peerWork,
+                load,
+                outstandingAtLoad,
+                now - loadAt,
+                observedWait(now),
+                refusing,
+                health.accepts(now));
     }
+
+    /**
+     * Returns how long requests wait at least: as long as the oldest one that has no answer, or as long as the last one
+     * that got through, less a part of the time since, in which the queue may have become shorter.
+     */
+    private double observedWait(long now) {
+        double sinceMeasured = (now - measuredAt) / NANOS_PER_MILLI;
+        double remaining = Math.max(0, measuredWait - sinceMeasured * DRAIN_RATE);
+        Long oldest = sentAt.peekFirst();
+        double oldestWait = oldest == null ? 0 : (now - oldest) / NANOS_PER_MILLI - outstandingWork;
+        return Math.max(remaining, oldestWait);
+    }
+
+    /** The requests of this process at the upstream and the time that they keep it busy, in milliseconds. */
+    public record OwnWork(int requests, double millis) {}
+
+    private record PeerWork(int requests, double millis, long at) {}
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTracks.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTracks.java
@@ -4,8 +4,8 @@
 import io.banyantally.internal.logging.EventLog;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.timeline.EventField;
-import io.banyantally.model.ServiceName;
 import io.banyantally.model.UpstreamId;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -69,21 +69,17 @@
         }
     }
 
+    /** Returns the tracks of all upstreams. */
+    public Collection<UpstreamTrack> all() {
+        return List.copyOf(tracks.values());
+    }
+
     /** Forgets upstreams that are no longer known. */
     public void retain(List<ReplicaEntry> known) {
         List<UpstreamId> ids = known.stream().map(ReplicaEntry::id).toList();
         tracks.keySet().retainAll(ids);
     }
 
-    /** Returns how many requests of this process run at a service. */
-    public int outstanding(ServiceName service) {
-        long now = clock.nanoTime();
-        return tracks.values().stream()
-                .filter(track -> track.entry().service().equals(service))
-                .mapToInt(track -> track.candidate(now).outstanding())
-                .sum();
-    }
-
     private static boolean isSameLifetime(ReplicaEntry former, ReplicaEntry present) {
         return former.address().equals(present.address()) && former.bornMillis().equals(present.bornMillis());
     }
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ConfigurationHolderTest.java
@@ -0,0 +1,103 @@
+package io.banyantally.internal.deployment;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.banyantally.deployment.DeploymentConfiguration;
+import io.banyantally.deployment.DocumentReader;
+import io.banyantally.deployment.ReplicaEntry;
+import io.banyantally.deployment.RequestKind;
+import io.banyantally.deployment.UnreadableDocumentException;
+import io.banyantally.platform.StoreException;
+import io.banyantally.platform.StoreKey;
+import io.banyantally.testing.Deployments;
+import io.banyantally.testing.FakeCoordinationStore;
+import io.banyantally.testing.ManualClock;
+import io.banyantally.testing.StoreFeed;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+final class ConfigurationHolderTest {
+
+    private static final String KEY = "operator/configuration";
+
+    private final FakeCoordinationStore store = new FakeCoordinationStore(new ManualClock());
+    private final ConfigurationHolder holder = new ConfigurationHolder(new StoreKey(KEY), new VersionOnly());
+    private final StoreFeed feed = new StoreFeed(store, KEY, holder);
+
+    /** Guards against a VM that answers requests before it knows any routes. */
+    @Test
+    void hasNoConfigurationUntilOneIsRead() throws StoreException {
+        feed.deliver();
+
+        assertTrue(holder.current().isEmpty());
+    }
+
+    /** Guards against a configuration that reverts when an old version is read late. */
+    @Test
+    void neverReturnsToAnOlderVersion() throws StoreException {
+        write("7");
+        write("3");
+
+        assertEquals(7, holder.current().orElseThrow().version());
+    }
+
+    /** Guards against a document that cannot be read taking the routes away. */
+    @Test
+    void keepsTheVersionInForceWhenADocumentIsUnreadable() throws StoreException {
+        write("7");
+        write("not a version");
+
+        assertEquals(7, holder.current().orElseThrow().version());
+    }
+
+    /** Guards against a deleted document taking the routes away. */
+    @Test
+    void keepsTheVersionInForceWhenTheDocumentIsDeleted() throws StoreException {
+        write("7");
+        store.delete(KEY);
+        feed.deliver();
+        feed.listAgain();
+
+        assertEquals(7, holder.current().orElseThrow().version());
+    }
+
+    /** Guards against a shorter prefix that takes the requests of a longer one. */
+    @Test
+    void longestPrefixOfThePathIsTheRoute() {
+        ActiveConfiguration active = new ActiveConfiguration(Deployments.configuration(
+                1,
+                Deployments.route("/a/", RequestKind.IDEMPOTENT, 1, Duration.ofSeconds(1)),
+                Deployments.route("/a/b/", RequestKind.NON_IDEMPOTENT, 1, Duration.ofSeconds(1))));
+
+        assertEquals(
+                "/a/b/", active.route("host.example", "/a/b/c").orElseThrow().prefix());
+        assertEquals(
+                "/a/", active.route("HOST.example:80", "/a/bc").orElseThrow().prefix());
+        assertFalse(active.route("host.example", "/b/").isPresent());
+        assertFalse(active.route("other.example", "/a/").isPresent());
+    }
+
+    private void write(String version) throws StoreException {
+        store.write(KEY, version.getBytes(StandardCharsets.UTF_8));
+        feed.deliver();
+    }
+
+    private static final class VersionOnly implements DocumentReader {
+        @Override
+        public DeploymentConfiguration configuration(byte[] document) throws UnreadableDocumentException {
+            try {
+                return Deployments.configuration(Long.parseLong(new String(document, StandardCharsets.UTF_8)));
+            } catch (NumberFormatException malformed) {
+                throw new UnreadableDocumentException("not a version", malformed);
+            }
+        }
+
+        @Override
+        public ReplicaEntry replica(StoreKey key, byte[] document) throws UnreadableDocumentException {
+            throw new UnreadableDocumentException("not used");
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryTest.java
@@ -0,0 +1,147 @@
+package io.banyantally.internal.deployment;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.banyantally.deployment.DeploymentConfiguration;
+import io.banyantally.deployment.DocumentReader;
+import io.banyantally.deployment.EngineStage;
+import io.banyantally.deployment.ReplicaEntry;
+import io.banyantally.deployment.UnreadableDocumentException;
+import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.UpstreamId;
+import io.banyantally.platform.StoreException;
+import io.banyantally.platform.StoreKey;
+import io.banyantally.platform.StoreUnavailableException;
+import io.banyantally.testing.Deployments;
+import io.banyantally.testing.FakeCoordinationStore;
+import io.banyantally.testing.ManualClock;
+import io.banyantally.testing.StoreFeed;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+
+final class ReplicaRegistryTest {
+
+    private static final String PREFIX = "upstreams/";
+
+    private final ManualClock clock = new ManualClock();
+    private final FakeCoordinationStore store = new FakeCoordinationStore(clock);
+    private final StoreHealth health = new StoreHealth(clock);
+    private final ReplicaRegistry registry = new ReplicaRegistry(new StateOnly(), health, clock);
+    private final StoreFeed feed = new StoreFeed(store, PREFIX, registry);
+
+    /** Guards against new work for an upstream that leaves. */
+    @Test
+    void drainingUpstreamTakesNoWork() throws StoreException {
+        write("a", "ready");
+        write("a", "draining");
+
+        assertEquals(List.of(), accepting());
+    }
+
+    /** Guards against new work for an upstream that left without saying so. */
+    @Test
+    void removedUpstreamIsDroppedAtOnceWhileTheStoreAnswers() throws StoreException {
+        write("a", "ready");
+        store.delete(PREFIX + "a");
+        feed.deliver();
+
+        assertEquals(List.of(), accepting());
+    }
+
+    /** Guards against a service without upstreams after an outage in which their entries lapsed. */
+    @Test
+    void lapsedUpstreamStaysInUseForAShortTimeAfterAnOutage() throws StoreException {
+        write("a", "ready");
+        outage();
+        store.delete(PREFIX + "a");
+        health.answered();
+        feed.listAgain();
+        assertEquals(List.of("a"), accepting());
+
+        clock.advance(ReplicaRegistry.LAPSE_GRACE);
+        registry.dropLapsed();
+        assertEquals(List.of(), accepting());
+    }
+
+    /** Guards against dropping an upstream that is back before its grace ends. */
+    @Test
+    void upstreamThatReturnsAfterAnOutageStays() throws StoreException {
+        write("a", "ready");
+        outage();
+        store.delete(PREFIX + "a");
+        health.answered();
+        feed.listAgain();
+        write("a", "ready");
+
+        clock.advance(ReplicaRegistry.LAPSE_GRACE);
+        registry.dropLapsed();
+
+        assertEquals(List.of("a"), accepting());
+    }
+
+    /** Guards against new work for an upstream that was leaving when its entry lapsed with the store. */
+    @Test
+    void leavingUpstreamGetsNoGrace() throws StoreException {
+        write("a", "draining");
+        outage();
+        store.delete(PREFIX + "a");
+        health.answered();
+        feed.listAgain();
+
+        assertEquals(0, registry.all().size());
+    }
+
+    /** Guards against an entry of another writer that takes all upstreams away. */
+    @Test
+    void unreadableEntryNamesNoUpstreamAndTheOthersHold() throws StoreException {
+        write("a", "ready");
+        write("b", "some other text");
+        write("a", "ready");
+
+        assertEquals(List.of("a"), accepting());
+    }
+
+    private void outage() {
+        health.failed("list", new StoreUnavailableException("down"));
+    }
+
+    private void write(String id, String state) throws StoreException {
+        store.write(PREFIX + id, state.getBytes(StandardCharsets.UTF_8));
+        feed.deliver();
+    }
+
+    private List<String> accepting() {
+        return registry.accepting(Deployments.PLAIN).stream()
+                .map(entry -> entry.id().value())
+                .toList();
+    }
+
+    private static final class StateOnly implements DocumentReader {
+        @Override
+        public DeploymentConfiguration configuration(byte[] document) throws UnreadableDocumentException {
+            throw new UnreadableDocumentException("not used");
+        }
+
+        @Override
+        public ReplicaEntry replica(StoreKey key, byte[] document) throws UnreadableDocumentException {
+            String state = new String(document, StandardCharsets.UTF_8);
+            if (!state.equals("ready") && !state.equals("draining")) {
+                throw new UnreadableDocumentException("state is " + state);
+            }
+            return new ReplicaEntry(
+                    new UpstreamId(key.path().substring(PREFIX.length())),
+                    Deployments.PLAIN,
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+                    new AvailabilityZone("zone-a"),
+                    6,
+                    state.equals("draining"),
+                    EngineStage.NONE,
+                    false,
+                    OptionalLong.empty());
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/forwarding/EventAssemblerTest.java
@@ -0,0 +1,58 @@
+package io.banyantally.internal.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+final class EventAssemblerTest {
+
+    private static final String STREAM = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 13\r\ndata: c\r\n\r\n";
+
+    /** Guards against an event that is passed on in part and then repeated by another upstream. */
+    @Test
+    void keepsBackTheStartOfAnEvent() {
+        EventAssembler assembler = new EventAssembler(OptionalLong.empty());
+        byte[] bytes = "id: 1\ndata: a\n\nid: 2\nda".getBytes(StandardCharsets.UTF_8);
+
+        assertEquals(
+                "id: 1\ndata: a\n\n", text(assembler.add(bytes, bytes.length).orElseThrow()));
+        assertEquals(OptionalLong.of(1), assembler.lastEvent());
+        assertEquals("id: 2\nda", text(assembler.takeRest()));
+    }
+
+    /** Guards against bytes that are lost, changed or reordered however the network cuts the stream. */
+    @Property
+    void passesOnEveryByteOnce(@ForAll @IntRange(min = 1, max = 20) int size) {
+        EventAssembler assembler = new EventAssembler(OptionalLong.empty());
+        StringBuilder passedOn = new StringBuilder();
+        byte[] all = STREAM.getBytes(StandardCharsets.UTF_8);
+        for (int at = 0; at < all.length; at += size) {
+            byte[] piece = java.util.Arrays.copyOfRange(all, at, Math.min(all.length, at + size));
+            assembler.add(piece, piece.length).ifPresent(events -> passedOn.append(text(events)));
+        }
+
+        assertEquals(STREAM, passedOn.toString());
+        assertEquals(OptionalLong.of(13), assembler.lastEvent());
+        assertEquals(0, assembler.takeRest().length);
+    }
+
+    /** Guards against continuing a stream after an event that has no number. */
+    @Test
+    void streamWithoutNumbersHasNoLastEvent() {
+        EventAssembler assembler = new EventAssembler(OptionalLong.of(4));
+        byte[] bytes = "id: x\ndata: a\n\n".getBytes(StandardCharsets.UTF_8);
+        assembler.add(bytes, bytes.length);
+
+        assertTrue(assembler.lastEvent().isEmpty());
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/EnginePlacementLoadTest.java
@@ -0,0 +1,87 @@
+package io.banyantally.internal.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Plays the load of long prompts and checks what callers get. */
+final class EnginePlacementLoadTest {
+
+    private static final int ENGINES = 6;
+    private static final Duration LENGTH = Duration.ofSeconds(20);
+
+    /** Two thirds of what six engines read when all sessions are cached. */
+    private static final double USUAL_REQUESTS_PER_SECOND = 420;
+
+    /** More than six engines read. */
+    private static final double OVERLOAD_REQUESTS_PER_SECOND = 900;
+
+    /** Guards against refusals and late answers while the engines have room. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void usualLoadIsServedInTime(long seed) {
+        PromptLoad.Result result = homed(seed).play(USUAL_REQUESTS_PER_SECOND, LENGTH);
+
+        assertTrue(result.servedShare() > 0.97, result::toString);
+        assertTrue(result.inTimeShare() > 0.85, result::toString);
+    }
+
+    /** Guards against a queue in which every answer is late: in overload most of what is served must be in time. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void overloadIsRefusedAtOnceAndTheRestServedInTime(long seed) {
+        PromptLoad.Result result = homed(seed).play(OVERLOAD_REQUESTS_PER_SECOND, LENGTH);
+        PromptLoad.Result unlimited = unlimited(seed).play(OVERLOAD_REQUESTS_PER_SECOND, LENGTH);
+
+        assertTrue(result.inTimeShare() > 0.5 * result.servedShare(), result::toString);
+        assertTrue(result.inTimeShare() > 3 * unlimited.inTimeShare(), () -> result + "; without limit " + unlimited);
+    }
+
+    /** Guards against long prompts that are starved: they must be served at least half as often as all. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void longPromptsAreServedInOverload(long seed) {
+        PromptLoad.Result result = homed(seed).play(OVERLOAD_REQUESTS_PER_SECOND, LENGTH);
+
+        assertTrue(result.servedLargeShare() > 0.5 * result.servedShare(), result::toString);
+    }
+
+    /** Guards against sessions that are read again everywhere: homes must serve more in time than any engine at random. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void homesServeMoreInTimeThanRandomEngines(long seed) {
+        PromptLoad.Result result = homed(seed).play(USUAL_REQUESTS_PER_SECOND, LENGTH);
+        PromptLoad.Result scattered = scattered(seed).play(USUAL_REQUESTS_PER_SECOND, LENGTH);
+
+        assertEquals(0, scattered.refused());
+        assertTrue(result.inTimeShare() > scattered.inTimeShare(), () -> result + "; scattered " + scattered);
+    }
+
+    private static PromptLoad homed(long seed) {
+        return new PromptLoad(seed, ENGINES, random -> new EnginePlacement(random)::decidePrefill);
+    }
+
+    /** Homes sessions, but never refuses. */
+    private static PromptLoad unlimited(long seed) {
+        return new PromptLoad(seed, ENGINES, random -> {
+            EnginePlacement placement = new EnginePlacement(random);
+            return (demand, candidates) -> placement.decidePrefill(
+                    new Placement.Demand(demand.prompt(), Duration.ofDays(1), demand.elapsed()), candidates);
+        });
+    }
+
+    private static PromptLoad scattered(long seed) {
+        return new PromptLoad(
+                seed,
+                ENGINES,
+                random -> (demand, candidates) -> new Placement.Decision.Send(any(random, candidates), 0, 8, "random"));
+    }
+
+    private static Candidate any(Random random, java.util.List<Candidate> candidates) {
+        return candidates.get(random.nextInt(candidates.size()));
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/testing/StoreFeed.java
@@ -0,0 +1,45 @@
+package io.banyantally.testing;
+
+import io.banyantally.internal.deployment.PrefixListener;
+import io.banyantally.platform.CoordinationStore;
+import io.banyantally.platform.CoordinationStore.StoreChanges;
+import io.banyantally.platform.CoordinationStore.StoreListing;
+import io.banyantally.platform.StoreException;
+import io.banyantally.platform.StoreRevision;
+import java.time.Duration;
+import java.util.Optional;
+
+/** Brings a listener up to date when the test says so, in place of a task that watches. */
+public final class StoreFeed {
+
+    private final CoordinationStore store;
+    private final String prefix;
+    private final PrefixListener listener;
+    private Optional<StoreRevision> position = Optional.empty();
+
+    /** Creates a feed that has read nothing. */
+    public StoreFeed(CoordinationStore store, String prefix, PrefixListener listener) {
+        this.store = store;
+        this.prefix = prefix;
+        this.listener = listener;
+    }
+
+    /** Delivers all changes since the last call; the first call lists. */
+    public void deliver() throws StoreException {
+        if (position.isEmpty()) {
+            StoreListing listing = store.list(prefix);
+            listener.listed(listing);
+            position = Optional.of(listing.at());
+        } else {
+            StoreChanges changes = store.awaitChanges(prefix, position.get(), Duration.ZERO);
+            listener.changed(changes);
+            position = Optional.of(changes.at());
+        }
+    }
+
+    /** Lists again, as after a loss of history. */
+    public void listAgain() throws StoreException {
+        position = Optional.empty();
+        deliver();
+    }
+}
