Fail reset answers, overflow to decoding engines, wait only for live VMs

Ruled out: refusing every answer without a length, which the platform allows. Change: connections to receivers report a reset as a failure; a prompt that finds all prefill engines full goes to a decoding engine with few generations; the newest counts of each VM decide whether a window is complete; a renewed lease keeps its term.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -256,8 +256,8 @@
         server.closeConnections();
         Thread.sleep(settings.connectionCloseTime());
         boolean empty = server.awaitRequests(Duration.ofNanos(Math.max(0, end - System.nanoTime())));
-        usagePublisher.publish();
         tasks.stop();
+        usagePublisher.close();
         server.stop();
         client.close();
         closePeers();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -15,8 +15,10 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.UpgradeProtocolHandler;
 import org.eclipse.jetty.client.WWWAuthenticationProtocolHandler;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
@@ -55,7 +57,9 @@
         QueuedThreadPool threads = new QueuedThreadPool(settings.threads());
         threads.setName("adapter");
         threads.setDaemon(true);
-        HttpClient client = new HttpClient();
+        ClientConnector connector = new ResetAwareConnector();
+        connector.setSelectors(1);
+        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
         client.setExecutor(threads);
         client.setFollowRedirects(false);
         client.setHttpCookieStore(new HttpCookieStore.Empty());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/OwnKeys.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/OwnKeys.java
@@ -47,4 +47,10 @@
     public static boolean isSealedWindow(StoreKey key) {
         return key.path().startsWith(SEALED_PREFIX);
     }
+
+    /** Returns the name of the VM whose counts a key holds. */
+    public static String vmOfUsageCounts(StoreKey key) {
+        String path = key.path().substring(COUNTS_PREFIX.length());
+        return path.substring(0, path.indexOf('/'));
+    }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixFollower.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixFollower.java
@@ -71,6 +71,9 @@
                 LOG.info("watch_restarted", EventField.of("prefix", prefix), EventField.of("after", from.get()));
                 from = Optional.empty();
             } catch (StoreException failure) {
+                if (Thread.currentThread().isInterrupted()) {
+                    throw new InterruptedException("the follower of " + prefix + " is stopped");
+                }
                 health.failed("follow " + prefix, failure);
                 pause(RETRY_DELAY);
             }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -125,12 +125,8 @@
         try {
             store.renewLease(lease.get());
             health.answered();
-            if (clock.longestSince(term.get().renewedAt()).compareTo(timeToLive) < 0) {
-                term = Optional.of(new Term(term.get().revision(), asked));
-            } else {
-                // The key may have gone and come back under another holder while this process stood still.
-                end("renewed too late");
-            }
+            // A lease that is renewed has never ended, so its key has stayed and no other VM has held the duties.
+            term = Optional.of(new Term(term.get().revision(), asked));
         } catch (LeaseLapsedException lapsed) {
             health.answered();
             end("lapsed");
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageLedger.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageLedger.java
@@ -51,8 +51,8 @@
         return changes;
     }
 
-    /** Returns the counts of the windows kept. */
-    public synchronized WindowCounts snapshot() {
-        return new WindowCounts(currentWindow(), windows);
+    /** Returns the counts of the windows kept; {@code closed} says that no more will come. */
+    public synchronized WindowCounts snapshot(boolean closed) {
+        return new WindowCounts(currentWindow(), closed, windows);
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
@@ -34,13 +34,21 @@
 
     /** Writes the counts if there are new ones, or if a window has ended since. */
     public synchronized void publish() {
+        if (ledger.changes() != publishedChanges || ledger.currentWindow() != publishedIn) {
+            write(false);
+        }
+    }
+
+    /** Writes the last counts of this process. */
+    public synchronized void close() {
+        write(true);
+    }
+
+    private void write(boolean closed) {
         long changes = ledger.changes();
         long window = ledger.currentWindow();
-        if (changes == publishedChanges && window == publishedIn) {
-            return;
-        }
         try {
-            store.apply(StoreTransaction.put(key, WireFormat.encode(ledger.snapshot()), Optional.empty()));
+            store.apply(StoreTransaction.put(key, WireFormat.encode(ledger.snapshot(closed)), Optional.empty()));
             publishedChanges = changes;
             publishedIn = window;
             health.answered();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageReporter.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageReporter.java
@@ -101,16 +101,26 @@
         return open;
     }
 
-    /** Returns whether all VMs have published their final counts, or it is too late to wait for one that is cut off. */
+    /**
+     * Returns whether all VMs have published their final counts, or it is too late to wait for one that is cut off. A VM
+     * whose process has ended is not waited for once its next process publishes.
+     */
     private boolean isComplete(long window, StoreListing listing) {
         if (ledger.sinceEnd(window).compareTo(dueTime.minus(REPORT_MARGIN)) >= 0
                 || alreadySealed(window, listing).isPresent()) {
             return true;
         }
-        return listing.items().stream()
-                .map(UsageReporter::counts)
-                .flatMap(Optional::stream)
-                .noneMatch(counts -> counts.writtenIn() <= window && counts.writtenIn() >= window - 1);
+        Map<String, WindowCounts> newest = new HashMap<>();
+        for (StoreItem item : listing.items()) {
+            counts(item)
+                    .ifPresent(counts -> newest.merge(
+                            OwnKeys.vmOfUsageCounts(item.key()),
+                            counts,
+                            (left, right) -> left.writtenIn() >= right.writtenIn() ? left : right));
+        }
+        return newest.values().stream()
+                .noneMatch(
+                        counts -> !counts.closed() && counts.writtenIn() <= window && counts.writtenIn() >= window - 1);
     }
 
     private void report(DutyHolder holder, long window, StoreListing listing)
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/WindowCounts.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/WindowCounts.java
@@ -8,8 +8,9 @@
  * Requests that began to run, by usage window and client account.
  *
  * @param writtenIn the window in which the counts were written; those of earlier windows are final
+ * @param closed whether the process has ended, so that all counts are final
  */
-public record WindowCounts(long writtenIn, Map<Long, Map<ClientAccountId, Long>> byWindow) {
+public record WindowCounts(long writtenIn, boolean closed, Map<Long, Map<ClientAccountId, Long>> byWindow) {
 
     /** Copies the counts. */
     public WindowCounts {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -45,6 +45,7 @@
     private final CallerExchange caller;
     private final RequestLog log;
     private String routeName = "none";
+    private Optional<Placement.Decision.Send> overflow = Optional.empty();
 
     ForwardedRequest(ForwardingServices services, CallerExchange caller) {
         this.services = services;
@@ -131,7 +132,9 @@
         boolean mayHaveRun = false;
         try {
             while (true) {
-                Placement.Decision.Send choice = place(request, tried, handOver, mayHaveRun);
+                Placement.Decision.Send choice =
+                        overflow.isPresent() ? overflow.get() : place(request, tried, handOver, mayHaveRun);
+                overflow = Optional.empty();
                 tried.add(choice.candidate().entry().id());
                 sends++;
                 SendOutcome outcome = sender.send(choice, handOver);
@@ -158,6 +161,13 @@
         }
     }
 
+    private Optional<Placement.Decision.Send> overflow(AdmittedRequest request, Placement.Demand demand) {
+        return services.engines().decideOverflow(demand, candidates(request, Set.of()))
+                        instanceof Placement.Decision.Send send
+                ? Optional.of(send)
+                : Optional.empty();
+    }
+
     /** Has a long prompt read where a prefill engine can do so in time. */
     private Optional<HandOver> prefill(AdmittedRequest request, EngineSender engines)
             throws RefusedException, InterruptedException {
@@ -167,7 +177,13 @@
         }
         return switch (services.engines().decidePrefill(demand, candidates(request, Set.of()))) {
             case Placement.Decision.Send send -> engines.prefill(send);
-            case Placement.Decision.Full full -> throw full(full);
+            case Placement.Decision.Full full -> {
+                overflow = overflow(request, demand);
+                if (overflow.isEmpty()) {
+                    throw full(full);
+                }
+                yield Optional.empty();
+            }
             case Placement.Decision.Nobody nobody -> Optional.empty();
         };
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
@@ -64,6 +64,9 @@
     /** Refused callers return over this span, so that they do not come back together. */
     private static final int RETRY_SPREAD_MILLIS = 250;
 
+    /** Decoding engines with more of their slots taken read no long prompts. */
+    static final double MOST_OCCUPIED_FOR_OVERFLOW = 0.5;
+
     /** Breaks ties between engines of equal load. */
     private static final double TIE_BREAK = 0.01;
 
@@ -113,6 +116,20 @@
                 least, occupancy(least), 0, memory.isPresent() ? "after_prefill" : "least_loaded");
     }
 
+    /**
+     * Chooses a decoding engine that reads a long prompt itself while all prefill engines are full. Only engines with few
+     * generations take such prompts, since reading stretches the pauses between their events.
+     */
+    public synchronized Placement.Decision decideOverflow(Placement.Demand demand, List<Candidate> candidates) {
+        double work = reading(demand.prompt(), 0, DECODE_TOKENS_PER_MILLI);
+        Optional<Candidate> least = usable(candidates, EngineStage.DECODE).stream()
+                .filter(engine -> occupancy(engine) < MOST_OCCUPIED_FOR_OVERFLOW && queuedMillis(engine) < work)
+                .min(Comparator.comparingDouble(EnginePlacement::queuedMillis));
+        return least.<Placement.Decision>map(
+                        engine -> new Placement.Decision.Send(engine, queuedMillis(engine), work, "overflow"))
+                .orElseGet(Placement.Decision.Nobody::new);
+    }
+
     private static List<Candidate> usable(List<Candidate> candidates, EngineStage stage) {
         List<Candidate> ofStage = candidates.stream()
                 .filter(candidate -> candidate.entry().stage() == stage
@@ -136,7 +153,10 @@
         for (int rank = 0; rank < ranked.size(); rank++) {
             Candidate engine = ranked.get(rank);
             Placement.Decision.Send choice = new Placement.Decision.Send(
-                    engine, waitMillis(engine), reading(demand.prompt(), rank), rank == 0 ? "home" : "spilled");
+                    engine,
+                    waitMillis(engine),
+                    reading(demand.prompt(), rank, PREFILL_TOKENS_PER_MILLI),
+                    rank == 0 ? "home" : "spilled");
             if (best == null || choice.waitMillis() + choice.work() < best.waitMillis() + best.work()) {
                 best = choice;
             }
@@ -149,8 +169,12 @@
     }
 
     /** Returns how long the prompts that are at an engine keep it busy, as far as this process can know. */
-    private double waitMillis(Candidate engine) {
-        return Math.max(engine.observedWait(), engine.outstandingWork() + engine.peerWork());
+    private static double waitMillis(Candidate engine) {
+        return Math.max(engine.observedWait(), queuedMillis(engine));
+    }
+
+    private static double queuedMillis(Candidate engine) {
+        return engine.outstandingWork() + engine.peerWork();
     }
 
     /** Returns the part of an engine's slots that is taken. */
@@ -175,7 +199,7 @@
         return parts.isEmpty() ? "" : parts.get(Math.max(0, parts.size() - 2)).id();
     }
 
-    private static double reading(Optional<PromptFacts> prompt, int rank) {
+    private static double reading(Optional<PromptFacts> prompt, int rank, double rate) {
         if (prompt.isEmpty()) {
             return UNKNOWN_READING_MILLIS;
         }
@@ -184,7 +208,7 @@
                 parts.isEmpty() ? prompt.get().promptTokens() : parts.getLast().tokens();
         int session =
                 parts.size() < 2 || rank == 0 ? 0 : parts.get(parts.size() - 2).tokens();
-        return (own + session) / PREFILL_TOKENS_PER_MILLI;
+        return (own + session) / rate;
     }
 
     private static long weight(String session, UpstreamId engine) {
