Price prompts by attention and missing sessions, replace reclaimed upstreams

Cause: reading times were estimated at half of what engines take, an overload refused prompts while other engines had room, and a reclaim of two zones left four engines for ten seconds. Change: reading prices pairs of tokens and a part of lost sessions, the shortest queue of all engines is tried before a refusal, and others are ordered where reclaimable upstreams are sold out.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetKeeper.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetKeeper.java
@@ -9,12 +9,17 @@
 import io.banyantally.internal.logging.EventLog;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.timeline.EventField;
+import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.ServiceName;
 import io.banyantally.platform.DutyHolder;
 import io.banyantally.platform.PlatformException;
 import io.banyantally.platform.ReplicaOrdering;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 /** Orders upstreams until the fleet is what {@link FleetTargets} asks for. */
 public final class FleetKeeper {
@@ -33,6 +38,7 @@
     private final ReplicaRegistry replicas;
     private final ReplicaOrdering ordering;
     private final OrderPacing<OrderKey> pacing;
+    private final Map<ServiceName, Set<AvailabilityZone>> refusedIn = new HashMap<>();
 
     /** Creates a keeper that has ordered nothing. */
     public FleetKeeper(ReplicaRegistry replicas, ReplicaOrdering ordering, MonotonicClock clock) {
@@ -55,7 +61,7 @@
         if (running.isEmpty()) {
             return;
         }
-        List<FleetTarget> targets = FleetTargets.of(rule);
+        List<FleetTarget> targets = FleetTargets.of(rule, soldOut(service, running));
         boolean cheapAreThere = targets.stream()
                 .filter(FleetTarget::cheap)
                 .allMatch(target -> count(running, target) >= Math.min(1, target.count()));
@@ -71,6 +77,13 @@
         }
     }
 
+    /** Returns the zones that refused an order of reclaimable upstreams lately and have none. */
+    private Set<AvailabilityZone> soldOut(ServiceName service, List<ReplicaEntry> running) {
+        Set<AvailabilityZone> zones = new HashSet<>(refusedIn.getOrDefault(service, Set.of()));
+        running.stream().filter(ReplicaEntry::cheap).map(ReplicaEntry::zone).forEach(zones::remove);
+        return zones;
+    }
+
     private static int count(List<ReplicaEntry> running, FleetTarget target) {
         return (int) running.stream()
                 .filter(entry -> entry.zone().equals(target.zone()) && entry.cheap() == target.cheap())
@@ -88,6 +101,14 @@
             boolean accepted = ordering.order(holder, key.service(), target.zone(), target.cheap(), target.count());
             outcome = accepted ? "accepted" : "none_available";
             delay = accepted ? delay : SOLD_OUT_DELAY;
+            if (target.cheap()) {
+                Set<AvailabilityZone> refused = refusedIn.computeIfAbsent(key.service(), name -> new HashSet<>());
+                if (accepted) {
+                    refused.remove(target.zone());
+                } else {
+                    refused.add(target.zone());
+                }
+            }
         } catch (PlatformException failure) {
             outcome = failure.getMessage();
             delay = SOLD_OUT_DELAY;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetTargets.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetTargets.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Decides how many upstreams of a service to run in each availability zone.
@@ -19,8 +20,12 @@
 
     private FleetTargets() {}
 
-    /** Returns the orders that bring the service to its target, in the order in which they should be placed. */
-    public static List<FleetTarget> of(ScalingRule rule) {
+    /**
+     * Returns the orders that bring the service to its target, in the order in which they should be placed.
+     *
+     * @param soldOut the zones in which all reclaimable upstreams were taken away and none can be had; others replace them
+     */
+    public static List<FleetTarget> of(ScalingRule rule, Set<AvailabilityZone> soldOut) {
         List<FleetTarget> targets = new ArrayList<>();
         List<Map.Entry<AvailabilityZone, Double>> zones = rule.zonePrices().entrySet().stream()
                 .sorted(Map.Entry.<AvailabilityZone, Double>comparingByValue()
@@ -30,7 +35,8 @@
             int steady = rule.cheapPrice().isEmpty() ? rule.maximum() : zone.equals(zones.getFirst()) ? 1 : 0;
             int cheap = rule.cheapPrice().isPresent() ? Math.max(rule.maximum() - steady, 0) : 0;
             targets.add(new FleetTarget(zone.getKey(), true, cheap));
-            targets.add(new FleetTarget(zone.getKey(), false, Math.min(steady, rule.maximum())));
+            int steadyNow = soldOut.contains(zone.getKey()) ? rule.maximum() : steady;
+            targets.add(new FleetTarget(zone.getKey(), false, Math.min(steadyNow, rule.maximum())));
         }
         return targets;
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EngineSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EngineSender.java
@@ -64,7 +64,7 @@
                     if (reply.status() == OK) {
                         PrefillAnswer answer = services.dialect().readPrefill(reply.body());
                         services.tracks().succeeded(track);
-                        noteWait(track, began, choice.work());
+                        noteWait(track, began, choice);
                         result = "read";
                         return Optional.of(new HandOver(engine, answer.handle()));
                     }
@@ -106,9 +106,10 @@
         return Optional.empty();
     }
 
-    private void noteWait(UpstreamTrack track, long began, double work) {
+    private void noteWait(UpstreamTrack track, long began, Placement.Decision.Send choice) {
         long now = services.clock().nanoTime();
-        track.waited(TimeUnit.NANOSECONDS.toMillis(now - began) - work - CALL_MILLIS, now);
+        double took = TimeUnit.NANOSECONDS.toMillis(now - began) - CALL_MILLIS;
+        track.waited(took - choice.work(), now);
     }
 
     /** Frees the KV cache of a prompt that nobody will take. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
@@ -50,7 +50,7 @@
      * The part of the latency target that a request may wait before its prompt is read; the rest is its reading, the first
      * event's tokens and the network. The request's own reading does not count, so that long prompts are not starved.
      */
-    static final double WAIT_PART = 0.3;
+    static final double WAIT_PART = 0.35;
 
     /** Reported loads are used up to this age; they change with every request. */
     static final Duration LOAD_VALIDITY = Duration.ofMillis(300);
@@ -65,7 +65,13 @@
     private static final int RETRY_SPREAD_MILLIS = 250;
 
     /** Decoding engines with more of their slots taken read no long prompts. */
-    static final double MOST_OCCUPIED_FOR_OVERFLOW = 0.5;
+    static final double MOST_OCCUPIED_FOR_OVERFLOW = 0.25;
+
+    /** The part of prompts whose session is no longer cached at its home. */
+    static final double HOME_MISS_PART = 0.35;
+
+    /** What attention to one earlier token adds to the reading of a token, from the engines' sheet. */
+    static final double MILLIS_PER_PAIR = 8.08e-8;
 
     /** Breaks ties between engines of equal load. */
     private static final double TIE_BREAK = 0.01;
@@ -90,6 +96,9 @@
         }
         Placement.Decision.Send best = cheapest(demand, engines);
         double limit = longestWait(demand);
+        if (best.waitMillis() > limit) {
+            best = leastQueued(demand, engines);
+        }
         if (best.waitMillis() > limit) {
             long delay = (long) (best.waitMillis() - limit) + random.nextInt(RETRY_SPREAD_MILLIS);
             return new Placement.Decision.Full(best.waitMillis(), Duration.ofMillis(delay));
@@ -164,6 +173,15 @@
         return best;
     }
 
+    /** Returns the engine with the shortest queue, wherever the session is cached: reading it again is better than a refusal. */
+    private static Placement.Decision.Send leastQueued(Placement.Demand demand, List<Candidate> engines) {
+        Candidate least = engines.stream()
+                .min(Comparator.comparingDouble(EnginePlacement::waitMillis))
+                .orElseThrow();
+        double work = reading(demand.prompt(), 1 + SPILL_ENGINES, PREFILL_TOKENS_PER_MILLI);
+        return new Placement.Decision.Send(least, waitMillis(least), work, "any");
+    }
+
     private static double longestWait(Placement.Demand demand) {
         return WAIT_PART * demand.latencyTarget().toMillis();
     }
@@ -206,9 +224,10 @@
         List<PromptPart> parts = prompt.get().parts();
         int own =
                 parts.isEmpty() ? prompt.get().promptTokens() : parts.getLast().tokens();
-        int session =
-                parts.size() < 2 || rank == 0 ? 0 : parts.get(parts.size() - 2).tokens();
-        return (own + session) / rate;
+        int session = parts.size() < 2 ? 0 : parts.get(parts.size() - 2).tokens();
+        double unread = own + session * (rank == 0 ? HOME_MISS_PART : 1);
+        double pairs = unread * prompt.get().promptTokens();
+        return unread / rate + pairs * MILLIS_PER_PAIR;
     }
 
     private static long weight(String session, UpstreamId engine) {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/PromptLoad.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/PromptLoad.java
@@ -4,6 +4,7 @@
 import io.banyantally.deployment.PromptFacts;
 import io.banyantally.deployment.PromptPart;
 import io.banyantally.deployment.ReplicaEntry;
+import io.banyantally.model.VmId;
 import io.banyantally.testing.Deployments;
 import io.banyantally.testing.ManualClock;
 import java.time.Duration;
@@ -35,6 +36,9 @@
     private static final int CACHE_TOKENS = 783_000;
     private static final int VMS = 6;
 
+    /** How often VMs tell each other their work, and how long a message takes. */
+    private static final double EXCHANGE_MILLIS = 20;
+
     private final Random random;
     private final ManualClock clock = new ManualClock();
     private final List<Engine> engines = new ArrayList<>();
@@ -49,7 +53,7 @@
             engines.add(new Engine(Deployments.engine("engine-" + index, "zone-" + index % 3, EngineStage.PREFILL)));
         }
         for (int index = 0; index < VMS; index++) {
-            vms.add(new Vm(policies.apply(random)));
+            vms.add(new Vm(index, policies.apply(random)));
         }
     }
 
@@ -58,7 +62,13 @@
         Result result = new Result();
         double end = length.toMillis();
         double next = 0;
+        double exchange = 0;
         while (next < end) {
+            while (exchange <= next) {
+                advanceTo(exchange);
+                exchangeWork();
+                exchange += EXCHANGE_MILLIS;
+            }
             advanceTo(next);
             request(result);
             next += -Math.log(1 - random.nextDouble()) * 1000 / requestsPerSecond;
@@ -67,14 +77,19 @@
         return result;
     }
 
-    static boolean SHARED = false;
-    private UpstreamTracks sharedTracks;
-
-    private UpstreamTracks shared() {
-        if (sharedTracks == null) {
-            sharedTracks = new UpstreamTracks(clock);
+    private void exchangeWork() {
+        for (Vm speaker : vms) {
+            for (UpstreamTrack track : speaker.tracks.all()) {
+                UpstreamTrack.OwnWork own = track.ownWork();
+                for (Vm listener : vms) {
+                    if (listener != speaker) {
+                        listener.tracks
+                                .of(track.entry())
+                                .peerHas(speaker.id, own.requests(), own.millis(), clock.nanoTime());
+                    }
+                }
+            }
         }
-        return sharedTracks;
     }
 
     private void advanceTo(double time) {
@@ -185,10 +200,12 @@
     }
 
     private final class Vm {
+        private final VmId id;
         private final Policy policy;
-        private final UpstreamTracks tracks = SHARED ? shared() : new UpstreamTracks(clock);
+        private final UpstreamTracks tracks = new UpstreamTracks(clock);
 
-        Vm(Policy policy) {
+        Vm(int number, Policy policy) {
+            this.id = new VmId("vm-" + number);
             this.policy = policy;
         }
     }
