--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -86,6 +86,7 @@
     private final UsagePublisher usagePublisher;
     private final AdapterHttpClient client;
     private final GatewayServer server;
+    private final EnginePlacement engines = new EnginePlacement(new SplittableRandom());
     private final TcpPeerNetwork peers;
     private final WorkExchange exchange;
     private final PeriodicTasks tasks = new PeriodicTasks();
@@ -123,7 +124,7 @@
                 configuration,
                 replicas,
                 tracks,
-                new EnginePlacement(new SplittableRandom()),
+                engines,
                 balanced,
                 retries,
                 dialect,
@@ -169,7 +170,8 @@
     private void startDuties() {
         UsageReporter reporter =
                 new UsageReporter(platform.store(), usage, platform.usage(), health, settings.usageDueTime());
-        FleetKeeper fleet = new FleetKeeper(replicas, platform.replicaOrdering(), MonotonicClock.SYSTEM);
+        FleetKeeper fleet =
+                new FleetKeeper(replicas, platform.replicaOrdering(), engines::refusedShare, MonotonicClock.SYSTEM);
         StageKeeper stages = new StageKeeper(replicas, platform.stageOrdering(), MonotonicClock.SYSTEM);
         tasks.start("usage-reports", UsageReporter.INTERVAL, () -> onDuty(reporter::run));
         tasks.start(
@@ -256,13 +258,19 @@
         server.closeConnections();
         Thread.sleep(settings.connectionCloseTime());
         boolean empty = server.awaitRequests(Duration.ofNanos(Math.max(0, end - System.nanoTime())));
+        stop();
+        LOG.info("stopped", EventField.of("requests_cut", server.openRequests()));
+        return empty;
+    }
+
+    /** Stops at once; requests that still run are cut. */
+    public void stop() {
+        draining = true;
         tasks.stop();
         usagePublisher.close();
         server.stop();
         client.close();
         closePeers();
-        LOG.info("stopped", EventField.of("requests_cut", server.openRequests()));
-        return empty;
     }
 
     private void closePeers() {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -7,7 +7,6 @@
 import java.io.InterruptedIOException;
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -55,8 +54,6 @@
             response = listener.get(call.timeLimit().toMillis(), TimeUnit.MILLISECONDS);
         } catch (ExecutionException failure) {
             throw failed("failed", failure.getCause());
-        } catch (CancellationException givenUp) {
-            throw failed("given up by another task", givenUp);
         } catch (TimeoutException failure) {
             abort(failure);
             throw failed("no answer in time", failure);
@@ -147,7 +144,7 @@
     @Override
     public void close() {
         if (!whole) {
-            abort(new CancellationException(call + " was given up"));
+            abort(new IOException(call + " was given up"));
         }
         if (connection != null) {
             connection.close();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetKeeper.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetKeeper.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 
 /** Orders upstreams until the fleet is what {@link FleetTargets} asks for. */
 public final class FleetKeeper {
@@ -33,15 +34,22 @@
     /** Between orders for a zone that has none to give; each call is paid. */
     static final Duration SOLD_OUT_DELAY = Duration.ofSeconds(4);
 
+    /** The share of refused prompts from which other upstreams replace those that were reclaimed. */
+    static final double REFUSED_SHARE_TO_REPLACE = 0.05;
+
     private static final EventLog LOG = EventLog.of(FleetKeeper.class);
 
     private final ReplicaRegistry replicas;
     private final ReplicaOrdering ordering;
     private final OrderPacing<OrderKey> pacing;
+    private final DoubleSupplier refusedShare;
     private final Map<ServiceName, Set<AvailabilityZone>> refusedIn = new HashMap<>();
+    private final Map<ServiceName, Set<AvailabilityZone>> replacedIn = new HashMap<>();
 
     /** Creates a keeper that has ordered nothing. */
-    public FleetKeeper(ReplicaRegistry replicas, ReplicaOrdering ordering, MonotonicClock clock) {
+    public FleetKeeper(
+            ReplicaRegistry replicas, ReplicaOrdering ordering, DoubleSupplier refusedShare, MonotonicClock clock) {
+        this.refusedShare = refusedShare;
         this.replicas = replicas;
         this.ordering = ordering;
         this.pacing = new OrderPacing<>(clock);
@@ -61,15 +69,12 @@
         if (running.isEmpty()) {
             return;
         }
-        List<FleetTarget> targets = FleetTargets.of(rule, soldOut(service, running));
-        boolean cheapAreThere = targets.stream()
-                .filter(FleetTarget::cheap)
-                .allMatch(target -> count(running, target) >= Math.min(1, target.count()));
+        List<FleetTarget> targets = FleetTargets.of(rule, replaced(service, running));
         for (FleetTarget target : targets) {
             int present = count(running, target);
             // Upstreams are given back only when their cheaper substitutes serve.
-            boolean wanted =
-                    present < target.count() || (present > target.count() && (target.cheap() || cheapAreThere));
+            boolean wanted = present < target.count()
+                    || (present > target.count() && (target.cheap() || hasSubstitutes(running, target, targets)));
             OrderKey key = new OrderKey(service, target);
             if (wanted && pacing.isDue(key)) {
                 order(holder, key, rule, present);
@@ -77,11 +82,28 @@
         }
     }
 
-    /** Returns the zones that refused an order of reclaimable upstreams lately and have none. */
-    private Set<AvailabilityZone> soldOut(ServiceName service, List<ReplicaEntry> running) {
-        Set<AvailabilityZone> zones = new HashSet<>(refusedIn.getOrDefault(service, Set.of()));
-        running.stream().filter(ReplicaEntry::cheap).map(ReplicaEntry::zone).forEach(zones::remove);
-        return zones;
+    /**
+     * Returns the zones in which others replace reclaimable upstreams: those that have none to give and have lost all of
+     * theirs, from the moment at which requests are refused until reclaimable ones are back.
+     */
+    private Set<AvailabilityZone> replaced(ServiceName service, List<ReplicaEntry> running) {
+        Set<AvailabilityZone> soldOut = new HashSet<>(refusedIn.getOrDefault(service, Set.of()));
+        running.stream().filter(ReplicaEntry::cheap).map(ReplicaEntry::zone).forEach(soldOut::remove);
+        Set<AvailabilityZone> replaced = replacedIn.computeIfAbsent(service, name -> new HashSet<>());
+        replaced.retainAll(soldOut);
+        if (refusedShare.getAsDouble() > REFUSED_SHARE_TO_REPLACE) {
+            replaced.addAll(soldOut);
+        }
+        return replaced;
+    }
+
+    /** Returns whether reclaimable upstreams serve in a zone, or none are wanted there. */
+    private static boolean hasSubstitutes(List<ReplicaEntry> running, FleetTarget target, List<FleetTarget> targets) {
+        FleetTarget cheap = targets.stream()
+                .filter(other -> other.cheap() && other.zone().equals(target.zone()))
+                .findFirst()
+                .orElseThrow();
+        return cheap.count() == 0 || count(running, cheap) > 0;
     }
 
     private static int count(List<ReplicaEntry> running, FleetTarget target) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/CallerExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/CallerExchange.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Request;
@@ -76,6 +77,8 @@
     /** Starts an answer whose body is written piece by piece. */
     OutputStream startAnswer(int status, List<HeaderField> headers) {
         begin(status, headers);
+        // Without chunks an answer would end with its connection, and one that is cut would look complete.
+        response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED);
         return Content.Sink.asOutputStream(response);
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -5,6 +5,7 @@
 import io.banyantally.deployment.MalformedRequestException;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.RequestFacts;
+import io.banyantally.deployment.RequestKind;
 import io.banyantally.deployment.RouteRule;
 import io.banyantally.deployment.ServiceRule;
 import io.banyantally.deployment.ServiceShare;
@@ -35,6 +36,9 @@
     /** When a caller may return after its upstream was full; queues there change within some ten milliseconds. */
     private static final Duration RETRY_WHEN_FULL = Duration.ofMillis(60);
 
+    /** When a caller of a VM that shuts down may go to another one. */
+    private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(10);
+
     /** When a caller may return to a service without upstreams. */
     private static final Duration RETRY_WITHOUT_UPSTREAM = Duration.ofMillis(400);
 
@@ -44,10 +48,17 @@
     private final ForwardingServices services;
     private final CallerExchange caller;
     private final RequestLog log;
+    private final boolean takesStreams;
     private String routeName = "none";
     private Optional<Placement.Decision.Send> overflow = Optional.empty();
 
-    ForwardedRequest(ForwardingServices services, CallerExchange caller) {
+    /**
+     * Creates a request that is not begun.
+     *
+     * @param takesStreams whether this VM serves long enough for a stream to end
+     */
+    ForwardedRequest(ForwardingServices services, CallerExchange caller, boolean takesStreams) {
+        this.takesStreams = takesStreams;
         this.services = services;
         this.caller = caller;
         this.log = new RequestLog(services.clock());
@@ -83,6 +94,9 @@
                 .orElseThrow(() -> new RefusedException(Refusal.wrong(Refusal.NOT_FOUND, "no_route")));
         routeName = route.kind().name().toLowerCase(Locale.ROOT);
         log.add("route", route.name());
+        if (!takesStreams && route.kind() == RequestKind.STREAMING) {
+            throw new RefusedException(Refusal.notRun("draining", RETRY_ELSEWHERE));
+        }
         Optional<AccountRule> account = facts.key().flatMap(configuration::account);
         account.ifPresent(known -> log.add("account", known.account()));
         if (account.isEmpty() && configuration.requiresKeys() && !route.anonymous()) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingHandler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingHandler.java
@@ -37,7 +37,7 @@
             if (closing) {
                 caller.closeAfterAnswer();
             }
-            new ForwardedRequest(services, caller).run();
+            new ForwardedRequest(services, caller, !closing).run();
             callback.succeeded();
         } catch (IOException cut) {
             callback.failed(cut);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
@@ -76,7 +76,11 @@
     /** Breaks ties between engines of equal load. */
     private static final double TIE_BREAK = 0.01;
 
+    /** The weight of one prompt in the share of refused ones; a VM decides on some fifty prompts a second. */
+    private static final double REFUSED_WEIGHT = 0.02;
+
     private final RandomGenerator random;
+    private double refusedShare;
 
     /** Creates the policy with a source for tie breaks and for the spread of returning callers. */
     public EnginePlacement(RandomGenerator random) {
@@ -96,10 +100,12 @@
         }
         Placement.Decision.Send best = cheapest(demand, engines);
         double limit = longestWait(demand);
+        refusedShare -= refusedShare * REFUSED_WEIGHT;
         if (best.waitMillis() > limit) {
             best = leastQueued(demand, engines);
         }
         if (best.waitMillis() > limit) {
+            refusedShare += REFUSED_WEIGHT;
             long delay = (long) (best.waitMillis() - limit) + random.nextInt(RETRY_SPREAD_MILLIS);
             return new Placement.Decision.Full(best.waitMillis(), Duration.ofMillis(delay));
         }
@@ -139,6 +145,11 @@
                 .orElseGet(Placement.Decision.Nobody::new);
     }
 
+    /** Returns the share of prompts that no prefill engine could take lately. */
+    public synchronized double refusedShare() {
+        return refusedShare;
+    }
+
     private static List<Candidate> usable(List<Candidate> candidates, EngineStage stage) {
         List<Candidate> ofStage = candidates.stream()
                 .filter(candidate -> candidate.entry().stage() == stage
