--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetTargets.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetTargets.java
@@ -23,9 +23,9 @@
     /**
      * Returns the orders that bring the service to its target, in the order in which they should be placed.
      *
-     * @param soldOut the zones in which all reclaimable upstreams were taken away and none can be had; others replace them
+     * @param replaced the zones in which others replace reclaimable upstreams that were taken away
      */
-    public static List<FleetTarget> of(ScalingRule rule, Set<AvailabilityZone> soldOut) {
+    public static List<FleetTarget> of(ScalingRule rule, Set<AvailabilityZone> replaced) {
         List<FleetTarget> targets = new ArrayList<>();
         List<Map.Entry<AvailabilityZone, Double>> zones = rule.zonePrices().entrySet().stream()
                 .sorted(Map.Entry.<AvailabilityZone, Double>comparingByValue()
@@ -35,8 +35,9 @@
             int steady = rule.cheapPrice().isEmpty() ? rule.maximum() : zone.equals(zones.getFirst()) ? 1 : 0;
             int cheap = rule.cheapPrice().isPresent() ? Math.max(rule.maximum() - steady, 0) : 0;
             targets.add(new FleetTarget(zone.getKey(), true, cheap));
-            int steadyNow = soldOut.contains(zone.getKey()) ? rule.maximum() : steady;
-            targets.add(new FleetTarget(zone.getKey(), false, Math.min(steadyNow, rule.maximum())));
+            // The bounds hold for both kinds together, so one place stays free for a reclaimable upstream to return.
+            int replacing = replaced.contains(zone.getKey()) ? Math.max(steady, rule.maximum() - 1) : steady;
+            targets.add(new FleetTarget(zone.getKey(), false, replacing));
         }
         return targets;
     }
