--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * The upstreams that have an entry in the platform's store. While the store is away, what was known last stays in use. An
@@ -168,6 +169,6 @@
     }
 
     private static List<ReplicaEntry> concatenated(List<ReplicaEntry> left, List<ReplicaEntry> right) {
-        return java.util.stream.Stream.concat(left.stream(), right.stream()).toList();
+        return Stream.concat(left.stream(), right.stream()).toList();
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/CallerExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/CallerExchange.java
@@ -53,15 +53,15 @@
                 .toList();
     }
 
-    /** Reads the whole body; an answer of {@code null} means that it is larger than the limit. */
-    byte[] readBody(int maximumBytes) throws IOException {
+    /** Reads the whole body; empty if it is larger than the limit. */
+    Optional<byte[]> readBody(int maximumBytes) throws IOException {
         if (request.getLength() > maximumBytes) {
-            return null;
+            return Optional.empty();
         }
         try (InputStream input = Content.Source.asInputStream(request)) {
             byte[] body = input.readNBytes(maximumBytes + 1);
             wholeRequestRead = true;
-            return body.length > maximumBytes ? null : body;
+            return body.length > maximumBytes ? Optional.empty() : Optional.of(body);
         }
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EngineSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EngineSender.java
@@ -14,6 +14,7 @@
 import io.banyantally.internal.placement.Placement;
 import io.banyantally.internal.placement.UpstreamTrack;
 import java.time.Duration;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -120,7 +121,7 @@
                         handOver.engine().address(),
                         "DELETE",
                         services.dialect().freeTarget(handOver.handle()),
-                        java.util.List.of(),
+                        List.of(),
                         new byte[0],
                         false,
                         FREE_TIME,
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EventAssembler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EventAssembler.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -29,7 +30,7 @@
         }
         pending.reset();
         pending.write(all, end, all.length - end);
-        byte[] whole = java.util.Arrays.copyOf(all, end);
+        byte[] whole = Arrays.copyOf(all, end);
         readIds(whole);
         return Optional.of(whole);
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -102,10 +102,8 @@
         if (account.isEmpty() && configuration.requiresKeys() && !route.anonymous()) {
             throw new RefusedException(Refusal.wrong(Refusal.UNAUTHORIZED, "unknown_key"));
         }
-        byte[] body = caller.readBody(configuration.document().limits().bodyBytes());
-        if (body == null) {
-            throw new RefusedException(Refusal.wrong(Refusal.BODY_TOO_LARGE, "body_too_large"));
-        }
+        byte[] body = caller.readBody(configuration.document().limits().bodyBytes())
+                .orElseThrow(() -> new RefusedException(Refusal.wrong(Refusal.BODY_TOO_LARGE, "body_too_large")));
         ServiceName serviceName = chooseService(route);
         ServiceRule service = configuration
                 .service(serviceName)
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executors;
@@ -55,7 +56,7 @@
         this.forwarding = new ForwardingHandler(services, open);
         this.callers = new ProbingConnector(server, new HttpConnectionFactory(callerConfiguration));
         bind(callers, callersAddress);
-        Map<Integer, Handler> byPort = new java.util.HashMap<>();
+        Map<Integer, Handler> byPort = new HashMap<>();
         handlers.forEach((address, handler) -> {
             bind(new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration())), address);
             byPort.put(address.getPort(), handler);
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/PrefixFollowerTest.java
@@ -0,0 +1,116 @@
+package io.banyantally.internal.deployment;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.banyantally.internal.time.Sleeper;
+import io.banyantally.platform.CoordinationStore.StoreChanges;
+import io.banyantally.platform.CoordinationStore.StoreListing;
+import io.banyantally.testing.FakeCoordinationStore;
+import io.banyantally.testing.ManualClock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(20)
+final class PrefixFollowerTest {
+
+    private static final Duration STEP = Duration.ofMillis(5);
+
+    private final ManualClock clock = new ManualClock();
+    private final FakeCoordinationStore store = new FakeCoordinationStore(clock);
+    private final StoreHealth health = new StoreHealth(clock);
+    private final Recorder recorder = new Recorder();
+    private final Sleeper shortSleeps = duration -> Thread.sleep(STEP);
+    private final Thread thread =
+            Thread.ofVirtual().unstarted(new PrefixFollower(store, "a/", recorder, health, shortSleeps));
+
+    @AfterEach
+    void stop() {
+        thread.interrupt();
+    }
+
+    /** Guards against changes that are never seen because the store forgot them while the watch was away. */
+    @Test
+    void listsAgainWhenTheHistoryIsGone() throws InterruptedException {
+        store.write("a/1", new byte[] {1});
+        thread.start();
+        await(() -> recorder.listings() == 1);
+        store.setDown(true);
+        await(() -> !health.isReachable());
+        store.write("a/2", new byte[] {2});
+        store.discardHistory();
+        store.setDown(false);
+
+        await(() -> recorder.listings() == 2);
+
+        assertEquals(List.of("a/1", "a/2"), recorder.lastListing());
+        assertTrue(health.isReachable());
+    }
+
+    /** Guards against a listing after every short outage, which all VMs would ask for at once. */
+    @Test
+    void continuesFromItsRevisionAfterAnOutage() throws InterruptedException {
+        thread.start();
+        await(() -> recorder.listings() == 1);
+        store.setDown(true);
+        await(() -> !health.isReachable());
+        store.write("a/2", new byte[] {2});
+        store.setDown(false);
+
+        await(() -> recorder.changes() == 1);
+
+        assertEquals(1, recorder.listings());
+    }
+
+    /** Guards against a task that outlives its process's shutdown, and against a false loss of the store in its log. */
+    @Test
+    void interruptEndsTheTask() throws InterruptedException {
+        thread.start();
+        await(() -> recorder.listings() == 1);
+
+        thread.interrupt();
+        thread.join(Duration.ofSeconds(5));
+
+        assertFalse(thread.isAlive());
+    }
+
+    private static void await(java.util.function.BooleanSupplier condition) throws InterruptedException {
+        while (!condition.getAsBoolean()) {
+            Thread.sleep(STEP);
+        }
+    }
+
+    private static final class Recorder implements PrefixListener {
+        private final List<StoreListing> listings = new ArrayList<>();
+        private int changes;
+
+        @Override
+        public synchronized void listed(StoreListing listing) {
+            listings.add(listing);
+        }
+
+        @Override
+        public synchronized void changed(StoreChanges seen) {
+            changes += seen.changes().size();
+        }
+
+        synchronized int listings() {
+            return listings.size();
+        }
+
+        synchronized int changes() {
+            return changes;
+        }
+
+        synchronized List<String> lastListing() {
+            return listings.getLast().items().stream()
+                    .map(item -> item.key().path())
+                    .toList();
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/StageTargetsTest.java
@@ -0,0 +1,61 @@
+package io.banyantally.internal.duty;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.banyantally.deployment.EngineStage;
+import io.banyantally.deployment.ReplicaEntry;
+import io.banyantally.testing.Deployments;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class StageTargetsTest {
+
+    /** Guards against engines of one stage only, by which no request could be served. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 3, 5, 12, 27})
+    void bothStagesAreThere(int engines) {
+        int prefill = StageTargets.wantedPrefill(engines);
+
+        assertTrue(prefill >= 1 && prefill < engines, "prefill: " + prefill);
+    }
+
+    /** Guards against stage changes without need: each takes an engine away for seconds. */
+    @Test
+    void balancedEnginesStayAsTheyAre() {
+        assertEquals(
+                Map.of(),
+                StageTargets.changes(List.of(
+                        engine("a1", "a", EngineStage.PREFILL),
+                        engine("a2", "a", EngineStage.DECODE),
+                        engine("b1", "b", EngineStage.PREFILL),
+                        engine("b2", "b", EngineStage.DECODE))));
+    }
+
+    /** Guards against a zone that loses all engines of a stage to the balance of the others. */
+    @Test
+    void changesEnginesOfTheMostCrowdedZone() {
+        List<ReplicaEntry> engines = new ArrayList<>();
+        for (int index = 0; index < 4; index++) {
+            engines.add(engine("a" + index, "a", EngineStage.DECODE));
+        }
+        engines.add(engine("b1", "b", EngineStage.DECODE));
+        engines.add(engine("b2", "b", EngineStage.PREFILL));
+
+        Map<ReplicaEntry, EngineStage> changes = StageTargets.changes(engines);
+
+        assertEquals(2, changes.size());
+        assertTrue(
+                changes.keySet().stream()
+                        .allMatch(engine -> engine.zone().value().equals("a")),
+                changes::toString);
+    }
+
+    private static ReplicaEntry engine(String id, String zone, EngineStage stage) {
+        return Deployments.engine(id, zone, stage);
+    }
+}
