End a drain inside the grace period while the store is silent

Ruled out: stopping the server first, which takes under 0.1 s. Change: requests end 1.2 s before the kill and the last write is waited for at most 0.5 s.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -69,6 +69,9 @@
     /** Tells gateways from other daemons that speak the same protocol between VMs. */
     private static final String PEER_SITE = "gateway";
 
+    /** A write to a store that answers takes some milliseconds, and 240 to one that is slow. */
+    private static final Duration LAST_USAGE_TIME = Duration.ofMillis(500);
+
     private static final Duration UPKEEP_INTERVAL = Duration.ofMillis(200);
     private static final Duration PROBE_INTERVAL = Duration.ofMillis(60);
 
@@ -267,12 +270,22 @@
     public void stop() {
         draining = true;
         tasks.stop();
-        usagePublisher.close();
+        publishLastUsage();
         server.stop();
         client.close();
         closePeers();
     }
 
+    /** A store that does not answer must not hold the process past its grace period. */
+    private void publishLastUsage() {
+        Thread last = Thread.ofVirtual().name("last-usage").start(usagePublisher::close);
+        try {
+            last.join(LAST_USAGE_TIME);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void closePeers() {
         try {
             peers.close();
--- a/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
+++ b/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
@@ -34,8 +34,8 @@
         Duration gracePeriod,
         Duration addressLifetime) {
 
-    /** Between the end of a graceful shutdown and the kill. */
-    private static final Duration STOP_MARGIN = Duration.ofMillis(700);
+    /** Between the end of requests in a graceful shutdown and the kill; the last usage is written meanwhile. */
+    private static final Duration STOP_MARGIN = Duration.ofMillis(1200);
 
     /** The time for callers' last requests on connections that are being closed. */
     private static final Duration CONNECTION_CLOSE_TIME = Duration.ofMillis(800);
