Cut a stream that no upstream can continue

Cause: when a resumable stream broke and no other upstream was left, the refusal wrote an empty end to the answer that had begun, so the stream looked complete.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -307,6 +307,11 @@
             // The rest of the request is not read, so the connection cannot carry another one.
             caller.closeAfterAnswer();
         }
+        if (caller.isCommitted()) {
+            // The answer has begun, so only a cut tells the caller that it is not whole.
+            log.write(services.metrics(), routeName, 0, refusal.reason());
+            throw new IOException("the stream cannot be continued: " + refusal.reason());
+        }
         log.write(services.metrics(), routeName, refusal.status(), refusal.reason());
         caller.answer(refusal.status(), headers, new byte[0]);
     }
