Share the rendezvous weight and the probe interval

Cause: EnginePlacement had a copy of the hash in Rendezvous, the probe interval stood in two classes, one method only passed a call on, and a skip of no bytes did nothing. Change: one weight for names and upstreams, one interval, the dead parts removed; behaviour is the same.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -73,7 +73,6 @@
     private static final Duration LAST_USAGE_TIME = Duration.ofMillis(500);
 
     private static final Duration UPKEEP_INTERVAL = Duration.ofMillis(200);
-    private static final Duration PROBE_INTERVAL = Duration.ofMillis(60);
 
     private final GatewaySettings settings;
     private final GatewayPlatform platform;
@@ -160,7 +159,7 @@
         tasks.startWithJitter("duty-lease", DutyLease.INTERVAL, duties::refresh);
         tasks.start("work-exchange", WorkExchange.interval(), exchange::exchange);
         tasks.start("upkeep", UPKEEP_INTERVAL, this::upkeep);
-        tasks.start("probe-callers", PROBE_INTERVAL, server::probeCallers);
+        tasks.start("probe-callers", GatewayServer.probeInterval(), server::probeCallers);
         startDuties();
         LOG.info("started", EventField.of("vm", settings.vm()), EventField.of("callers", settings.callersText()));
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EventAssembler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EventAssembler.java
@@ -62,9 +62,8 @@
 
     private void readIds(byte[] events) {
         String text = new String(events, StandardCharsets.UTF_8);
-        int at = text.startsWith("id:") ? 0 : text.lastIndexOf("\nid:");
         int last = text.lastIndexOf("\nid:");
-        at = last >= 0 ? last + 1 : at;
+        int at = last >= 0 ? last + 1 : text.startsWith("id:") ? 0 : -1;
         if (at < 0) {
             return;
         }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingHandler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingHandler.java
@@ -3,7 +3,6 @@
 import io.banyantally.internal.logging.EventLog;
 import io.banyantally.internal.timeline.EventField;
 import java.io.IOException;
-import java.time.Duration;
 import java.util.List;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -64,8 +63,4 @@
             callback.failed(cut);
         }
     }
-
-    boolean awaitEmpty(Duration limit) throws InterruptedException {
-        return open.awaitEmpty(limit);
-    }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
@@ -106,6 +106,11 @@
         return new InetSocketAddress(callers.getHost(), callers.getLocalPort());
     }
 
+    /** Returns how often to call {@link #probeCallers}. */
+    public static Duration probeInterval() {
+        return OpenExchanges.PROBE_INTERVAL;
+    }
+
     /** Cancels the requests whose callers have left. */
     public void probeCallers() {
         open.probe();
@@ -123,7 +128,7 @@
 
     /** Waits until all requests are answered; returns false if some are open after {@code limit}. */
     public boolean awaitRequests(Duration limit) throws InterruptedException {
-        return forwarding.awaitEmpty(limit);
+        return open.awaitEmpty(limit);
     }
 
     /** Closes all connections. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -184,7 +184,6 @@
 
     private void drain(HttpExchange exchange) throws InterruptedException {
         try (InputStream body = exchange.body()) {
-            body.skipNBytes(0);
             body.readNBytes(COPY_BYTES);
         } catch (IOException broken) {
             log.add("refusal_torn", sends);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
@@ -4,15 +4,13 @@
 import io.banyantally.deployment.PromptFacts;
 import io.banyantally.deployment.PromptPart;
 import io.banyantally.deployment.ReportedLoad;
+import io.banyantally.internal.routing.Rendezvous;
 import io.banyantally.model.AvailabilityZone;
-import io.banyantally.model.UpstreamId;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import java.util.zip.CRC32C;
 
 /**
  * Chooses the engine that reads a prompt and the engine that generates its answer, or refuses.
@@ -165,7 +163,7 @@
         String session = demand.prompt().map(EnginePlacement::sessionOf).orElse("");
         List<Candidate> ranked = engines.stream()
                 .sorted(Comparator.comparingLong((Candidate engine) ->
-                                weight(session, engine.entry().id()))
+                                Rendezvous.weight(session, engine.entry().id()))
                         .reversed())
                 .limit(1L + SPILL_ENGINES)
                 .toList();
@@ -240,12 +238,4 @@
         double pairs = unread * prompt.get().promptTokens();
         return unread / rate + pairs * MILLIS_PER_PAIR;
     }
-
-    private static long weight(String session, UpstreamId engine) {
-        CRC32C checksum = new CRC32C();
-        checksum.update((session + "/" + engine.value()).getBytes(StandardCharsets.UTF_8));
-        // A checksum is linear, so names that differ in one place would give related orders without the mixing.
-        long mixed = checksum.getValue() * 0x9E3779B97F4A7C15L;
-        return (mixed ^ (mixed >>> 29)) >>> 1;
-    }
 }
