Explain a request from the logs of all VMs

Cause: an on-call engineer had to search each VM's log by hand for the upstreams, orders and restarts that touched a failed request.

Ruled out: reading the time line of live daemons: the VM that matters is often gone, its log is not.

--- /dev/null
+++ b/modules/banyantally-daemon/src/main/java/io/banyantally/daemon/ExplainCommand.java
@@ -0,0 +1,83 @@
+package io.banyantally.daemon;
+
+import io.banyantally.internal.logging.LogLine;
+import io.banyantally.internal.logging.RequestStory;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.CodingErrorAction;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Explains one request from the logs of all VMs. */
+@Command(
+        name = "explain",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Merges the logs of all VMs into what happened to one request.",
+            "Times are relative to the request's own line, by the clocks of the VMs.",
+            "Exit codes: 0 if a VM wrote a line for the request, 1 if none did, 2 if a file cannot be read."
+        })
+final class ExplainCommand implements Callable<Integer> {
+
+    private static final int NOT_FOUND = 1;
+    private static final int UNREADABLE = 2;
+
+    @Option(names = "--request", required = true, description = "The request's id, as its caller sent it.")
+    private String request;
+
+    @Parameters(arity = "1..*", paramLabel = "FILE", description = "Logs, one file for each VM.")
+    private List<Path> files;
+
+    @Override
+    public Integer call() {
+        List<LogLine> log = new ArrayList<>();
+        for (Path file : files) {
+            try {
+                log.addAll(read(file));
+            } catch (IOException unreadable) {
+                System.err.println(file + ": cannot be read: " + unreadable);
+                return UNREADABLE;
+            }
+        }
+        RequestStory story = RequestStory.of(request, log);
+        System.out.println(story.cause());
+        story.lines().forEach(line -> System.out.println(text(story, line)));
+        return story.request().isPresent() ? 0 : NOT_FOUND;
+    }
+
+    /** Reads a log; bytes that are not UTF-8 are replaced, since the end of a killed process's log may be torn. */
+    private static List<LogLine> read(Path file) throws IOException {
+        String source = file.getFileName().toString();
+        byte[] bytes = Files.readAllBytes(file);
+        String text = StandardCharsets.UTF_8
+                .newDecoder()
+                .onMalformedInput(CodingErrorAction.REPLACE)
+                .decode(ByteBuffer.wrap(bytes))
+                .toString();
+        try (Stream<String> lines = text.lines()) {
+            return lines.flatMap(line -> LogLine.parse(source, line).stream()).toList();
+        }
+    }
+
+    private static String text(RequestStory story, LogLine line) {
+        Instant origin = story.request().map(LogLine::time).orElse(line.time());
+        double seconds = Duration.between(origin, line.time()).toMillis() / 1000.0;
+        String fields = line.fields().entrySet().stream()
+                .filter(field -> !field.getKey().equals("level"))
+                .map(field -> field.getKey() + "=" + field.getValue())
+                .collect(Collectors.joining(" "));
+        return String.format(Locale.ROOT, "%+9.3f s  %s  %s  %s", seconds, line.source(), line.event(), fields);
+    }
+}
--- a/modules/banyantally-daemon/src/main/java/io/banyantally/daemon/Main.java
+++ b/modules/banyantally-daemon/src/main/java/io/banyantally/daemon/Main.java
@@ -11,7 +11,13 @@
         mixinStandardHelpOptions = true,
         version = "banyantally 0.1.0",
         description = "Serves language models and the services around them on a limited fleet.",
-        subcommands = {EntryCommand.class, OperatorCommand.class, TimelineCommand.class, GenerateCompletion.class})
+        subcommands = {
+            EntryCommand.class,
+            OperatorCommand.class,
+            TimelineCommand.class,
+            ExplainCommand.class,
+            GenerateCompletion.class
+        })
 public final class Main {
 
     private Main() {}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/logging/RequestStory.java
@@ -0,0 +1,138 @@
+package io.banyantally.internal.logging;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * What the logs of all VMs say about one request: its own line, what happened to its upstreams and to its VM while it ran,
+ * and, if it found no upstream, what changed in the fleet before.
+ *
+ * @param request the request's own line; empty if no VM wrote one
+ * @param lines the lines that explain it, in the order of their times
+ * @param cause one sentence on why it ended as it did
+ */
+public record RequestStory(Optional<LogLine> request, List<LogLine> lines, String cause) {
+
+    /** Ejections and changes of the fleet act on requests for seconds after they were logged. */
+    private static final Duration BEFORE = Duration.ofSeconds(10);
+
+    /** The clocks of two VMs may differ by this much, and an ejection follows the failure that caused it. */
+    private static final Duration AFTER = Duration.ofSeconds(1);
+
+    private static final Set<String> FLEET_EVENTS =
+            Set.of("upstreams_ordered", "stage_ordered", "upstream_listed", "upstream_gone", "upstream_changed");
+
+    private static final Set<String> VM_EVENTS = Set.of(
+            "started",
+            "draining",
+            "stopped",
+            "dependency_lost",
+            "dependency_regained",
+            "log_lines_dropped",
+            "settings_read",
+            "request_fault");
+
+    /** The events that show the loss of a VM. */
+    private static final Set<String> LOSS_EVENTS = Set.of("vm_gone", "vm_listed", "started", "draining", "stopped");
+
+    /** Copies the lines. */
+    public RequestStory {
+        lines = List.copyOf(lines);
+    }
+
+    /** Explains a request from the lines of all logs. */
+    public static RequestStory of(String requestId, List<LogLine> log) {
+        List<LogLine> own = log.stream()
+                .filter(line -> line.event().equals("request")
+                        && line.field("request").filter(requestId::equals).isPresent())
+                .sorted(Comparator.comparing(LogLine::time))
+                .toList();
+        if (own.isEmpty()) {
+            return new RequestStory(
+                    Optional.empty(),
+                    sorted(log, line -> LOSS_EVENTS.contains(line.event())),
+                    "No VM wrote a line for this request: it never arrived, its VM was lost before the request ended, or"
+                            + " its log is not among these files.");
+        }
+        LogLine request = own.getLast();
+        Instant end = request.time().plus(AFTER);
+        Instant start = request.time().minus(duration(request)).minus(BEFORE);
+        Set<String> upstreams = upstreams(request);
+        boolean fleetMatters = Set.of("full", "no_upstream").contains(outcome(request));
+        Predicate<LogLine> explains = line -> {
+            boolean sameVm = line.source().equals(request.source());
+            boolean inTime = !line.time().isBefore(start) && !line.time().isAfter(end);
+            boolean adoption = line.event().equals("configuration_adopted")
+                    && line.field("version").equals(request.field("configuration"));
+            boolean sameUpstream =
+                    line.field("upstream").filter(upstreams::contains).isPresent();
+            boolean ofVm = sameVm && VM_EVENTS.contains(line.event());
+            boolean ofFleet = fleetMatters && FLEET_EVENTS.contains(line.event());
+            return own.contains(line) || (sameVm && adoption) || (inTime && (sameUpstream || ofVm || ofFleet));
+        };
+        return new RequestStory(Optional.of(request), sorted(log, explains), cause(request));
+    }
+
+    private static List<LogLine> sorted(List<LogLine> log, Predicate<LogLine> wanted) {
+        return log.stream()
+                .filter(wanted)
+                .sorted(Comparator.comparing(LogLine::time))
+                .toList();
+    }
+
+    private static String outcome(LogLine request) {
+        return request.field("outcome").orElse("unknown");
+    }
+
+    private static Duration duration(LogLine request) {
+        String millis = request.field("total_ms").orElse("0");
+        return millis.matches("\\d{1,9}") ? Duration.ofMillis(Long.parseLong(millis)) : Duration.ZERO;
+    }
+
+    private static Set<String> upstreams(LogLine request) {
+        Set<String> named = new HashSet<>();
+        request.fields().forEach((name, value) -> {
+            if (name.equals("prefill") || name.matches("upstream\\d+")) {
+                named.add(value);
+            }
+        });
+        return named;
+    }
+
+    private static String cause(LogLine request) {
+        String detail = request.field("detail").map(text -> " (" + text + ")").orElse("");
+        return switch (outcome(request)) {
+            case "served" -> "The request was served.";
+            case "full" ->
+                "Refused without having run: the shortest wait was "
+                        + request.field("wait_ms").orElse("unknown")
+                        + " ms. The changes of the fleet before it are listed.";
+            case "no_upstream" -> "Refused without having run: no listed upstream took work.";
+            case "draining" -> "Refused without having run: the VM was shutting down.";
+            case "upstream_failed" -> "The last upstream did not answer completely" + detail + "; " + sends(request);
+            case "timed_out" -> "The route's timeout passed; " + sends(request);
+            case "caller_left" -> "The caller closed the connection; " + sends(request);
+            default -> "Ended as " + outcome(request) + detail + ".";
+        };
+    }
+
+    /** Lists each send with its result. */
+    private static String sends(LogLine request) {
+        List<String> sends = new ArrayList<>();
+        request.field("prefill")
+                .ifPresent(engine -> sends.add("prompt read at " + engine + ": "
+                        + request.field("prefill_result").orElse("no result")));
+        for (int send = 1; request.field("upstream" + send).isPresent(); send++) {
+            sends.add("sent to " + request.field("upstream" + send).get() + ": "
+                    + request.field("result" + send).orElse("no result"));
+        }
+        return sends.isEmpty() ? "it had not been sent." : String.join(", ", sends) + ".";
+    }
+}
