Notice a silent watch within the time of a configuration

A watch waited 3 s and its call 0.7 s more, so one that began in the outage held the VM back until up to 3.7 s after it. Further calls could pick pooled connections that had gone silent as well.

Ruled out: a restart that read an older version.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -1,6 +1,7 @@
 package io.banyantally.internal.adapter;
 
 import io.banyantally.upstream.HeaderField;
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
@@ -9,6 +10,7 @@
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Connection;
+import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.ProtocolHandlers;
 import org.eclipse.jetty.client.RedirectProtocolHandler;
@@ -59,7 +61,9 @@
         threads.setDaemon(true);
         ClientConnector connector = new ResetAwareConnector();
         connector.setSelectors(1);
-        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
+        transport.setConnectionPoolFactory(destination -> new ClosablePool(destination, CONNECTIONS_PER_ADDRESS));
+        HttpClient client = new HttpClient(transport);
         client.setExecutor(threads);
         client.setFollowRedirects(false);
         client.setHttpCookieStore(new HttpCookieStore.Empty());
@@ -189,6 +193,20 @@
         return request;
     }
 
+    /**
+     * Closes the pooled connections to a receiver that no call uses. A network that has silenced one connection has often
+     * silenced them all, and each would cost a call its whole time limit.
+     */
+    public void closeIdleConnections(InetSocketAddress receiver) {
+        String host = receiver.getAddress().getHostAddress();
+        client.getDestinations().stream()
+                .filter(destination -> destination.getOrigin().getAddress().getPort() == receiver.getPort()
+                        && destination.getOrigin().getAddress().getHost().equals(host))
+                .map(Destination::getConnectionPool)
+                .filter(ClosablePool.class::isInstance)
+                .forEach(pool -> ((ClosablePool) pool).closeIdle());
+    }
+
     /** Aborts all calls and closes all connections. */
     @Override
     public void close() {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixFollower.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixFollower.java
@@ -20,15 +20,22 @@
 public final class PrefixFollower implements Runnable {
 
     /**
-     * How long one watch waits. A connection that has gone silent is noticed only after this time, which has to leave room
-     * for a new call within the two seconds in which a configuration must be in force.
+     * How long one watch waits. A connection or a store that has gone silent is noticed only after this time and the
+     * store's call time, which have to leave room for a new call within the two seconds in which a configuration must be in
+     * force.
      */
-    static final Duration WATCH_TIME = Duration.ofSeconds(3);
+    static final Duration WATCH_TIME = Duration.ofMillis(800);
+
+    /** After a failed call the next one asks for what has changed and does not wait, so that its answer is due at once. */
+    static final Duration CATCH_UP_TIME = Duration.ZERO;
 
     /** Gathers changes that come close together into one call, since the store counts calls. */
     static final Duration GATHER_TIME = Duration.ofMillis(40);
 
-    /** Between calls to a store that fails; every process retries, so the delay is jittered up to twice this. */
+    /** Before the first call after a failed one, which may have failed only because its connection did. */
+    static final Duration FIRST_RETRY_DELAY = Duration.ofMillis(25);
+
+    /** Between further calls to a store that fails; every process retries, so delays are jittered up to twice this. */
     static final Duration RETRY_DELAY = Duration.ofMillis(200);
 
     private static final EventLog LOG = EventLog.of(PrefixFollower.class);
@@ -63,9 +70,11 @@
 
     private StoreRevision advance(Optional<StoreRevision> position) throws InterruptedException {
         Optional<StoreRevision> from = position;
+        Duration wait = WATCH_TIME;
+        Duration retryDelay = FIRST_RETRY_DELAY;
         while (true) {
             try {
-                return from.isEmpty() ? list() : watch(from.get());
+                return from.isEmpty() ? list() : watch(from.get(), wait);
             } catch (HistoryDiscardedException discarded) {
                 health.answered();
                 LOG.info("watch_restarted", EventField.of("prefix", prefix), EventField.of("after", from.get()));
@@ -75,7 +84,9 @@
                     throw new InterruptedException("the follower of " + prefix + " is stopped");
                 }
                 health.failed("follow " + prefix, failure);
-                pause(RETRY_DELAY);
+                pause(retryDelay);
+                wait = CATCH_UP_TIME;
+                retryDelay = RETRY_DELAY;
             }
         }
     }
@@ -87,8 +98,8 @@
         return listing.at();
     }
 
-    private StoreRevision watch(StoreRevision after) throws StoreException, InterruptedException {
-        StoreChanges changes = store.awaitChanges(prefix, after, WATCH_TIME);
+    private StoreRevision watch(StoreRevision after, Duration wait) throws StoreException, InterruptedException {
+        StoreChanges changes = store.awaitChanges(prefix, after, wait);
         health.answered();
         if (!changes.changes().isEmpty()) {
             listener.changed(changes);
