Publish usage more often where VMs are few

Change: up to 25 VMs share 25 writes a second; more than that write once a second each, as before. Only configurations and upstreams are watched with short waits; a member of the deployment may be missed for longer.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -145,9 +145,9 @@
      * @throws StartFailedException if an address can't be listened at
      */
     public void start() throws StartFailedException {
-        follow(platform.keys().configuration().path(), configuration);
-        follow(platform.keys().replicaPrefix(), replicas);
-        follow(OwnKeys.LIVE_PREFIX, members);
+        follow(platform.keys().configuration().path(), PrefixFollower.SHORT_WATCH, configuration);
+        follow(platform.keys().replicaPrefix(), PrefixFollower.SHORT_WATCH, replicas);
+        follow(OwnKeys.LIVE_PREFIX, PrefixFollower.LONG_WATCH, members);
         try {
             peers.start();
             server.start();
@@ -155,7 +155,7 @@
             throw new StartFailedException(failure.getMessage(), failure);
         }
         tasks.start("presence", MemberPresence.RENEWAL_INTERVAL, this::keepPresence);
-        tasks.start("usage", UsagePublisher.INTERVAL, usagePublisher::publish);
+        tasks.start("usage", () -> UsagePublisher.interval(members.members().size()), usagePublisher::publish);
         tasks.startWithJitter("duty-lease", DutyLease.INTERVAL, duties::refresh);
         tasks.start("work-exchange", WorkExchange.interval(), exchange::exchange);
         tasks.start("upkeep", UPKEEP_INTERVAL, this::upkeep);
@@ -164,8 +164,9 @@
         LOG.info("started", EventField.of("vm", settings.vm()), EventField.of("callers", settings.callersText()));
     }
 
-    private void follow(String prefix, PrefixListener listener) {
-        PrefixFollower follower = new PrefixFollower(platform.store(), prefix, listener, health, Sleeper.SYSTEM);
+    private void follow(String prefix, Duration watchTime, PrefixListener listener) {
+        PrefixFollower follower =
+                new PrefixFollower(platform.store(), prefix, watchTime, listener, health, Sleeper.SYSTEM);
         tasks.startOnce("follow " + prefix, follower);
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixFollower.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixFollower.java
@@ -20,11 +20,14 @@
 public final class PrefixFollower implements Runnable {
 
     /**
-     * How long one watch waits. A connection or a store that has gone silent is noticed only after this time and the
-     * store's call time, which have to leave room for a new call within the two seconds in which a configuration must be in
-     * force.
+     * How long one watch waits for what must be known within two seconds: configurations and leaving upstreams. A
+     * connection or a store that has gone silent is noticed only after this time and the store's call time, and a new call
+     * has to follow.
      */
-    static final Duration WATCH_TIME = Duration.ofMillis(800);
+    public static final Duration SHORT_WATCH = Duration.ofMillis(800);
+
+    /** How long one watch waits for what may be known later; the store counts calls. */
+    public static final Duration LONG_WATCH = Duration.ofSeconds(3);
 
     /** After a failed call the next one asks for what has changed and does not wait, so that its answer is due at once. */
     static final Duration CATCH_UP_TIME = Duration.ZERO;
@@ -42,15 +45,22 @@
 
     private final CoordinationStore store;
     private final String prefix;
+    private final Duration watchTime;
     private final PrefixListener listener;
     private final StoreHealth health;
     private final Sleeper sleeper;
 
     /** Creates a follower; {@link #run} follows until its thread is interrupted. */
     public PrefixFollower(
-            CoordinationStore store, String prefix, PrefixListener listener, StoreHealth health, Sleeper sleeper) {
+            CoordinationStore store,
+            String prefix,
+            Duration watchTime,
+            PrefixListener listener,
+            StoreHealth health,
+            Sleeper sleeper) {
         this.store = store;
         this.prefix = prefix;
+        this.watchTime = watchTime;
         this.listener = listener;
         this.health = health;
         this.sleeper = sleeper;
@@ -70,7 +80,7 @@
 
     private StoreRevision advance(Optional<StoreRevision> position) throws InterruptedException {
         Optional<StoreRevision> from = position;
-        Duration wait = WATCH_TIME;
+        Duration wait = watchTime;
         Duration retryDelay = FIRST_RETRY_DELAY;
         while (true) {
             try {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
@@ -14,8 +14,14 @@
 /** Writes what this process has counted to the store, so that it survives the process. */
 public final class UsagePublisher {
 
-    /** The most usage that the death of a process loses: one second of one VM, a part of the 5% that a report may be off. */
-    public static final Duration INTERVAL = Duration.ofSeconds(1);
+    /** With many VMs the death of one loses one second of one VM, a small part of the 5% that a report may be off. */
+    static final Duration LONGEST_INTERVAL = Duration.ofSeconds(1);
+
+    /** With few VMs all may die at once; this loses at most 4% of a window of five seconds. */
+    static final Duration SHORTEST_INTERVAL = Duration.ofMillis(200);
+
+    /** Small deployments write 25 times a second in all: the store counts calls, and takes 400 writes a second. */
+    private static final Duration INTERVAL_FOR_EACH_VM = Duration.ofMillis(40);
 
     private final CoordinationStore store;
     private final UsageLedger ledger;
@@ -32,6 +38,15 @@
         this.key = OwnKeys.usageCounts(vm, lifetime);
     }
 
+    /** Returns the time between two writes of one VM among {@code vms}. */
+    public static Duration interval(int vms) {
+        Duration shared = INTERVAL_FOR_EACH_VM.multipliedBy(vms);
+        if (shared.compareTo(SHORTEST_INTERVAL) < 0) {
+            return SHORTEST_INTERVAL;
+        }
+        return shared.compareTo(LONGEST_INTERVAL) > 0 ? LONGEST_INTERVAL : shared;
+    }
+
     /** Writes the counts if there are new ones, or if a window has ended since. */
     public synchronized void publish() {
         if (ledger.changes() != publishedChanges || ledger.currentWindow() != publishedIn) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageReporter.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageReporter.java
@@ -37,7 +37,7 @@
     public static final Duration INTERVAL = Duration.ofMillis(500);
 
     /** From the end of a window until all VMs have published their counts of it: one interval and two calls. */
-    static final Duration SETTLE_TIME = UsagePublisher.INTERVAL.plusMillis(900);
+    static final Duration SETTLE_TIME = UsagePublisher.LONGEST_INTERVAL.plusMillis(900);
 
     /** Left of the time in which a window is due when the counts of a silent VM are no longer waited for. */
     static final Duration REPORT_MARGIN = Duration.ofMillis(2200);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/time/PeriodicTasks.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/time/PeriodicTasks.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
 
 /**
  * Repeats steps at intervals, each in a virtual thread of its own. A fault in one round is logged and does not end the task:
@@ -22,12 +23,18 @@
 
     /** Starts to repeat a step, the first time at once. */
     public void start(String name, Duration interval, Runnable step) {
+        start(name, Duration.ZERO, () -> interval, step);
+    }
+
+    /** Starts to repeat a step at intervals that may change from round to round, the first time at once. */
+    public void start(String name, Supplier<Duration> interval, Runnable step) {
         start(name, Duration.ZERO, interval, step);
     }
 
     /** Starts to repeat a step, the first time at a random moment within the interval, so that VMs do not all act at once. */
     public void startWithJitter(String name, Duration interval, Runnable step) {
-        start(name, Duration.ofMillis(ThreadLocalRandom.current().nextLong(interval.toMillis())), interval, step);
+        Duration delay = Duration.ofMillis(ThreadLocalRandom.current().nextLong(interval.toMillis()));
+        start(name, delay, () -> interval, step);
     }
 
     /** Runs a task until it ends or is stopped. */
@@ -35,13 +42,13 @@
         threads.add(Thread.ofVirtual().name(name).start(task));
     }
 
-    private void start(String name, Duration delay, Duration interval, Runnable step) {
+    private void start(String name, Duration delay, Supplier<Duration> interval, Runnable step) {
         threads.add(Thread.ofVirtual().name(name).start(() -> {
             try {
                 Thread.sleep(delay);
                 while (true) {
                     run(name, step);
-                    Thread.sleep(interval);
+                    Thread.sleep(interval.get());
                 }
             } catch (InterruptedException stopped) {
                 Thread.currentThread().interrupt();
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/PrefixFollowerTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/PrefixFollowerTest.java
@@ -26,8 +26,8 @@
     private final StoreHealth health = new StoreHealth(clock);
     private final Recorder recorder = new Recorder();
     private final Sleeper shortSleeps = duration -> Thread.sleep(STEP);
-    private final Thread thread =
-            Thread.ofVirtual().unstarted(new PrefixFollower(store, "a/", recorder, health, shortSleeps));
+    private final Thread thread = Thread.ofVirtual()
+            .unstarted(new PrefixFollower(store, "a/", PrefixFollower.SHORT_WATCH, recorder, health, shortSleeps));
 
     @AfterEach
     void stop() {
