Replace reclaimed upstreams a second sooner

Cause: a reclaim takes the cheap upstreams of a zone; the keeper asks for cheap ones in one round, learns that there are none, and orders others in the next, a second later, while prompts are refused and the boot takes four seconds.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ActiveConfiguration.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ActiveConfiguration.java
@@ -17,7 +17,8 @@
     private final Map<String, AccountRule> accountsByKey = new HashMap<>();
     private final Map<ServiceName, ServiceRule> services = new HashMap<>();
 
-    ActiveConfiguration(DeploymentConfiguration document) {
+    /** Indexes a configuration. */
+    public ActiveConfiguration(DeploymentConfiguration document) {
         this.document = document;
         this.routes = new RouteTable(document.routes());
         for (AccountRule account : document.accounts()) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetKeeper.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetKeeper.java
@@ -25,8 +25,8 @@
 /** Orders upstreams until the fleet is what {@link FleetTargets} asks for. */
 public final class FleetKeeper {
 
-    /** Rounds of the keeper. */
-    public static final Duration INTERVAL = Duration.ofSeconds(1);
+    /** Rounds of the keeper: a reclaim needs two, one that finds the kind sold out and one that orders others. */
+    public static final Duration INTERVAL = Duration.ofMillis(400);
 
     /** Added to the boot time before an order that shows no effect is repeated. */
     static final Duration REPEAT_MARGIN = Duration.ofSeconds(2);
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/FleetKeeperTest.java
@@ -0,0 +1,164 @@
+package io.banyantally.internal.duty;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.banyantally.deployment.CallerLimits;
+import io.banyantally.deployment.DeploymentConfiguration;
+import io.banyantally.deployment.DocumentReader;
+import io.banyantally.deployment.EngineStage;
+import io.banyantally.deployment.ReplicaEntry;
+import io.banyantally.deployment.ScalingRule;
+import io.banyantally.deployment.ServiceRule;
+import io.banyantally.internal.deployment.ActiveConfiguration;
+import io.banyantally.internal.deployment.ReplicaRegistry;
+import io.banyantally.internal.deployment.StoreHealth;
+import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.FencingNumber;
+import io.banyantally.model.UpstreamId;
+import io.banyantally.model.VmId;
+import io.banyantally.platform.CoordinationStore.StoreItem;
+import io.banyantally.platform.CoordinationStore.StoreListing;
+import io.banyantally.platform.DutyHolder;
+import io.banyantally.platform.StoreKey;
+import io.banyantally.platform.StoreRevision;
+import io.banyantally.platform.VersionedValue;
+import io.banyantally.testing.Deployments;
+import io.banyantally.testing.ManualClock;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** Plays the reclaim of all cheap upstreams of a zone, while the platform has no others of that kind to give. */
+final class FleetKeeperTest {
+
+    private static final AvailabilityZone DEAR = new AvailabilityZone("zone-dear");
+    private static final AvailabilityZone LOW = new AvailabilityZone("zone-low");
+    private static final DutyHolder HOLDER = new DutyHolder(new VmId("vm-1"), new FencingNumber(4), () -> true);
+    private static final ScalingRule RULE =
+            new ScalingRule(1, 4, Duration.ofSeconds(4), Optional.of(0.15), Map.of(DEAR, 1.2, LOW, 0.8));
+
+    private final ManualClock clock = new ManualClock();
+    private final ReplicaRegistry registry = new ReplicaRegistry(new IdOnly(), new StoreHealth(clock), clock);
+    private final List<String> orders = new ArrayList<>();
+    private final ActiveConfiguration configuration = new ActiveConfiguration(new DeploymentConfiguration(
+            1,
+            List.of(),
+            List.of(new ServiceRule(Deployments.ENGINES, 100, Optional.empty(), Optional.of(RULE))),
+            new CallerLimits(8192, 65536, Duration.ofSeconds(3), Duration.ofSeconds(15)),
+            List.of()));
+    private double refusedShare;
+    private boolean soldOut;
+    private final FleetKeeper keeper = new FleetKeeper(
+            registry,
+            (holder, service, zone, cheap, count) -> {
+                orders.add(zone + (cheap ? " cheap " : " steady ") + count);
+                return !cheap || !soldOut;
+            },
+            () -> refusedShare,
+            clock);
+
+    /** Guards against upstreams that stay away for the length of a reclaim while callers are refused. */
+    @Test
+    void steadyUpstreamsReplaceReclaimedOnesWithinASecondOfTheFirstRefusals() throws InterruptedException {
+        present(3, 1, 4, 0);
+        rounds(Duration.ofSeconds(1));
+        assertEquals(List.of(), orders, "the fleet is complete");
+
+        soldOut = true;
+        refusedShare = 0.1;
+        present(3, 1, 0, 0);
+        rounds(Duration.ofSeconds(1));
+
+        assertEquals(List.of("zone-dear cheap 4", "zone-dear steady 3"), orders);
+    }
+
+    /** Guards against dear upstreams that are ordered though the remaining ones serve all. */
+    @Test
+    void nothingReplacesReclaimedUpstreamsWhileNothingIsRefused() throws InterruptedException {
+        soldOut = true;
+        present(3, 1, 0, 0);
+        rounds(Duration.ofSeconds(3));
+
+        assertEquals(List.of("zone-dear cheap 4"), orders);
+    }
+
+    /** Guards against dear upstreams that stay after the cheap ones have returned. */
+    @Test
+    void steadyUpstreamsAreGivenBackWhenCheapOnesServeAgain() throws InterruptedException {
+        soldOut = true;
+        refusedShare = 0.1;
+        present(3, 1, 0, 0);
+        rounds(Duration.ofSeconds(1));
+        soldOut = false;
+        refusedShare = 0;
+        present(3, 1, 0, 3);
+        rounds(Duration.ofSeconds(10));
+        present(3, 1, 4, 3);
+        orders.clear();
+        rounds(Duration.ofSeconds(10));
+
+        assertTrue(orders.contains("zone-dear steady 0"), orders.toString());
+    }
+
+    private void rounds(Duration time) throws InterruptedException {
+        for (Duration passed = Duration.ZERO; passed.compareTo(time) < 0; passed = passed.plus(FleetKeeper.INTERVAL)) {
+            keeper.run(HOLDER, configuration);
+            clock.advance(FleetKeeper.INTERVAL);
+        }
+    }
+
+    /** Lists these numbers of upstreams in place of all others. */
+    private void present(int lowCheap, int lowSteady, int dearCheap, int dearSteady) {
+        List<StoreItem> items = Stream.of(
+                        items("low-cheap", lowCheap),
+                        items("low-steady", lowSteady),
+                        items("dear-cheap", dearCheap),
+                        items("dear-steady", dearSteady))
+                .flatMap(List::stream)
+                .toList();
+        registry.listed(new StoreListing(items, new StoreRevision(1)));
+    }
+
+    private static List<StoreItem> items(String kind, int count) {
+        return IntStream.range(0, count)
+                .mapToObj(index -> new StoreItem(
+                        new StoreKey("upstreams/" + kind + "-" + index),
+                        new VersionedValue((kind + "-" + index).getBytes(StandardCharsets.UTF_8), new StoreRevision(1)),
+                        new StoreRevision(1)))
+                .toList();
+    }
+
+    /** Reads the zone and the kind of an upstream from its name. */
+    private static final class IdOnly implements DocumentReader {
+
+        @Override
+        public DeploymentConfiguration configuration(byte[] document) {
+            throw new UnsupportedOperationException("upstreams only");
+        }
+
+        @Override
+        public ReplicaEntry replica(StoreKey key, byte[] document) {
+            String id = new String(document, StandardCharsets.UTF_8);
+            return new ReplicaEntry(
+                    new UpstreamId(id),
+                    Deployments.ENGINES,
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+                    id.startsWith("low") ? LOW : DEAR,
+                    16,
+                    false,
+                    EngineStage.PREFILL,
+                    id.contains("cheap"),
+                    OptionalLong.empty());
+        }
+    }
+}
