Write the last usage in two attempts

Ruled out: a longer stop; the grace period leaves 0.6 s for it.

Change: a second attempt starts after half of the time; what could not be written is logged as last_usage_not_written.

Before and after: UsagePublisherTest.lastCountsAreWrittenThoughTheFirstAttempt- Hangs passes; one attempt fails it.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -69,8 +69,8 @@
     /** Tells gateways from other daemons that speak the same protocol between VMs. */
     private static final String PEER_SITE = "gateway";
 
-    /** A write to a store that answers takes some milliseconds, and 240 to one that is slow. */
-    private static final Duration LAST_USAGE_TIME = Duration.ofMillis(500);
+    /** For two attempts: a write to a store that answers takes some milliseconds, and 240 to one that is slow. */
+    private static final Duration LAST_USAGE_TIME = Duration.ofMillis(600);
 
     private static final Duration UPKEEP_INTERVAL = Duration.ofMillis(200);
 
@@ -278,9 +278,10 @@
 
     /** A store that does not answer must not hold the process past its grace period. */
     private void publishLastUsage() {
-        Thread last = Thread.ofVirtual().name("last-usage").start(usagePublisher::close);
         try {
-            last.join(LAST_USAGE_TIME);
+            if (!usagePublisher.close(LAST_USAGE_TIME)) {
+                LOG.warn("last_usage_not_written", EventField.of("vm", settings.vm()));
+            }
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
@@ -10,6 +10,8 @@
 import io.banyantally.platform.StoreTransaction;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /** Writes what this process has counted to the store, so that it survives the process. */
 public final class UsagePublisher {
@@ -23,6 +25,8 @@
     /** Small deployments write 25 times a second in all: the store counts calls, and takes 400 writes a second. */
     private static final Duration INTERVAL_FOR_EACH_VM = Duration.ofMillis(40);
 
+    private static final int LAST_ATTEMPTS = 2;
+
     private final CoordinationStore store;
     private final UsageLedger ledger;
     private final StoreHealth health;
@@ -50,20 +54,42 @@
     /** Writes the counts if there are new ones, or if a window has ended since. */
     public synchronized void publish() {
         if (ledger.changes() != publishedChanges || ledger.currentWindow() != publishedIn) {
-            write(false);
+            write();
+        }
+    }
+
+    /**
+     * Writes the last counts of this process, in two attempts that share {@code limit}. The first may hang on a connection
+     * that has gone silent, or in the last moments of an outage; both write the same counts.
+     *
+     * @return whether they were written in time
+     */
+    public boolean close(Duration limit) throws InterruptedException {
+        CountDownLatch written = new CountDownLatch(1);
+        Duration each = limit.dividedBy(LAST_ATTEMPTS);
+        for (int attempt = 0; attempt < LAST_ATTEMPTS; attempt++) {
+            Thread.ofVirtual().name("last-usage").start(() -> writeLast(written));
+            if (written.await(each.toNanos(), TimeUnit.NANOSECONDS)) {
+                return true;
+            }
         }
+        return false;
     }
 
-    /** Writes the last counts of this process. */
-    public synchronized void close() {
-        write(true);
+    private void writeLast(CountDownLatch written) {
+        try {
+            store.apply(StoreTransaction.put(key, WireFormat.encode(ledger.snapshot(true)), Optional.empty()));
+            written.countDown();
+        } catch (StoreException failure) {
+            health.failed("publish last usage", failure);
+        }
     }
 
-    private void write(boolean closed) {
+    private void write() {
         long changes = ledger.changes();
         long window = ledger.currentWindow();
         try {
-            store.apply(StoreTransaction.put(key, WireFormat.encode(ledger.snapshot(closed)), Optional.empty()));
+            store.apply(StoreTransaction.put(key, WireFormat.encode(ledger.snapshot(false)), Optional.empty()));
             publishedChanges = changes;
             publishedIn = window;
             health.answered();
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsagePublisherTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsagePublisherTest.java
@@ -1,8 +1,24 @@
 package io.banyantally.internal.duty;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.banyantally.internal.deployment.OwnKeys;
+import io.banyantally.internal.deployment.StoreHealth;
+import io.banyantally.internal.time.WallClock;
+import io.banyantally.model.ClientAccountId;
+import io.banyantally.model.VmId;
+import io.banyantally.platform.CoordinationStore;
+import io.banyantally.platform.LeaseId;
+import io.banyantally.platform.StoreException;
+import io.banyantally.platform.StoreRevision;
+import io.banyantally.platform.StoreTransaction;
+import io.banyantally.platform.StoreUnavailableException;
+import io.banyantally.testing.FakeCoordinationStore;
+import io.banyantally.testing.ManualClock;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 final class UsagePublisherTest {
@@ -45,4 +61,69 @@
             assertTrue(writesPerSecond <= STORE_WRITES_PER_SECOND / 10, vms + " VMs write " + writesPerSecond);
         }
     }
+
+    /** Guards against the usage of a whole shutdown that is lost because its last write hangs on a silent connection. */
+    @Test
+    void lastCountsAreWrittenThoughTheFirstAttemptHangs() throws Exception {
+        ManualClock clock = new ManualClock();
+        FakeCoordinationStore store = new FakeCoordinationStore(clock);
+        HangingOnceStore hanging = new HangingOnceStore(store);
+        UsageLedger ledger = new UsageLedger(new WallClock(clock, () -> clock.nanoTime() / 1_000_000), WINDOW);
+        ledger.began(new ClientAccountId("account-1"));
+        UsagePublisher publisher =
+                new UsagePublisher(hanging, ledger, new StoreHealth(clock), new VmId("vm-1"), "lifetime");
+
+        assertTrue(publisher.close(Duration.ofSeconds(2)));
+
+        assertEquals(1, store.keys(OwnKeys.USAGE_PREFIX).size());
+        hanging.release();
+    }
+
+    /** A store whose first write hangs until it is released. */
+    private static final class HangingOnceStore implements CoordinationStore {
+        private final CoordinationStore store;
+        private final CountDownLatch released = new CountDownLatch(1);
+        private final AtomicBoolean hung = new AtomicBoolean();
+
+        HangingOnceStore(CoordinationStore store) {
+            this.store = store;
+        }
+
+        void release() {
+            released.countDown();
+        }
+
+        @Override
+        public StoreListing list(String prefix) throws StoreException {
+            return store.list(prefix);
+        }
+
+        @Override
+        public StoreChanges awaitChanges(String prefix, StoreRevision after, Duration wait) throws StoreException {
+            return store.awaitChanges(prefix, after, wait);
+        }
+
+        @Override
+        public StoreRevision apply(StoreTransaction transaction) throws StoreException {
+            if (hung.compareAndSet(false, true)) {
+                try {
+                    released.await();
+                } catch (InterruptedException interrupted) {
+                    Thread.currentThread().interrupt();
+                }
+                throw new StoreUnavailableException("no answer");
+            }
+            return store.apply(transaction);
+        }
+
+        @Override
+        public LeaseId grantLease(Duration timeToLive) throws StoreException {
+            return store.grantLease(timeToLive);
+        }
+
+        @Override
+        public void renewLease(LeaseId lease) throws StoreException {
+            store.renewLease(lease);
+        }
+    }
 }
