Refuse prompts at once while decoding engines have no slots

Change: the wait for a slot is what is there beyond the slots, times how long requests keep a slot lately, and at least the age of the oldest request without an event. While it exceeds the latency target at all decoding engines, requests are refused before their prompt is read. A plain upstream that has kept a request for twice the latency target comes after the others.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -254,13 +254,15 @@
             AdmittedRequest request, Set<UpstreamId> tried, Optional<HandOver> handOver, boolean mayHaveRun)
             throws RefusedException {
         List<Candidate> candidates = candidates(request, tried);
+        // A request that an upstream has lost, or whose stream has begun, is better late than cut.
+        Placement.Demand demand = tried.isEmpty() ? demand(request) : demand(request, remaining(request));
         Placement.Decision decision = request.service().engine().isPresent()
                 ? services.engines()
                         .decideDecode(
-                                demand(request),
+                                demand,
                                 candidates,
                                 handOver.map(HandOver::engine).map(ReplicaEntry::zone))
-                : services.plain().decide(demand(request), candidates);
+                : services.plain().decide(demand, candidates);
         if (decision instanceof Placement.Decision.Send send) {
             return send;
         }
@@ -289,9 +291,13 @@
     }
 
     private Placement.Demand demand(AdmittedRequest request) {
+        return demand(request, request.route().latencyTarget());
+    }
+
+    private Placement.Demand demand(AdmittedRequest request, Duration latencyTarget) {
         return new Placement.Demand(
                 request.facts().prompt(),
-                request.route().latencyTarget(),
+                latencyTarget,
                 Duration.ofNanos(services.clock().nanoTime() - log.arrived()));
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -25,6 +25,7 @@
 /** Sends one request to upstreams, one after the other, and passes a stream on to the caller. */
 final class UpstreamSender {
 
+    private static final double NANOS_PER_MILLI = 1_000_000;
     private static final int SUCCESS_FIRST = 200;
     private static final int SUCCESS_LAST = 299;
     private static final int TOO_MANY_REQUESTS = 429;
@@ -74,7 +75,7 @@
         track.sent(choice.work(), began);
         SendOutcome outcome;
         try {
-            outcome = exchange(upstream, track, handOver);
+            outcome = exchange(upstream, track, began, handOver);
         } finally {
             track.ended(choice.work(), began);
             caller.clearWhenGone();
@@ -129,7 +130,7 @@
         services.tracks().failed(track, services.replicas().accepting(upstream.service()), reason);
     }
 
-    private SendOutcome exchange(ReplicaEntry upstream, UpstreamTrack track, Optional<HandOver> handOver)
+    private SendOutcome exchange(ReplicaEntry upstream, UpstreamTrack track, long sentAt, Optional<HandOver> handOver)
             throws InterruptedException {
         Duration remaining = calls.remaining();
         if (!remaining.isPositive()) {
@@ -141,7 +142,7 @@
                 caller.whenGone(exchange::close);
             }
             exchange.awaitHeaders();
-            return receive(exchange, track);
+            return receive(exchange, track, sentAt);
         } catch (NothingSentException unsent) {
             return caller.isGone()
                     ? new SendOutcome.CallerGone("before_send")
@@ -151,7 +152,7 @@
         }
     }
 
-    private SendOutcome receive(HttpExchange exchange, UpstreamTrack track) throws InterruptedException {
+    private SendOutcome receive(HttpExchange exchange, UpstreamTrack track, long sentAt) throws InterruptedException {
         int status = exchange.status();
         List<HeaderField> headers = exchange.headers();
         AnswerFacts facts = services.dialect().readAnswer(status, headers);
@@ -178,7 +179,7 @@
             return new SendOutcome.Unknown("upstream_" + status);
         }
         return success && request.route().kind() == RequestKind.STREAMING
-                ? stream(exchange, status, headers)
+                ? stream(exchange, status, headers, track, sentAt)
                 : whole(exchange, status, headers);
     }
 
@@ -213,13 +214,19 @@
                 status, headers, bytes.toByteArray(), status >= 500 ? "upstream_error" : "served");
     }
 
-    private SendOutcome stream(HttpExchange exchange, int status, List<HeaderField> headers)
+    private SendOutcome stream(
+            HttpExchange exchange, int status, List<HeaderField> headers, UpstreamTrack track, long sentAt)
             throws InterruptedException {
         EventAssembler events = new EventAssembler(lastEvent);
         byte[] buffer = new byte[COPY_BYTES];
+        long beganAt = 0;
         try (InputStream body = exchange.body()) {
             for (int count = read(body, buffer); count >= 0; count = read(body, buffer)) {
                 countRun();
+                if (beganAt == 0) {
+                    beganAt = services.clock().nanoTime();
+                    track.began(sentAt);
+                }
                 Optional<byte[]> whole = events.add(buffer, count);
                 if (whole.isPresent()) {
                     deliver(status, headers, whole.get());
@@ -242,6 +249,10 @@
                     : new SendOutcome.Unknown("stream_cut");
         } catch (IOException callerCut) {
             return new SendOutcome.CallerGone("during_delivery");
+        } finally {
+            if (beganAt != 0) {
+                track.held((services.clock().nanoTime() - beganAt) / NANOS_PER_MILLI);
+            }
         }
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/Candidate.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/Candidate.java
@@ -15,6 +15,7 @@
  * @param outstandingAtLoad requests of this process that ran there when it was reported
  * @param loadAgeNanos the age of that load
  * @param observedWait how long requests of this process wait there, in milliseconds
+ * @param heldMillis how long requests of this process keep a slot there lately; 0 if none has ended
  * @param refusing whether it has just refused a request
  * @param trusted whether recent failures allow to send there
  */
@@ -28,6 +29,7 @@
         int outstandingAtLoad,
         long loadAgeNanos,
         double observedWait,
+        double heldMillis,
         boolean refusing,
         boolean trusted) {
 
@@ -43,6 +45,7 @@
                 outstandingAtLoad,
                 loadAgeNanos,
                 observedWait,
+                heldMillis,
                 refusing,
                 trusted);
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
@@ -23,12 +23,14 @@
  *       by rendezvous hashing, on which all VMs agree without a message, since one engine caches only a part of all
  *       sessions. A home whose queue exceeds what reading the session elsewhere costs is passed over for the next engines
  *       of the hash, so that all VMs spill a session to the same place.
- *   <li>Short prompts with long outputs. They go straight to a decoding engine.
+ *   <li>Short prompts with long outputs. They go straight to a decoding engine, and keep one of its slots for seconds.
  * </ul>
  *
  * <p>While prompts arrive faster than all engines read, a queue longer than the latency target makes every answer late. A
  * request that would wait so long is refused at once, which keeps the queue at the length where engines never idle and
  * answers are in time. The limit is on the wait and not on the request's own reading, so that long prompts are not starved.
+ * After a loss of engines the slots of the decoding engines may run out instead: while the wait for one exceeds the latency
+ * target at all of them, requests are refused before their prompt is read.
  */
 public final class EnginePlacement {
 
@@ -96,9 +98,14 @@
         if (engines.isEmpty()) {
             return new Placement.Decision.Nobody();
         }
+        refusedShare -= refusedShare * REFUSED_WEIGHT;
+        List<Candidate> decoding = usable(candidates, EngineStage.DECODE);
+        if (!decoding.isEmpty() && prompt(decoding, demand).isEmpty()) {
+            refusedShare += REFUSED_WEIGHT;
+            return withoutSlots(demand, decoding);
+        }
         Placement.Decision.Send best = cheapest(demand, engines);
         double limit = longestWait(demand);
-        refusedShare -= refusedShare * REFUSED_WEIGHT;
         if (best.waitMillis() > limit) {
             best = leastQueued(demand, engines);
         }
@@ -117,7 +124,11 @@
         if (engines.isEmpty()) {
             return new Placement.Decision.Nobody();
         }
-        Candidate least = engines.stream()
+        List<Candidate> prompt = prompt(engines, demand);
+        if (prompt.isEmpty()) {
+            return withoutSlots(demand, engines);
+        }
+        Candidate least = prompt.stream()
                 .min(Comparator.comparingDouble(engine -> occupancy(engine)
                         + (memory.isPresent()
                                         && !memory.get().equals(engine.entry().zone())
@@ -182,6 +193,33 @@
         return best;
     }
 
+    /**
+     * Returns the decoding engines that begin with a request within the latency target: a longer wait makes its answer late,
+     * whatever else happens.
+     */
+    private static List<Candidate> prompt(List<Candidate> engines, Placement.Demand demand) {
+        return engines.stream()
+                .filter(engine -> slotWait(engine) <= demand.latencyTarget().toMillis())
+                .toList();
+    }
+
+    /**
+     * Returns how long a request waits for a slot of a decoding engine, in milliseconds: as long as the oldest one of this
+     * process waits, or until all that are there and beyond its slots have had their turn.
+     */
+    private static double slotWait(Candidate engine) {
+        double slots = engine.entry().slots();
+        double ahead = Math.max(0, occupancy(engine) * slots - slots + 1);
+        return Math.max(engine.observedWait(), ahead / slots * engine.heldMillis());
+    }
+
+    private Placement.Decision.Full withoutSlots(Placement.Demand demand, List<Candidate> engines) {
+        double wait =
+                engines.stream().mapToDouble(EnginePlacement::slotWait).min().orElseThrow();
+        long delay = (long) (wait - demand.latencyTarget().toMillis()) + random.nextInt(RETRY_SPREAD_MILLIS);
+        return new Placement.Decision.Full(wait, Duration.ofMillis(delay));
+    }
+
     /** Returns the engine with the shortest queue, wherever the session is cached: reading it again is better than a refusal. */
     private static Placement.Decision.Send leastQueued(Placement.Demand demand, List<Candidate> engines) {
         Candidate least = engines.stream()
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
@@ -21,6 +21,9 @@
     /** A reported load that is older says little about requests that last some ten milliseconds. */
     static final Duration LOAD_VALIDITY = Duration.ofMillis(150);
 
+    /** An upstream is silent while a request has been there for this many times its latency target. */
+    private static final double SILENT_TARGETS = 2;
+
     private final RandomGenerator random;
 
     /** Creates the policy with a source of tie breaks. */
@@ -37,11 +40,17 @@
         Optional<Candidate> least = shuffled.stream()
                 .min(Comparator.comparing((Candidate candidate) -> !candidate.trusted())
                         .thenComparing(Candidate::refusing)
+                        .thenComparing(candidate -> isSilent(candidate, demand))
                         .thenComparingDouble(LeastLoadedPlacement::load));
         return least.<Decision>map(chosen -> new Decision.Send(chosen, 0, 1, "least_loaded"))
                 .orElseGet(Decision.Nobody::new);
     }
 
+    /** An upstream that has not answered for so long may be dead, and a dead one that was idle seems to have no load. */
+    private static boolean isSilent(Candidate candidate, Demand demand) {
+        return candidate.observedWait() > demand.latencyTarget().toMillis() * SILENT_TARGETS;
+    }
+
     private static double load(Candidate candidate) {
         double others = candidate.peerRequests();
         if (candidate.loadAgeNanos() < LOAD_VALIDITY.toNanos()
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
@@ -20,6 +20,9 @@
     /** An upstream that fails a larger share of its requests is ejected although single requests succeed. */
     private static final double FAILURE_SHARE_TO_EJECT = 0.3;
 
+    /** The weight of one request in the moving mean of how long requests keep a slot; a mix swings within seconds. */
+    private static final double HELD_WEIGHT = 0.1;
+
     /** An upstream that has refused a request is avoided this long; a queue or an order takes some time. */
     private static final Duration REFUSAL_TIME = Duration.ofMillis(150);
 
@@ -42,6 +45,7 @@
     private long loadAt;
     private double failureShare;
     private double measuredWait;
+    private double heldMillis;
     private long measuredAt;
     private long refusedAt;
     private boolean everRefused;
@@ -68,6 +72,16 @@
         health.sent();
     }
 
+    /** Notes that a request no longer waits: the first part of its answer is there. */
+    public synchronized void began(long sent) {
+        sentAt.remove(sent);
+    }
+
+    /** Notes how long a request kept a slot of the upstream, in milliseconds. */
+    public synchronized void held(double millis) {
+        heldMillis = heldMillis == 0 ? millis : heldMillis + (millis - heldMillis) * HELD_WEIGHT;
+    }
+
     /** Counts the end of a request, whatever it was. */
     public synchronized void ended(double work, long sent) {
         outstanding--;
@@ -143,6 +157,7 @@
                 outstandingAtLoad,
                 now - loadAt,
                 observedWait(now),
+                heldMillis,
                 refusing,
                 health.accepts(now));
     }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/PromptLoad.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/PromptLoad.java
@@ -37,7 +37,7 @@
     private static final int VMS = 6;
 
     /** How often VMs tell each other their work, and how long a message takes. */
-    private static final double EXCHANGE_MILLIS = 20;
+    static final double EXCHANGE_MILLIS = 20;
 
     private final Random random;
     private final ManualClock clock = new ManualClock();
