Write placements alike in the request log

Change: RequestLog.addPlacement and ForwardingServices.failed; load_age_ms=none; wait_ms is the wait for a slot.

Before and after: ForwardingTest 20 of 20 and DecodeLoadTest 6 of 6 on both.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EngineSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EngineSender.java
@@ -15,7 +15,6 @@
 import io.banyantally.internal.placement.UpstreamTrack;
 import java.time.Duration;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -76,29 +75,23 @@
             }
         } catch (NothingSentException unsent) {
             result = "not_connected";
-            services.tracks().failed(track, services.replicas().accepting(engine.service()), result);
+            services.failed(track, result);
         } catch (ExchangeException failure) {
             result = "no_answer";
             services.retries().count(engine.service());
             if (!caller.isGone() && calls.remaining().isPositive()) {
-                services.tracks().failed(track, services.replicas().accepting(engine.service()), result);
+                services.failed(track, result);
             } else {
                 track.health().released();
             }
         } catch (UnreadableDocumentException unreadable) {
             result = "unreadable_answer";
-            services.tracks().failed(track, services.replicas().accepting(engine.service()), result);
+            services.failed(track, result);
         } finally {
             track.ended(choice.work(), began);
             caller.clearWhenGone();
             log.add("prefill", engine.id());
-            log.add(
-                    "prefill_placed",
-                    choice.reason()
-                            + String.format(
-                                    Locale.ROOT, ":wait_ms=%.1f:work_ms=%.1f", choice.waitMillis(), choice.work())
-                            + ":load_age_ms="
-                            + TimeUnit.NANOSECONDS.toMillis(choice.candidate().loadAgeNanos()));
+            log.addPlacement("prefill_placed", choice);
             log.add(
                     "prefill_result",
                     result + ":"
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
@@ -9,6 +9,7 @@
 import io.banyantally.internal.placement.EnginePlacement;
 import io.banyantally.internal.placement.Placement;
 import io.banyantally.internal.placement.RetryAllowance;
+import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.internal.time.MonotonicClock;
 
@@ -29,4 +30,10 @@
         AdapterHttpClient client,
         UsageLedger usage,
         MetricRegistry metrics,
-        MonotonicClock clock) {}
+        MonotonicClock clock) {
+
+    /** Notes a failure of an upstream, which is ejected if it fails too often. */
+    void failed(UpstreamTrack track, String reason) {
+        tracks.failed(track, replicas.accepting(track.entry().service()), reason);
+    }
+}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/RequestLog.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/RequestLog.java
@@ -2,10 +2,13 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.placement.Candidate;
+import io.banyantally.internal.placement.Placement;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.timeline.EventField;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 /** Gathers what was decided on one request, and writes it as one line at the end. */
@@ -32,6 +35,18 @@
         fields.add(EventField.of(name, value));
     }
 
+    /** Adds why an upstream was chosen, and the inputs of the decision with their age. */
+    void addPlacement(String name, Placement.Decision.Send choice) {
+        Candidate chosen = choice.candidate();
+        String loadAge =
+                chosen.load().isEmpty() ? "none" : Long.toString(TimeUnit.NANOSECONDS.toMillis(chosen.loadAgeNanos()));
+        add(
+                name,
+                choice.reason()
+                        + String.format(Locale.ROOT, ":wait_ms=%.1f:work_ms=%.1f", choice.waitMillis(), choice.work())
+                        + ":own=" + chosen.outstanding() + ":load_age_ms=" + loadAge);
+    }
+
     void answerBegan() {
         if (firstByte == 0) {
             firstByte = clock.nanoTime();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -17,7 +17,6 @@
 import java.io.OutputStream;
 import java.time.Duration;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -80,15 +79,9 @@
             track.ended(choice.work(), began);
             caller.clearWhenGone();
         }
-        judge(track, upstream, outcome);
+        judge(track, outcome);
         log.add("upstream" + sends, upstream.id());
-        log.add(
-                "placed" + sends,
-                choice.reason()
-                        + String.format(Locale.ROOT, ":wait_ms=%.1f:work_ms=%.1f", choice.waitMillis(), choice.work())
-                        + ":own="
-                        + choice.candidate().outstanding() + ":load_age_ms="
-                        + TimeUnit.NANOSECONDS.toMillis(choice.candidate().loadAgeNanos()));
+        log.addPlacement("placed" + sends, choice);
         log.add(
                 "result" + sends,
                 outcome.reason() + ":"
@@ -96,7 +89,7 @@
         return outcome;
     }
 
-    private void judge(UpstreamTrack track, ReplicaEntry upstream, SendOutcome outcome) {
+    private void judge(UpstreamTrack track, SendOutcome outcome) {
         switch (outcome) {
             case SendOutcome.Delivered delivered -> services.tracks().succeeded(track);
             case SendOutcome.Answered answered -> {
@@ -109,14 +102,14 @@
             }
             case SendOutcome.Unknown unknown -> {
                 if (services.clock().nanoTime() < request.deadline()) {
-                    failed(track, upstream, unknown.reason());
+                    services.failed(track, unknown.reason());
                 } else {
                     track.health().released();
                 }
             }
             case SendOutcome.NotRun refused -> {
                 if (refused.reason().equals("not_connected") || refused.reason().equals("other_instance")) {
-                    failed(track, upstream, refused.reason());
+                    services.failed(track, refused.reason());
                 } else {
                     track.refused(services.clock().nanoTime());
                     track.health().released();
@@ -126,10 +119,6 @@
         }
     }
 
-    private void failed(UpstreamTrack track, ReplicaEntry upstream, String reason) {
-        services.tracks().failed(track, services.replicas().accepting(upstream.service()), reason);
-    }
-
     private SendOutcome exchange(ReplicaEntry upstream, UpstreamTrack track, long sentAt, Optional<HandOver> handOver)
             throws InterruptedException {
         Duration remaining = calls.remaining();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
@@ -137,7 +137,7 @@
                         + random.nextDouble() * TIE_BREAK))
                 .orElseThrow();
         return new Placement.Decision.Send(
-                least, occupancy(least), 0, memory.isPresent() ? "after_prefill" : "least_loaded");
+                least, slotWait(least), 0, memory.isPresent() ? "after_prefill" : "least_loaded");
     }
 
     /**
