--- a/modules/banyantally-daemon/src/main/java/io/banyantally/daemon/ExplainCommand.java
+++ b/modules/banyantally-daemon/src/main/java/io/banyantally/daemon/ExplainCommand.java
@@ -9,7 +9,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -26,11 +25,12 @@
         mixinStandardHelpOptions = true,
         description = {
             "Merges the logs of all VMs into what happened to one request.",
-            "Times are relative to the request's own line, by the clocks of the VMs.",
+            "Times are relative to the request's own line, by the clocks of the VMs; without one they are absolute.",
             "Exit codes: 0 if a VM wrote a line for the request, 1 if none did, 2 if a file cannot be read."
         })
 final class ExplainCommand implements Callable<Integer> {
 
+    private static final double MILLIS_PER_SECOND = 1000;
     private static final int NOT_FOUND = 1;
     private static final int UNREADABLE = 2;
 
@@ -72,12 +72,14 @@
     }
 
     private static String text(RequestStory story, LogLine line) {
-        Instant origin = story.request().map(LogLine::time).orElse(line.time());
-        double seconds = Duration.between(origin, line.time()).toMillis() / 1000.0;
+        String time = story.request()
+                .map(request -> Duration.between(request.time(), line.time()).toMillis() / MILLIS_PER_SECOND)
+                .map(seconds -> String.format(Locale.ROOT, "%+9.3f s", seconds))
+                .orElseGet(line.time()::toString);
         String fields = line.fields().entrySet().stream()
                 .filter(field -> !field.getKey().equals("level"))
                 .map(field -> field.getKey() + "=" + field.getValue())
                 .collect(Collectors.joining(" "));
-        return String.format(Locale.ROOT, "%+9.3f s  %s  %s  %s", seconds, line.source(), line.event(), fields);
+        return String.join("  ", time, line.source(), line.event(), fields);
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/logging/RequestStory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/logging/RequestStory.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -39,6 +40,10 @@
             "settings_read",
             "request_fault");
 
+    /** What each VM logs of itself is listed for each of them. */
+    private static final Set<String> OWN_EVENTS =
+            Set.of("started", "draining", "stopped", "dependency_lost", "dependency_regained", "request");
+
     /** The events that show the loss of a VM. */
     private static final Set<String> LOSS_EVENTS = Set.of("vm_gone", "vm_listed", "started", "draining", "stopped");
 
@@ -74,16 +79,21 @@
             boolean sameUpstream =
                     line.field("upstream").filter(upstreams::contains).isPresent();
             boolean ofVm = sameVm && VM_EVENTS.contains(line.event());
-            boolean ofFleet = fleetMatters && FLEET_EVENTS.contains(line.event());
+            boolean ofFleet = fleetMatters
+                    && FLEET_EVENTS.contains(line.event())
+                    && line.time().isBefore(request.time());
             return own.contains(line) || (sameVm && adoption) || (inTime && (sameUpstream || ofVm || ofFleet));
         };
         return new RequestStory(Optional.of(request), sorted(log, explains), cause(request));
     }
 
+    /** Returns the wanted lines in the order of their times; what several VMs saw alike is listed once. */
     private static List<LogLine> sorted(List<LogLine> log, Predicate<LogLine> wanted) {
+        Set<Seen> seen = new HashSet<>();
         return log.stream()
                 .filter(wanted)
                 .sorted(Comparator.comparing(LogLine::time))
+                .filter(line -> OWN_EVENTS.contains(line.event()) || seen.add(new Seen(line.event(), line.fields())))
                 .toList();
     }
 
@@ -135,4 +145,6 @@
         }
         return sends.isEmpty() ? "it had not been sent." : String.join(", ", sends) + ".";
     }
+
+    private record Seen(String event, Map<String, String> fields) {}
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/logging/RequestStoryTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/logging/RequestStoryTest.java
@@ -42,6 +42,19 @@
                 story.cause());
     }
 
+    /** Guards against a refusal whose story is drowned in the same change, seen by each VM. */
+    @Test
+    void changeThatSeveralVmsSawIsListedOnce() {
+        List<LogLine> lines = Stream.of("front-1.log", "front-2.log")
+                .flatMap(source -> LogLine.parse(source, ORDERED).stream())
+                .toList();
+
+        RequestStory story = RequestStory.of(
+                "a-2", Stream.concat(lines.stream(), log(FULL).stream()).toList());
+
+        assertEquals(List.of("upstreams_ordered", "request"), events(story));
+    }
+
     @Test
     void namesEachSendOfAFailedRequest() {
         String failed = SERVED.replace("outcome=served", "detail=no_answer outcome=upstream_failed");
