Name the cause for each outcome of a request

Cause: `explain` knew the outcome of a caller that left by another name than the log has, and repeated the words of five others.

Ruled out: nothing; found while reading the code.

Change: one sentence for each outcome that the log writes.

Before and after: RequestStoryTest.eachOutcomeHasItsOwnSentence fails for six outcomes before and passes now.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/logging/RequestStory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/logging/RequestStory.java
@@ -124,11 +124,17 @@
                 "Refused without having run: the shortest wait was "
                         + request.field("wait_ms").orElse("unknown")
                         + " ms. The changes of the fleet before it are listed.";
+            case "no_configuration" -> "Refused without having run: the VM did not know a configuration yet.";
+            case "upstream_refused", "no_other_upstream" ->
+                "No further upstream took it" + detail + "; " + sends(request);
+            case "upstream_error" ->
+                "The upstream failed the request itself, and its answer was passed on; " + sends(request);
+            case "cut" -> "The answer was cut because it could not be completed" + detail + "; " + sends(request);
             case "no_upstream" -> "Refused without having run: no listed upstream took work.";
             case "draining" -> "Refused without having run: the VM was shutting down.";
             case "upstream_failed" -> "The last upstream did not answer completely" + detail + "; " + sends(request);
             case "timed_out" -> "The route's timeout passed; " + sends(request);
-            case "caller_left" -> "The caller closed the connection; " + sends(request);
+            case "caller_gone" -> "The caller closed the connection; " + sends(request);
             default -> "Ended as " + outcome(request) + detail + ".";
         };
     }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/logging/RequestStoryTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/logging/RequestStoryTest.java
@@ -1,12 +1,15 @@
 package io.banyantally.internal.logging;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against an explanation that leaves out what harmed a request, or drowns it in lines of other requests. */
 final class RequestStoryTest {
@@ -65,6 +68,29 @@
                 RequestStory.of("a-1", log(failed)).cause());
     }
 
+    /** Guards against an outcome that is repeated as a word in place of what happened. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "served",
+                "full",
+                "no_upstream",
+                "no_configuration",
+                "draining",
+                "upstream_refused",
+                "no_other_upstream",
+                "upstream_failed",
+                "upstream_error",
+                "timed_out",
+                "caller_gone",
+                "cut"
+            })
+    void eachOutcomeHasItsOwnSentence(String outcome) {
+        String line = SERVED.replace("outcome=served", "outcome=" + outcome);
+
+        assertFalse(RequestStory.of("a-1", log(line)).cause().startsWith("Ended as"));
+    }
+
     @Test
     void requestWithoutALineListsTheLossesOfVms() {
         RequestStory story = RequestStory.of(
