--- a/modules/banyantally/src/main/java/io/banyantally/internal/logging/RequestStory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/logging/RequestStory.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -39,6 +40,10 @@
             "settings_read",
             "request_fault");
 
+    /** What each VM logs of itself is listed for each of them. */
+    private static final Set<String> OWN_EVENTS =
+            Set.of("started", "draining", "stopped", "dependency_lost", "dependency_regained", "request");
+
     /** The events that show the loss of a VM. */
     private static final Set<String> LOSS_EVENTS = Set.of("vm_gone", "vm_listed", "started", "draining", "stopped");
 
@@ -74,16 +79,21 @@
             boolean sameUpstream =
                     line.field("upstream").filter(upstreams::contains).isPresent();
             boolean ofVm = sameVm && VM_EVENTS.contains(line.event());
-            boolean ofFleet = fleetMatters && FLEET_EVENTS.contains(line.event());
+            boolean ofFleet = fleetMatters
+                    && FLEET_EVENTS.contains(line.event())
+                    && line.time().isBefore(request.time());
             return own.contains(line) || (sameVm && adoption) || (inTime && (sameUpstream || ofVm || ofFleet));
         };
         return new RequestStory(Optional.of(request), sorted(log, explains), cause(request));
     }
 
+    /** Returns the wanted lines in the order of their times; what several VMs saw alike is listed once. */
     private static List<LogLine> sorted(List<LogLine> log, Predicate<LogLine> wanted) {
+        Set<Seen> seen = new HashSet<>();
         return log.stream()
                 .filter(wanted)
                 .sorted(Comparator.comparing(LogLine::time))
+                .filter(line -> OWN_EVENTS.contains(line.event()) || seen.add(new Seen(line.event(), line.fields())))
                 .toList();
     }
 
@@ -114,11 +124,17 @@
                 "Refused without having run: the shortest wait was "
                         + request.field("wait_ms").orElse("unknown")
                         + " ms. The changes of the fleet before it are listed.";
+            case "no_configuration" -> "Refused without having run: the VM did not know a configuration yet.";
+            case "upstream_refused", "no_other_upstream" ->
+                "No further upstream took it" + detail + "; " + sends(request);
+            case "upstream_error" ->
+                "The upstream failed the request itself, and its answer was passed on; " + sends(request);
+            case "cut" -> "The answer was cut because it could not be completed" + detail + "; " + sends(request);
             case "no_upstream" -> "Refused without having run: no listed upstream took work.";
             case "draining" -> "Refused without having run: the VM was shutting down.";
             case "upstream_failed" -> "The last upstream did not answer completely" + detail + "; " + sends(request);
             case "timed_out" -> "The route's timeout passed; " + sends(request);
-            case "caller_left" -> "The caller closed the connection; " + sends(request);
+            case "caller_gone" -> "The caller closed the connection; " + sends(request);
             default -> "Ended as " + outcome(request) + detail + ".";
         };
     }
@@ -135,4 +151,6 @@
         }
         return sends.isEmpty() ? "it had not been sent." : String.join(", ", sends) + ".";
     }
+
+    private record Seen(String event, Map<String, String> fields) {}
 }
