Decode the usage of a round once

Cause: each open window decoded every VM's counts up to three times, for the wait, the sum and the deletions, and looked twice for a sealed window.

Ruled out: decoding sealed windows ahead as well; most are not asked for.

Change: a round decodes the counts once and hands them on. Counts that cannot be read are logged once a round.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageReporter.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageReporter.java
@@ -18,7 +18,6 @@
 import io.banyantally.platform.UsageWindowSink;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -83,9 +82,14 @@
         try {
             StoreListing listing = store.list(OwnKeys.USAGE_PREFIX);
             health.answered();
+            Map<StoreKey, WindowCounts> counts = counts(listing);
             for (long window : open) {
-                if (isComplete(window, listing)) {
-                    report(holder, window, listing);
+                Optional<SealedCounts> sealed = alreadySealed(window, listing);
+                if (sealed.isEmpty() && isComplete(window, counts)) {
+                    sealed = seal(window, listing, counts);
+                }
+                if (sealed.isPresent() && holder.permission().isGranted()) {
+                    report(holder, window, sealed.get().counts());
                 }
             }
         } catch (StoreException failure) {
@@ -108,43 +112,30 @@
      * Returns whether all VMs have published their final counts, or it is too late to wait for one that is cut off. A VM
      * whose process has ended is not waited for once its next process publishes.
      */
-    private boolean isComplete(long window, StoreListing listing) {
-        if (ledger.sinceEnd(window).compareTo(dueTime.minus(REPORT_MARGIN)) >= 0
-                || alreadySealed(window, listing).isPresent()) {
+    private boolean isComplete(long window, Map<StoreKey, WindowCounts> counts) {
+        if (ledger.sinceEnd(window).compareTo(dueTime.minus(REPORT_MARGIN)) >= 0) {
             return true;
         }
         Map<String, WindowCounts> newest = new HashMap<>();
-        for (StoreItem item : listing.items()) {
-            counts(item)
-                    .ifPresent(counts -> newest.merge(
-                            OwnKeys.vmOfUsageCounts(item.key()),
-                            counts,
-                            (left, right) -> left.writtenIn() >= right.writtenIn() ? left : right));
-        }
+        counts.forEach((key, written) -> newest.merge(
+                OwnKeys.vmOfUsageCounts(key),
+                written,
+                (left, right) -> left.writtenIn() >= right.writtenIn() ? left : right));
         return newest.values().stream()
-                .noneMatch(
-                        counts -> !counts.closed() && counts.writtenIn() <= window && counts.writtenIn() >= window - 1);
+                .noneMatch(last -> !last.closed() && last.writtenIn() <= window && last.writtenIn() >= window - 1);
     }
 
-    private void report(DutyHolder holder, long window, StoreListing listing)
-            throws StoreException, InterruptedException {
-        SealedCounts sealed =
-                alreadySealed(window, listing).or(() -> seal(window, listing)).orElse(null);
-        if (sealed == null || !holder.permission().isGranted()) {
-            return;
-        }
+    private void report(DutyHolder holder, long window, Map<ClientAccountId, Long> counts) throws InterruptedException {
         try {
-            sink.report(holder, window, sealed.counts());
+            sink.report(holder, window, counts);
             reported.add(window);
             LOG.info(
                     "usage_reported",
                     EventField.of("window", window),
-                    EventField.of("accounts", sealed.counts().size()),
+                    EventField.of("accounts", counts.size()),
                     EventField.of(
                             "requests",
-                            sealed.counts().values().stream()
-                                    .mapToLong(Long::longValue)
-                                    .sum()),
+                            counts.values().stream().mapToLong(Long::longValue).sum()),
                     EventField.of("fencing", holder.fencing()),
                     EventField.of("age_ms", ledger.sinceEnd(window).toMillis()));
         } catch (PlatformException failure) {
@@ -170,15 +161,15 @@
         return Optional.empty();
     }
 
-    private Optional<SealedCounts> seal(long window, StoreListing listing) {
-        SealedCounts counts = new SealedCounts(window, sum(window, listing));
+    private Optional<SealedCounts> seal(long window, StoreListing listing, Map<StoreKey, WindowCounts> counts) {
+        SealedCounts sealed = new SealedCounts(window, sum(window, counts));
         StoreTransaction transaction = StoreTransaction.create(
-                        OwnKeys.sealedWindow(window), WireFormat.encode(counts), Optional.empty())
-                .andDelete(outdated(listing));
+                        OwnKeys.sealedWindow(window), WireFormat.encode(sealed), Optional.empty())
+                .andDelete(outdated(listing, counts));
         try {
             store.apply(transaction);
             health.answered();
-            return Optional.of(counts);
+            return Optional.of(sealed);
         } catch (RevisionConflictException other) {
             LOG.info("usage_sealed_by_another", EventField.of("window", window));
         } catch (StoreException failure) {
@@ -187,48 +178,48 @@
         return Optional.empty();
     }
 
-    private static Map<ClientAccountId, Long> sum(long window, StoreListing listing) {
+    private static Map<ClientAccountId, Long> sum(long window, Map<StoreKey, WindowCounts> counts) {
         Map<ClientAccountId, Long> total = new HashMap<>();
-        for (StoreItem item : listing.items()) {
-            counts(item)
-                    .ifPresent(counts -> counts.of(window)
-                            .forEach((account, requests) -> total.merge(account, requests, Long::sum)));
-        }
+        counts.values()
+                .forEach(written ->
+                        written.of(window).forEach((account, requests) -> total.merge(account, requests, Long::sum)));
         return total;
     }
 
-    private List<StoreKey> outdated(StoreListing listing) {
-        List<StoreKey> keys = new ArrayList<>();
-        for (StoreItem item : listing.items()) {
-            if (keys.size() < DELETIONS_AT_ONCE && newestWindow(item).stream().anyMatch(this::isOutdated)) {
-                keys.add(item.key());
-            }
-        }
-        return keys;
+    private List<StoreKey> outdated(StoreListing listing, Map<StoreKey, WindowCounts> counts) {
+        return listing.items().stream()
+                .map(StoreItem::key)
+                .filter(key -> newestWindow(key, counts).stream().anyMatch(this::isOutdated))
+                .limit(DELETIONS_AT_ONCE)
+                .toList();
     }
 
     private boolean isOutdated(long window) {
         return ledger.sinceEnd(window).compareTo(RETENTION) > 0;
     }
 
-    private static Optional<Long> newestWindow(StoreItem item) {
-        if (OwnKeys.isSealedWindow(item.key())) {
-            String path = item.key().path();
+    private static Optional<Long> newestWindow(StoreKey key, Map<StoreKey, WindowCounts> counts) {
+        if (OwnKeys.isSealedWindow(key)) {
+            String path = key.path();
             return Optional.of(Long.parseLong(path.substring(path.lastIndexOf('/') + 1)));
         }
-        return counts(item)
-                .flatMap(counts -> counts.byWindow().keySet().stream().max(Long::compare));
+        return Optional.ofNullable(counts.get(key))
+                .flatMap(written -> written.byWindow().keySet().stream().max(Long::compare));
     }
 
-    private static Optional<WindowCounts> counts(StoreItem item) {
-        if (!OwnKeys.isUsageCounts(item.key())) {
-            return Optional.empty();
-        }
-        try {
-            return Optional.of(WireFormat.decode(item.value(), WindowCounts.class));
-        } catch (IOException unreadable) {
-            LOG.error("usage_counts_unreadable", unreadable, EventField.of("key", item.key()));
-            return Optional.empty();
+    /** Decodes the counts of all processes; those that cannot be read are left out. */
+    private static Map<StoreKey, WindowCounts> counts(StoreListing listing) {
+        Map<StoreKey, WindowCounts> counts = new HashMap<>();
+        for (StoreItem item : listing.items()) {
+            if (!OwnKeys.isUsageCounts(item.key())) {
+                continue;
+            }
+            try {
+                counts.put(item.key(), WireFormat.decode(item.value(), WindowCounts.class));
+            } catch (IOException unreadable) {
+                LOG.error("usage_counts_unreadable", unreadable, EventField.of("key", item.key()));
+            }
         }
+        return counts;
     }
 }
