Keep the upkeep of lists linear in their length

Cause: five times a second each VM compared all tracked upstreams with a list of all known ones, and each change of an upstream copied the list of its service once for every member; both grow with the square of the upstreams. A listing of VMs did the same.

Ruled out: nothing; found while reading.

Change: sets and one grouping.

Before and after: 57 nearest tests pass on both. The time at the size to design for is not measured.

Conclusion: no change of behaviour.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberList.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberList.java
@@ -12,7 +12,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.stream.Collectors;
 
 /**
  * The VMs of the system and the holder of the duties, as last read from the store. While the store is away the list stays
@@ -40,7 +42,7 @@
 
     @Override
     public void listed(StoreListing listing) {
-        List<StoreKey> present = listing.items().stream().map(StoreItem::key).toList();
+        Set<StoreKey> present = listing.items().stream().map(StoreItem::key).collect(Collectors.toSet());
         members.keySet().stream().filter(key -> !present.contains(key)).toList().forEach(this::removed);
         if (!present.contains(OwnKeys.DUTY_HOLDER)) {
             dutyHolder = Optional.empty();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
@@ -19,7 +19,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Stream;
+import java.util.stream.Collectors;
 
 /**
  * The upstreams that have an entry in the platform's store. While the store is away, what was known last stays in use. An
@@ -161,14 +161,8 @@
     }
 
     private void publish() {
-        Map<ServiceName, List<ReplicaEntry>> grouped = new HashMap<>();
-        for (ReplicaEntry entry : entries.values()) {
-            grouped.merge(entry.service(), List.of(entry), ReplicaRegistry::concatenated);
-        }
-        byService = Map.copyOf(grouped);
-    }
-
-    private static List<ReplicaEntry> concatenated(List<ReplicaEntry> left, List<ReplicaEntry> right) {
-        return Stream.concat(left.stream(), right.stream()).toList();
+        byService = entries.values().stream()
+                .collect(Collectors.collectingAndThen(
+                        Collectors.groupingBy(ReplicaEntry::service, Collectors.toUnmodifiableList()), Map::copyOf));
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTracks.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTracks.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
 
 /** The tracks of all upstreams. An upstream that restarts under its id, or at another address, begins a new track. */
 public final class UpstreamTracks {
@@ -76,8 +77,7 @@
 
     /** Forgets upstreams that are no longer known. */
     public void retain(List<ReplicaEntry> known) {
-        List<UpstreamId> ids = known.stream().map(ReplicaEntry::id).toList();
-        tracks.keySet().retainAll(ids);
+        tracks.keySet().retainAll(known.stream().map(ReplicaEntry::id).collect(Collectors.toSet()));
     }
 
     private static boolean isSameLifetime(ReplicaEntry former, ReplicaEntry present) {
