--- a/modules/banyantally-daemon/src/main/java/io/banyantally/daemon/EntryCommand.java
+++ b/modules/banyantally-daemon/src/main/java/io/banyantally/daemon/EntryCommand.java
@@ -4,10 +4,10 @@
 import io.banyantally.BanyantallyBuilder;
 import io.banyantally.StartFailedException;
 import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.net.SocketAddresses;
 import io.banyantally.internal.settings.EntrySettings;
 import io.banyantally.internal.settings.SettingsException;
 import io.banyantally.internal.timeline.EventField;
-import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
@@ -58,8 +58,8 @@
             return FAILED;
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(entry), "graceful-shutdown"));
-        System.out.println(
-                "event=listening callers=" + text(entry.callersAddress()) + " peers=" + text(entry.peersAddress()));
+        System.out.println("event=listening callers=" + SocketAddresses.text(entry.callersAddress()) + " peers="
+                + SocketAddresses.text(entry.peersAddress()));
         new CountDownLatch(1).await();
         return 0;
     }
@@ -75,8 +75,4 @@
             Runtime.getRuntime().halt(code);
         }
     }
-
-    private static String text(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
-    }
 }
--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/StandInServer.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/StandInServer.java
@@ -1,5 +1,6 @@
 package io.banyantally.standins;
 
+import io.banyantally.internal.net.SocketAddresses;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -70,8 +71,7 @@
 
     /** Prints the line that tells a starting process that the server is ready. */
     public void announce() {
-        System.out.println("event=listening address=" + address().getAddress().getHostAddress() + ":"
-                + address().getPort());
+        System.out.println("event=listening address=" + SocketAddresses.text(address()));
         System.out.flush();
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
+++ b/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
@@ -1,5 +1,6 @@
 package io.banyantally;
 
+import io.banyantally.internal.net.SocketAddresses;
 import io.banyantally.internal.placement.RetryAllowance.RetryLimit;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.VmId;
@@ -51,16 +52,12 @@
 
     /** Returns where callers connect, as {@code address:port}. */
     public String callersText() {
-        return text(callers);
+        return SocketAddresses.text(callers);
     }
 
     /** Returns where other VMs connect, as {@code address:port}. */
     String peersText() {
-        return text(peers);
-    }
-
-    private static String text(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
+        return SocketAddresses.text(peers);
     }
 
     Duration stopMargin() {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -1,5 +1,6 @@
 package io.banyantally.internal.adapter;
 
+import io.banyantally.internal.net.SocketAddresses;
 import io.banyantally.upstream.HeaderField;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -177,8 +178,7 @@
     }
 
     private Request request(HttpCall call) {
-        URI uri = URI.create("http://" + call.address().getAddress().getHostAddress() + ":"
-                + call.address().getPort() + call.target());
+        URI uri = URI.create("http://" + SocketAddresses.text(call.address()) + call.target());
         Request request = client.newRequest(uri).method(call.method()).headers(fields -> {
             for (HeaderField field : call.headers()) {
                 fields.add(field.name(), field.value());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpEngine.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpEngine.java
@@ -1,5 +1,6 @@
 package io.banyantally.internal.adapter;
 
+import io.banyantally.internal.net.SocketAddresses;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.model.ExchangeId;
 import io.banyantally.upstream.AnswerStream;
@@ -121,7 +122,7 @@
             throw new IllegalArgumentException("destination " + destination + " is not reached over HTTP; use an engine"
                     + " of the same connector");
         }
-        String to = other.address.getAddress().getHostAddress() + ":" + other.address.getPort();
+        String to = SocketAddresses.text(other.address);
         whole(HttpCall.query(address, "/cache/transfer", new CacheTransferRequest(prefixHash, to), TRANSFER_LIMIT));
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/AddressesEndpoint.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/AddressesEndpoint.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.banyantally.internal.membership.CallerAddress;
 import io.banyantally.internal.membership.Membership;
+import io.banyantally.internal.net.SocketAddresses;
 import io.banyantally.model.AvailabilityZone;
 import java.io.IOException;
 import java.util.Optional;
@@ -31,10 +32,7 @@
         for (CallerAddress address : membership.addresses(zone(exchange))) {
             addresses
                     .addObject()
-                    .put(
-                            "address",
-                            address.address().getAddress().getHostAddress() + ":"
-                                    + address.address().getPort())
+                    .put("address", SocketAddresses.text(address.address()))
                     .put("zone", address.zone().value())
                     .put("vm", address.vm().value());
         }
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/net/SocketAddresses.java
@@ -0,0 +1,14 @@
+package io.banyantally.internal.net;
+
+import java.net.InetSocketAddress;
+
+/** Writes addresses as text. */
+public final class SocketAddresses {
+
+    private SocketAddresses() {}
+
+    /** Returns a resolved address as {@code address:port}. */
+    public static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/net/package-info.java
@@ -0,0 +1,2 @@
+/** Network addresses as text. */
+package io.banyantally.internal.net;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/wiring/EntryDaemon.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/wiring/EntryDaemon.java
@@ -8,6 +8,7 @@
 import io.banyantally.internal.membership.DirectorySpread;
 import io.banyantally.internal.membership.Membership;
 import io.banyantally.internal.membership.PeerSelection;
+import io.banyantally.internal.net.SocketAddresses;
 import io.banyantally.internal.operator.OperatorHandler;
 import io.banyantally.internal.peer.TcpPeerNetwork;
 import io.banyantally.internal.routing.DirectoryCatalogue;
@@ -82,10 +83,7 @@
         timeline.record(
                 EventKind.VM_STARTED,
                 EventField.of("zone", settings.zone()),
-                EventField.of(
-                        "callers",
-                        server.address().getAddress().getHostAddress() + ":"
-                                + server.address().getPort()));
+                EventField.of("callers", SocketAddresses.text(server.address())));
         peers.useSeeds();
         directory.addListener(peers::update);
         directory.addListener(catalogue::update);
