--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpCall.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpCall.java
@@ -40,7 +40,7 @@
     }
 
     /** A call with a JSON body that has an effect, on a connection of its own. */
-    public static HttpCall write(InetSocketAddress address, String target, Object body, Duration timeLimit) {
+    static HttpCall write(InetSocketAddress address, String target, Object body, Duration timeLimit) {
         return new HttpCall(address, "POST", target, JSON, WireFormat.encode(body), true, timeLimit, ALWAYS);
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -111,13 +111,9 @@
     }
 
     private boolean mayAct() {
-        if (stopped || term.isEmpty()) {
-            return false;
-        }
-        if (clock.longestSince(term.get().renewedAt()).compareTo(timeToLive.minus(SAFETY_MARGIN)) >= 0) {
-            return false;
-        }
-        return true;
+        return !stopped
+                && term.isPresent()
+                && clock.longestSince(term.get().renewedAt()).compareTo(timeToLive.minus(SAFETY_MARGIN)) < 0;
     }
 
     private void renew() throws StoreException {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
@@ -101,11 +101,6 @@
         }
     }
 
-    /** Returns where callers connect. */
-    public InetSocketAddress callersAddress() {
-        return new InetSocketAddress(callers.getHost(), callers.getLocalPort());
-    }
-
     /** Returns how often to call {@link #probeCallers}. */
     public static Duration probeInterval() {
         return OpenExchanges.PROBE_INTERVAL;
