Log each step of a shutdown and each request that it cuts

Ruled out: the lines of the requests themselves, which a request that is cut by the end of its process does not write. Change: a line when connections begin to close and when the wait for requests ends, with the open requests and the time left; one line for each request that is cut, with its id. No change of what is decided.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -47,6 +47,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 
 /**
  * One process of the gateway: it forwards callers' requests to upstreams by the operator's configuration, and takes its
@@ -259,10 +260,16 @@
         presence.withdraw();
         Thread.sleep(settings.addressLifetime());
         server.closeConnections();
+        LOG.info("connections_closing", EventField.of("open_requests", server.openRequests()));
         Thread.sleep(settings.connectionCloseTime());
         boolean empty = server.awaitRequests(Duration.ofNanos(Math.max(0, end - System.nanoTime())));
+        LOG.info(
+                "requests_awaited",
+                EventField.of("open_requests", server.openRequests()),
+                EventField.of("grace_left_ms", TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime())));
+        int cut = server.openRequests();
         stop();
-        LOG.info("stopped", EventField.of("requests_cut", server.openRequests()));
+        LOG.info("stopped", EventField.of("requests_cut", cut));
         return empty;
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/CallerExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/CallerExchange.java
@@ -21,12 +21,23 @@
     private volatile Optional<Runnable> whenGone = Optional.empty();
     private volatile boolean wholeRequestRead;
     private volatile boolean gone;
+    private volatile String attempt = "unread";
 
     CallerExchange(Request request, Response response) {
         this.request = request;
         this.response = response;
     }
 
+    /** Sets the id under which logs name the request. */
+    void setAttempt(String id) {
+        attempt = id;
+    }
+
+    /** Returns the id under which logs name the request. */
+    String attempt() {
+        return attempt;
+    }
+
     String method() {
         return request.getMethod();
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -69,6 +69,7 @@
         try {
             facts = Optional.of(services.dialect().readRequest(headers));
             log.add("request", facts.get().attempt());
+            caller.setAttempt(facts.get().attempt());
             forward(admit(facts.get(), headers));
         } catch (MalformedRequestException malformed) {
             log.add("detail", malformed.getMessage());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
@@ -126,8 +126,13 @@
         return open.awaitEmpty(limit);
     }
 
-    /** Closes all connections. */
+    /** Closes all connections; requests that are open are cut. */
     public void stop() {
+        open.forEach(cut -> LOG.warn(
+                "request_cut",
+                EventField.of("request", cut.attempt()),
+                EventField.of("path", cut.path()),
+                EventField.of("answer_begun", cut.isCommitted())));
         try {
             server.stop();
         } catch (Exception failure) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/OpenExchanges.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/OpenExchanges.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 
 /** The requests that this VM is answering. Looks at intervals which callers have left. */
 final class OpenExchanges {
@@ -25,7 +26,11 @@
     }
 
     void probe() {
-        open.forEach(CallerExchange::probe);
+        forEach(CallerExchange::probe);
+    }
+
+    void forEach(Consumer<CallerExchange> action) {
+        open.forEach(action);
     }
 
     /** Waits until no request is open; returns false if some are after {@code limit}. */
