Take only requests that end before a shutdown does

Cause: a VM that shut down took every request until the end of its wait for open requests, 1.2 s before the end of the grace period, and cut what was open then. Streams were taken for 2.9 s whatever their time limit, so those with 15 s could not end either.

Ruled out: a shorter wait, which moves the moment but not the fault; a refusal of all requests from a fixed time on, which either refuses what can be served or cuts what takes longer.

Change: a shutdown passes a request on only if its time limit, the shorter of the route's and the caller's, ends 0.2 s before the wait does; others are refused at once as not run, with a short Retry-After and a closed connection. The check is made when the request has been read and again before the first send. What is taken after the signal has an answer, a timeout at the latest, before the process ends.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -73,6 +73,9 @@
     /** For two attempts: a write to a store that answers takes some milliseconds, and 240 to one that is slow. */
     private static final Duration LAST_USAGE_TIME = Duration.ofMillis(600);
 
+    /** Between the time limit of the last request that a shutdown takes and the end: its answer is on its way meanwhile. */
+    private static final Duration ANSWER_MARGIN = Duration.ofMillis(200);
+
     private static final Duration UPKEEP_INTERVAL = Duration.ofMillis(200);
 
     private final GatewaySettings settings;
@@ -255,6 +258,7 @@
         long end = System.nanoTime()
                 + settings.gracePeriod().minus(settings.stopMargin()).toNanos();
         draining = true;
+        server.limitRequests(end - ANSWER_MARGIN.toNanos());
         LOG.info("draining", EventField.of("open_requests", server.openRequests()));
         duties.stop();
         presence.withdraw();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -5,7 +5,6 @@
 import io.banyantally.deployment.MalformedRequestException;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.RequestFacts;
-import io.banyantally.deployment.RequestKind;
 import io.banyantally.deployment.RouteRule;
 import io.banyantally.deployment.ServiceRule;
 import io.banyantally.deployment.ServiceShare;
@@ -39,6 +38,8 @@
     /** When a caller of a VM that shuts down may go to another one. */
     private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(10);
 
+    private static final String SHUTTING_DOWN = "draining";
+
     /** When a caller may return to a service without upstreams. */
     private static final Duration RETRY_WITHOUT_UPSTREAM = Duration.ofMillis(400);
 
@@ -48,18 +49,14 @@
     private final ForwardingServices services;
     private final CallerExchange caller;
     private final RequestLog log;
-    private final boolean takesStreams;
+    private final ShutdownAdmission admission;
     private String routeName = "none";
 
-    /**
-     * Creates a request that is not begun.
-     *
-     * @param takesStreams whether this VM serves long enough for a stream to end
-     */
-    ForwardedRequest(ForwardingServices services, CallerExchange caller, boolean takesStreams) {
-        this.takesStreams = takesStreams;
+    /** Creates a request that is not begun. */
+    ForwardedRequest(ForwardingServices services, CallerExchange caller, ShutdownAdmission admission) {
         this.services = services;
         this.caller = caller;
+        this.admission = admission;
         this.log = new RequestLog(services.clock());
     }
 
@@ -94,9 +91,6 @@
                 .orElseThrow(() -> new RefusedException(Refusal.wrong(Refusal.NOT_FOUND, "no_route")));
         routeName = route.kind().name().toLowerCase(Locale.ROOT);
         log.add("route", route.name());
-        if (!takesStreams && route.kind() == RequestKind.STREAMING) {
-            throw new RefusedException(Refusal.notRun("draining", RETRY_ELSEWHERE));
-        }
         Optional<AccountRule> account = facts.key().flatMap(configuration::account);
         account.ifPresent(known -> log.add("account", known.account()));
         if (account.isEmpty() && configuration.requiresKeys() && !route.anonymous()) {
@@ -114,7 +108,17 @@
         Duration limit = facts.patience()
                 .filter(patience -> patience.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
-        return new AdmittedRequest(route, service, facts, account, headers, body, log.arrived() + limit.toNanos());
+        AdmittedRequest request =
+                new AdmittedRequest(route, service, facts, account, headers, body, log.arrived() + limit.toNanos());
+        checkShutdown(request);
+        return request;
+    }
+
+    private void checkShutdown(AdmittedRequest request) throws RefusedException {
+        if (!admission.takes(request.deadline())) {
+            log.add("left_ms", request.remaining(services.clock()).toMillis());
+            throw new RefusedException(Refusal.notRun(SHUTTING_DOWN, RETRY_ELSEWHERE));
+        }
     }
 
     private static ServiceName chooseService(RouteRule route) {
@@ -146,6 +150,10 @@
         boolean mayHaveRun = false;
         try {
             while (true) {
+                if (!mayHaveRun) {
+                    // The shutdown may have begun while the prompt was read.
+                    checkShutdown(request);
+                }
                 Placement.Decision.Send choice =
                         chosen.isPresent() ? chosen.get() : place(request, tried, handOver, mayHaveRun);
                 chosen = Optional.empty();
@@ -298,8 +306,9 @@
         List<HeaderField> headers = new ArrayList<>();
         facts.ifPresent(known -> headers.addAll(services.dialect().ownAnswerHeaders(known)));
         refusal.retryAfter().ifPresent(after -> headers.add(new HeaderField("Retry-After", seconds(after))));
-        if (refusal.status() == Refusal.BODY_TOO_LARGE || refusal.status() == Refusal.BAD_REQUEST) {
-            // The rest of the request is not read, so the connection cannot carry another one.
+        boolean bodyUnread = refusal.status() == Refusal.BODY_TOO_LARGE || refusal.status() == Refusal.BAD_REQUEST;
+        if (bodyUnread || refusal.reason().equals(SHUTTING_DOWN)) {
+            // The rest of the request is not read, or the next one would be refused as well.
             caller.closeAfterAnswer();
         }
         if (caller.isCommitted()) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingHandler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingHandler.java
@@ -16,11 +16,13 @@
 
     private final ForwardingServices services;
     private final OpenExchanges open;
+    private final ShutdownAdmission admission;
     private volatile boolean closing;
 
-    ForwardingHandler(ForwardingServices services, OpenExchanges open) {
+    ForwardingHandler(ForwardingServices services, OpenExchanges open, ShutdownAdmission admission) {
         this.services = services;
         this.open = open;
+        this.admission = admission;
     }
 
     /** From now on every answer closes its connection. */
@@ -36,7 +38,7 @@
             if (closing) {
                 caller.closeAfterAnswer();
             }
-            new ForwardedRequest(services, caller, !closing).run();
+            new ForwardedRequest(services, caller, admission).run();
             callback.succeeded();
         } catch (IOException cut) {
             callback.failed(cut);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
@@ -41,6 +41,7 @@
 
     private final Server server;
     private final OpenExchanges open = new OpenExchanges();
+    private final ShutdownAdmission admission = new ShutdownAdmission();
     private final ForwardingHandler forwarding;
     private final HttpConfiguration callerConfiguration = configuration();
     private final ServerConnector callers;
@@ -53,7 +54,7 @@
         threads.setName("http");
         threads.setVirtualThreadsExecutor(Executors.newVirtualThreadPerTaskExecutor());
         this.server = new Server(threads);
-        this.forwarding = new ForwardingHandler(services, open);
+        this.forwarding = new ForwardingHandler(services, open, admission);
         this.callers = new ProbingConnector(server, new HttpConnectionFactory(callerConfiguration));
         bind(callers, callersAddress);
         Map<Integer, Handler> byPort = new HashMap<>();
@@ -116,6 +117,14 @@
         return open.size();
     }
 
+    /**
+     * From now on refuses requests that may have no answer by the moment {@code lastAnswer}, in monotonic nanoseconds, as
+     * not run.
+     */
+    public void limitRequests(long lastAnswer) {
+        admission.limitTo(lastAnswer);
+    }
+
     /** From now on every answer closes its connection, so that callers move to other VMs. */
     public void closeConnections() {
         forwarding.closeConnections();
