End the taking of requests before a shutdown closes connections

What callers saw: a request that came after the last open one had ended reached its upstream and was cut while the process wrote its last usage; the process then said that no request was cut.

Ruled out: a look just before the connections are closed, which leaves the same gap, only smaller.

Change: once no request is open, or the wait has ended, no further request is taken: it is refused as not run.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -266,6 +266,9 @@
         server.closeConnections();
         LOG.info("connections_closing", EventField.of("open_requests", server.openRequests()));
         Thread.sleep(settings.connectionCloseTime());
+        server.awaitRequests(Duration.ofNanos(Math.max(0, end - System.nanoTime())));
+        server.endRequests();
+        // Another request may have begun since the last one ended.
         boolean empty = server.awaitRequests(Duration.ofNanos(Math.max(0, end - System.nanoTime())));
         LOG.info(
                 "requests_awaited",
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
@@ -125,6 +125,11 @@
         admission.limitTo(lastAnswer);
     }
 
+    /** From now on refuses all requests as not run. Those that are open go on. */
+    public void endRequests() {
+        admission.end();
+    }
+
     /** From now on every answer closes its connection, so that callers move to other VMs. */
     public void closeConnections() {
         forwarding.closeConnections();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ShutdownAdmission.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ShutdownAdmission.java
@@ -9,15 +9,21 @@
 final class ShutdownAdmission {
 
     private volatile OptionalLong lastAnswer = OptionalLong.empty();
+    private volatile boolean ended;
 
     /** From now on takes only requests whose deadline is not after {@code moment}, in monotonic nanoseconds. */
     void limitTo(long moment) {
         lastAnswer = OptionalLong.of(moment);
     }
 
+    /** From now on takes no request. */
+    void end() {
+        ended = true;
+    }
+
     /** Returns whether a request with this deadline, in monotonic nanoseconds, may be passed on. */
     boolean takes(long deadline) {
         OptionalLong limit = lastAnswer;
-        return limit.isEmpty() || deadline - limit.getAsLong() <= 0;
+        return !ended && (limit.isEmpty() || deadline - limit.getAsLong() <= 0);
     }
 }
