Let streams from before the signal run until the grace period ends

Cause: 1.2 s of the grace period were kept for the last write of usage, which takes 0.6 s at most and does not need the streams to have ended: a stream is counted at its first byte, and no request is taken any more.

Ruled out: a longer time limit for the whole shutdown, since the process is killed at 8 s; a refusal, since these streams ran before the signal.

Change: the last usage is written while streams go on, and they are cut 0.5 s before the kill. Periodic writes of usage end with the last one, so that they cannot replace it.

Before and after: GracefulShutdownTest.streamFromBeforeTheSignalRunsUntilTheGracePeriodEnds (a stream that ends 7.2 s after the signal) failed and passes; GracefulShutdownTest 5 of 5, ForwardingTest 20 of 20. Streams that need longer are still cut: they cannot be refused any more.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -255,10 +255,11 @@
      * @return false if requests still ran at the end of the grace period and were cut
      */
     public boolean drainAndStop() throws InterruptedException {
-        long end = System.nanoTime()
-                + settings.gracePeriod().minus(settings.stopMargin()).toNanos();
+        long signalled = System.nanoTime();
+        long lastAnswer = signalled + settings.lastAnswerTime().toNanos();
+        long end = signalled + settings.stopTime().toNanos();
         draining = true;
-        server.limitRequests(end - ANSWER_MARGIN.toNanos());
+        server.limitRequests(lastAnswer - ANSWER_MARGIN.toNanos());
         LOG.info("draining", EventField.of("open_requests", server.openRequests()));
         duties.stop();
         presence.withdraw();
@@ -266,25 +267,35 @@
         server.closeConnections();
         LOG.info("connections_closing", EventField.of("open_requests", server.openRequests()));
         Thread.sleep(settings.connectionCloseTime());
-        server.awaitRequests(Duration.ofNanos(Math.max(0, end - System.nanoTime())));
+        server.awaitRequests(until(lastAnswer));
         server.endRequests();
         // Another request may have begun since the last one ended.
-        boolean empty = server.awaitRequests(Duration.ofNanos(Math.max(0, end - System.nanoTime())));
+        server.awaitRequests(until(lastAnswer));
+        publishLastUsage();
+        boolean empty = server.awaitRequests(until(end));
         LOG.info(
                 "requests_awaited",
                 EventField.of("open_requests", server.openRequests()),
                 EventField.of("grace_left_ms", TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime())));
         int cut = server.openRequests();
-        stop();
+        close();
         LOG.info("stopped", EventField.of("requests_cut", cut));
         return empty;
     }
 
+    private static Duration until(long moment) {
+        return Duration.ofNanos(Math.max(0, moment - System.nanoTime()));
+    }
+
     /** Stops at once; requests that still run are cut. */
     public void stop() {
         draining = true;
-        tasks.stop();
         publishLastUsage();
+        close();
+    }
+
+    private void close() {
+        tasks.stop();
         server.stop();
         client.close();
         closePeers();
--- a/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
+++ b/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
@@ -35,15 +35,18 @@
         Duration gracePeriod,
         Duration addressLifetime) {
 
-    /** Between the end of requests in a graceful shutdown and the kill; the last usage is written meanwhile. */
-    private static final Duration STOP_MARGIN = Duration.ofMillis(1200);
+    /** Between the last answer to a request that a graceful shutdown takes and the kill; the last usage is written meanwhile. */
+    private static final Duration LAST_ANSWER_MARGIN = Duration.ofMillis(1200);
+
+    /** Between the cut of streams from before the signal and the kill: closing takes some ten milliseconds, more when slow. */
+    private static final Duration STOP_MARGIN = Duration.ofMillis(500);
 
     /** The time for callers' last requests on connections that are being closed. */
     private static final Duration CONNECTION_CLOSE_TIME = Duration.ofMillis(800);
 
     /** Rejects a grace period in which a graceful shutdown does not fit. */
     public GatewaySettings {
-        Duration least = addressLifetime.plus(CONNECTION_CLOSE_TIME).plus(STOP_MARGIN);
+        Duration least = addressLifetime.plus(CONNECTION_CLOSE_TIME).plus(LAST_ANSWER_MARGIN);
         if (gracePeriod.compareTo(least) <= 0) {
             throw new IllegalArgumentException(
                     "grace period " + gracePeriod + " is too short; a shutdown needs more than " + least);
@@ -60,8 +63,14 @@
         return SocketAddresses.text(peers);
     }
 
-    Duration stopMargin() {
-        return STOP_MARGIN;
+    /** Returns how long after the signal to stop the last request that was taken since has its answer. */
+    Duration lastAnswerTime() {
+        return gracePeriod.minus(LAST_ANSWER_MARGIN);
+    }
+
+    /** Returns how long after the signal to stop the process ends, whatever is open. */
+    Duration stopTime() {
+        return gracePeriod.minus(STOP_MARGIN);
     }
 
     Duration connectionCloseTime() {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
@@ -33,6 +33,7 @@
     private final StoreKey key;
     private long publishedChanges;
     private long publishedIn;
+    private volatile boolean closed;
 
     /** Creates a publisher for one lifetime of a process. */
     public UsagePublisher(CoordinationStore store, UsageLedger ledger, StoreHealth health, VmId vm, String lifetime) {
@@ -53,7 +54,7 @@
 
     /** Writes the counts if there are new ones, or if a window has ended since. */
     public synchronized void publish() {
-        if (ledger.changes() != publishedChanges || ledger.currentWindow() != publishedIn) {
+        if (!closed && (ledger.changes() != publishedChanges || ledger.currentWindow() != publishedIn)) {
             write();
         }
     }
@@ -65,6 +66,7 @@
      * @return whether they were written in time
      */
     public boolean close(Duration limit) throws InterruptedException {
+        closed = true;
         CountDownLatch written = new CountDownLatch(1);
         Duration each = limit.dividedBy(LAST_ATTEMPTS);
         for (int attempt = 0; attempt < LAST_ATTEMPTS; attempt++) {
