Withdraw only the entry that the process itself has written

What callers saw: a VM that serves and is in no list of addresses.

Cause: a process that shuts down deleted the entry of its VM whoever had written it. A later process of the VM renews its lease only and never writes the entry again. It happens when a second process of the VM fails to start, or when a deletion takes effect late.

Ruled out: the lease, which belongs to the later process and does not lapse.

Change: the deletion expects the revision of the process's own write, and a process that never wrote one deletes nothing. A write whose outcome is unknown ends with its lease.

Before and after: MemberPresenceTest.withdrawalLeavesTheEntryOfALaterProcessOfTheVm failed and passes.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberPresence.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberPresence.java
@@ -6,10 +6,11 @@
 import io.banyantally.platform.CoordinationStore;
 import io.banyantally.platform.LeaseId;
 import io.banyantally.platform.LeaseLapsedException;
+import io.banyantally.platform.RevisionConflictException;
 import io.banyantally.platform.StoreException;
+import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.StoreTransaction;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 
 /** Keeps this VM's entry in the store while it takes callers. */
@@ -27,6 +28,7 @@
     private final MemberEntry entry;
     private final StoreHealth health;
     private Optional<LeaseId> lease = Optional.empty();
+    private Optional<StoreRevision> published = Optional.empty();
     private boolean withdrawn;
 
     /** Creates the presence of a VM that is not listed yet. */
@@ -46,8 +48,8 @@
                 store.renewLease(lease.get());
             } else {
                 LeaseId granted = store.grantLease(TIME_TO_LIVE);
-                store.apply(StoreTransaction.put(
-                        OwnKeys.member(entry.vm()), WireFormat.encode(entry), Optional.of(granted)));
+                published = Optional.of(store.apply(StoreTransaction.put(
+                        OwnKeys.member(entry.vm()), WireFormat.encode(entry), Optional.of(granted))));
                 lease = Optional.of(granted);
                 LOG.info("presence_published", EventField.of("vm", entry.vm()), EventField.of("lease", granted));
             }
@@ -62,12 +64,17 @@
         }
     }
 
-    /** Removes the entry for good. */
+    /** Removes the entry for good, unless another process of the VM has written it since. */
     public synchronized void withdraw() {
         withdrawn = true;
+        if (published.isEmpty()) {
+            return;
+        }
         try {
-            store.apply(StoreTransaction.delete(List.of(OwnKeys.member(entry.vm()))));
+            store.apply(StoreTransaction.delete(OwnKeys.member(entry.vm()), published.get()));
             LOG.info("presence_withdrawn", EventField.of("vm", entry.vm()));
+        } catch (RevisionConflictException replaced) {
+            LOG.info("presence_replaced", EventField.of("vm", entry.vm()), EventField.of("revision", published.get()));
         } catch (StoreException failure) {
             LOG.warn("presence_not_withdrawn", EventField.of("reason", failure.getMessage()));
         }
--- a/modules/banyantally/src/main/java/io/banyantally/platform/StoreTransaction.java
+++ b/modules/banyantally/src/main/java/io/banyantally/platform/StoreTransaction.java
@@ -30,6 +30,11 @@
         return new StoreTransaction(List.of(), List.of(), keys);
     }
 
+    /** Deletes a key that still has the revision. */
+    public static StoreTransaction delete(StoreKey key, StoreRevision revision) {
+        return new StoreTransaction(List.of(new Expectation(key, revision)), List.of(), List.of(key));
+    }
+
     /** Returns the same changes and further deletions. */
     public StoreTransaction andDelete(List<StoreKey> keys) {
         List<StoreKey> all = new ArrayList<>(deletes);
