Repeat the withdrawal of a VM until the store confirms it

What callers saw: for up to 3 s after a lost write they were still told the address of a VM that shut down, and with their copies used it for up to 6 s.

Cause: the withdrawal was one attempt; if it met a silent or just closed connection the entry stayed until its lease ran out.

Ruled out: a longer wait in the shutdown, since callers' requests are taken or refused by their own time limits.

Change: the round that renewed the entry every second repeats the deletion until it is confirmed. The deletion expects the own revision, so a late one cannot harm a later process.

Before and after: MemberPresenceTest.withdrawalThatIsLostOnceIsRepeated failed and passes, 3 of 3 in the class.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberPresence.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberPresence.java
@@ -38,9 +38,10 @@
         this.health = health;
     }
 
-    /** Publishes the entry or renews its lease. */
+    /** Publishes the entry or renews its lease; once withdrawn, repeats a withdrawal that has not come through. */
     public synchronized void refresh() {
         if (withdrawn) {
+            remove();
             return;
         }
         try {
@@ -67,14 +68,20 @@
     /** Removes the entry for good, unless another process of the VM has written it since. */
     public synchronized void withdraw() {
         withdrawn = true;
+        remove();
+    }
+
+    private void remove() {
         if (published.isEmpty()) {
             return;
         }
         try {
             store.apply(StoreTransaction.delete(OwnKeys.member(entry.vm()), published.get()));
             LOG.info("presence_withdrawn", EventField.of("vm", entry.vm()));
+            published = Optional.empty();
         } catch (RevisionConflictException replaced) {
             LOG.info("presence_replaced", EventField.of("vm", entry.vm()), EventField.of("revision", published.get()));
+            published = Optional.empty();
         } catch (StoreException failure) {
             LOG.warn("presence_not_withdrawn", EventField.of("reason", failure.getMessage()));
         }
