Time a shutdown from its signal while the store is silent

What callers saw: while the store gave no answer, a VM that shut down kept its connections open for 1 to 2 s longer than planned, and had that much less time for its last requests.

Cause: the withdrawal of the entry and the end of the duties were waited for before the time in which callers' copies of the addresses run out began. Each waits for a store call in hand, at most a second for a silent store and more for one that answers late.

Ruled out: cut requests, since a request is taken by the end of the shutdown, which is set from the signal on.

Change: both run in tasks of their own, and connections begin to close at a time counted from the signal.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -261,9 +261,10 @@
         draining = true;
         server.limitRequests(lastAnswer - ANSWER_MARGIN.toNanos());
         LOG.info("draining", EventField.of("open_requests", server.openRequests()));
-        duties.stop();
-        presence.withdraw();
-        Thread.sleep(settings.addressLifetime());
+        // Both may wait for a store that does not answer; the times of the shutdown go on meanwhile.
+        tasks.startOnce("withdraw-presence", presence::withdraw);
+        tasks.startOnce("stop-duties", duties::stop);
+        Thread.sleep(until(signalled + settings.addressLifetime().toNanos()));
         server.closeConnections();
         LOG.info("connections_closing", EventField.of("open_requests", server.openRequests()));
         Thread.sleep(settings.connectionCloseTime());
