Test that a withdrawal leaves a later process listed

Cause: MemberPresence.withdraw deletes the key of the VM, whoever wrote it. A later process of the VM goes on renewing its lease and never writes its entry again, so it serves but is in no address list. It can happen when a second process of the VM fails to start (RunCommand's hook withdraws what that process never published), or when a deletion takes effect late. A repeated withdrawal would make it likelier.

Ruled out: the lease; it belongs to the later process and does not lapse.

Proposed: delete only if the entry still has the revision that this process wrote (an expectation in the transaction), and not at all if it never wrote one.

--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/MemberPresenceTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/MemberPresenceTest.java
@@ -46,6 +46,20 @@
         assertEquals(0, store.keys(OwnKeys.LIVE_PREFIX).size());
     }
 
+    /** Guards against a process whose shutdown takes the entry of the process that has replaced it away for good. */
+    @Test
+    void withdrawalLeavesTheEntryOfALaterProcessOfTheVm() {
+        MemberPresence former = presence(store);
+        former.refresh();
+        MemberPresence later = presence(store);
+        later.refresh();
+
+        former.withdraw();
+        later.refresh();
+
+        assertEquals(1, store.keys(OwnKeys.LIVE_PREFIX).size());
+    }
+
     private MemberPresence presence(CoordinationStore used) {
         return new MemberPresence(used, entry, new StoreHealth(clock));
     }
