Test the entry daemon's refusals before the body

Cause: HttpExchange.sendRefusal says "Connection: close" only for DRAINING and BODY_TOO_LARGE. After other refusals that come before the body (keys, paths, methods) the HTTP library closes the connection without saying so if body bytes are still missing.

Proposed: in sendRefusal, read what is left of the body up to the limit, and say "Connection: close" if some is left.

--- a/modules/banyantally/src/test/java/io/banyantally/internal/http/EntryHandlerEndTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/http/EntryHandlerEndTest.java
@@ -9,6 +9,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.eclipse.jetty.server.Handler;
@@ -64,6 +65,27 @@
         }
     }
 
+    /** Guards against an unannounced close that the next request of a caller meets, after a refusal before the body. */
+    @Test
+    void refusalBeforeTheBodyAnnouncesTheClose() throws Exception {
+        try (Socket caller = connect()) {
+            write(caller, "POST /refused HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\nhalf");
+            Thread.sleep(200);
+            write(caller, "rest");
+            Thread.sleep(200);
+
+            byte[] bytes = new byte[4096];
+            int count = caller.getInputStream().read(bytes);
+            String answer = new String(bytes, 0, count, StandardCharsets.UTF_8);
+
+            assertTrue(answer.startsWith("HTTP/1.1 401"), answer);
+            if (!answer.toLowerCase(Locale.ROOT).contains("connection: close")) {
+                write(caller, "GET /refused HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+                assertTrue(read(caller).startsWith("HTTP/1.1 401"), "no answer to a next request");
+            }
+        }
+    }
+
     private Socket connect() throws Exception {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), connector.getLocalPort());
         socket.setSoTimeout(5000);
