Write queued log lines before a process halts

What operators saw: the last lines of a shutdown, which name the requests that were cut, were missing from the log of some processes.

Cause: the shutdown hook halts the process, and the thread that writes log lines may hold a batch, or have lines in its queue, at that moment. The flush of the handler wrote the queue but did not wait for a batch in hand, and nobody called it.

Ruled out: writing in the caller's thread, which would let a standard output that is full hold up requests.

--- a/modules/banyantally-daemon/src/main/java/io/banyantally/daemon/EntryCommand.java
+++ b/modules/banyantally-daemon/src/main/java/io/banyantally/daemon/EntryCommand.java
@@ -72,6 +72,7 @@
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         } finally {
+            EventLog.flush();
             Runtime.getRuntime().halt(code);
         }
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/logging/BoundedLogHandler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/logging/BoundedLogHandler.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -25,8 +26,15 @@
 
     private static final long IDLE_MILLIS = 500;
 
+    /** A standard output that takes nothing for this long must not hold up the end of a process. */
+    private static final Duration FLUSH_LIMIT = Duration.ofMillis(100);
+
+    private static final Duration FLUSH_PAUSE = Duration.ofMillis(1);
+
     private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(QUEUE_LINES);
     private final AtomicLong dropped = new AtomicLong();
+    private final AtomicLong accepted = new AtomicLong();
+    private final AtomicLong written = new AtomicLong();
     private final PrintStream output;
 
     /** Creates a handler that writes to standard output. */
@@ -43,7 +51,10 @@
 
     @Override
     protected void doPublish(ExtLogRecord entry) {
-        if (!lines.offer(getFormatter().format(entry))) {
+        String line = getFormatter().format(entry);
+        accepted.incrementAndGet();
+        if (!lines.offer(line)) {
+            accepted.decrementAndGet();
             dropped.incrementAndGet();
         }
     }
@@ -57,11 +68,13 @@
                     batch.add(first);
                     lines.drainTo(batch, BATCH_LINES - 1);
                 }
+                int taken = batch.size();
                 long lost = dropped.getAndSet(0);
                 if (lost > 0) {
                     batch.add("level=WARN event=log_lines_dropped count=" + lost + "\n");
                 }
                 write(batch);
+                written.addAndGet(taken);
             }
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
@@ -76,11 +89,17 @@
         }
     }
 
-    /** Writes what is queued, at the end of the process. */
+    /** Waits until the lines that were queued before are written, at most for a short time. */
     @Override
     public void flush() {
-        List<String> rest = new ArrayList<>();
-        lines.drainTo(rest);
-        write(rest);
+        long due = accepted.get();
+        long end = System.nanoTime() + FLUSH_LIMIT.toNanos();
+        try {
+            while (written.get() < due && System.nanoTime() < end) {
+                Thread.sleep(FLUSH_PAUSE);
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/logging/EventLog.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/logging/EventLog.java
@@ -4,6 +4,7 @@
 import io.banyantally.internal.timeline.EventField;
 import java.util.List;
 import java.util.Locale;
+import java.util.logging.Handler;
 import org.jboss.logging.Logger;
 
 /** Writes one line of key=value pairs for each event. Values with spaces or quotes are quoted. */
@@ -20,6 +21,13 @@
         return new EventLog(Logger.getLogger(source));
     }
 
+    /** Writes the lines that are queued; call it before the process halts, which drops them. */
+    public static void flush() {
+        for (Handler handler : java.util.logging.Logger.getLogger("").getHandlers()) {
+            handler.flush();
+        }
+    }
+
     /** Logs an event of normal operation. */
     public void info(String event, EventField... fields) {
         logger.info(line(event, List.of(fields)));
