Announce the close behind a request whose body is not read

What callers saw: after 401, 404 or 503 that came before the body of their request, the connection was closed without a word, and their next request on it got no answer.

Cause: the HTTP library cannot use a connection again while bytes of a body are missing, and closes it; the close was announced for 400 and 413 only.

Ruled out: waiting for the rest of the body, since a refusal is to be sent at once.

Change: a refusal takes what has arrived of the body, up to 64 KiB, and announces the close if that was not all. A request with its body at hand keeps its connection. The whole request counts as read only if its body was within the limit.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/CallerExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/CallerExchange.java
@@ -16,6 +16,9 @@
 /** One request of a caller and its answer, with blocking reads and writes. */
 final class CallerExchange {
 
+    /** A longer body costs more to read than the new connection that its caller needs otherwise. */
+    private static final int MOST_DISCARDED_BYTES = 64 * 1024;
+
     private final Request request;
     private final Response response;
     private volatile Optional<Runnable> whenGone = Optional.empty();
@@ -71,9 +74,24 @@
         }
         try (InputStream input = Content.Source.asInputStream(request)) {
             byte[] body = input.readNBytes(maximumBytes + 1);
-            wholeRequestRead = true;
-            return body.length > maximumBytes ? Optional.empty() : Optional.of(body);
+            wholeRequestRead = body.length <= maximumBytes;
+            return wholeRequestRead ? Optional.of(body) : Optional.empty();
+        }
+    }
+
+    /** Discards a body that nobody reads, as far as it has arrived; returns whether that was all of it. */
+    boolean discardBody() {
+        long discarded = 0;
+        while (!wholeRequestRead && discarded < MOST_DISCARDED_BYTES) {
+            Content.Chunk chunk = request.read();
+            if (chunk == null || Content.Chunk.isFailure(chunk)) {
+                return false;
+            }
+            discarded += chunk.remaining();
+            wholeRequestRead = chunk.isLast();
+            chunk.release();
         }
+        return wholeRequestRead;
     }
 
     /** Sends a whole answer. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -306,9 +306,8 @@
         List<HeaderField> headers = new ArrayList<>();
         facts.ifPresent(known -> headers.addAll(services.dialect().ownAnswerHeaders(known)));
         refusal.retryAfter().ifPresent(after -> headers.add(new HeaderField("Retry-After", seconds(after))));
-        boolean bodyUnread = refusal.status() == Refusal.BODY_TOO_LARGE || refusal.status() == Refusal.BAD_REQUEST;
-        if (bodyUnread || refusal.reason().equals(SHUTTING_DOWN)) {
-            // The rest of the request is not read, or the next one would be refused as well.
+        if (refusal.reason().equals(SHUTTING_DOWN) || !caller.discardBody()) {
+            // The next request would be refused as well, or would meet the close behind a body that is not read.
             caller.closeAfterAnswer();
         }
         if (caller.isCommitted()) {
