Apply a new idle limit to open connections

What callers saw: after the operator had raised the idle limit, a kept connection was closed by the former one, and their next request on it met the close. Callers use a connection that has been idle for up to four fifths of the limit in force.

Cause: the HTTP library copies the idle limit into a connection when it is opened.

Ruled out: a running request; it is not cut by the idle limit (PlannedChangeTest).

Change: a new configuration sets the limit of the open connections, too.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
@@ -87,10 +87,13 @@
         server.addConnector(connector);
     }
 
-    /** Applies the limits of a configuration to connections that are opened from now on. */
+    /** Applies the limits of a configuration; that of headers to connections that are opened from now on. */
     public void apply(CallerLimits limits) {
         callerConfiguration.setRequestHeaderSize(limits.headerBytes() + HEADER_MARGIN_BYTES);
-        callers.setIdleTimeout(limits.idleTimeout().plus(IDLE_MARGIN).toMillis());
+        long idleMillis = limits.idleTimeout().plus(IDLE_MARGIN).toMillis();
+        callers.setIdleTimeout(idleMillis);
+        // A caller goes by the limit in force on a connection from before it, too.
+        callers.getConnectedEndPoints().forEach(connection -> connection.setIdleTimeout(idleMillis));
     }
 
     /** Starts to accept connections. */
