Show answers to orders that are read up to the time limit

Cause: OrderAnswerParser limits the body only. A head without end is kept in memory, interim answers, blank lines, chunk extensions and trailers are read, until the time limit of 3 s.

--- a/modules/banyantally/src/test/java/io/banyantally/internal/adapter/EndlessReceiverTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/adapter/EndlessReceiverTest.java
@@ -18,6 +18,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Receivers of orders and other calls whose answers have no end until the connection is closed. */
 @Timeout(30)
@@ -54,6 +56,20 @@
         }
     }
 
+    /** Guards against an answer to an order that takes memory and processor time up to the order's time limit. */
+    @ParameterizedTest
+    @EnumSource
+    void fastAnswerToAnOrderIsClosedByItsSize(Endless endless) throws Exception {
+        try (ScriptedServer server = endless(endless)) {
+            long began = System.nanoTime();
+            assertThrows(UpstreamException.class, () -> order(server));
+            long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
+
+            assertTrue(millis < ORDER_LIMIT.toMillis() / 2, "ended after " + millis + " ms");
+            assertClosed();
+        }
+    }
+
     /** Guards against a line of an engine's answer that is kept in memory without end. */
     @Test
     void lineWithoutEndIsAFailure() {
