--- a/modules/banyantally/src/test/java/io/banyantally/internal/adapter/EndlessReceiverTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/adapter/EndlessReceiverTest.java
@@ -70,6 +70,20 @@
         }
     }
 
+    /** Guards against a call whose answer nobody waits for and that is read without end. */
+    @ParameterizedTest
+    @EnumSource
+    void fastAnswerThatNobodyWaitsForIsClosedByItsSize(Endless endless) throws Exception {
+        AdapterHttpClient client = AdapterHttpClient.start();
+        try (ScriptedServer server = endless(endless)) {
+            client.sendWithoutAnswer(HttpCall.read(server.address(), "/free", FREE_LIMIT));
+
+            assertClosed();
+        } finally {
+            client.close();
+        }
+    }
+
     /** Guards against a line of an engine's answer that is kept in memory without end. */
     @Test
     void lineWithoutEndIsAFailure() {
