Show frames of peers that never end

Cause: The read timeout of a first frame counts from byte to byte, and later frames have none, so one byte after another keeps a task and up to 1 MB of memory.

--- a/modules/banyantally/src/test/java/io/banyantally/internal/peer/EndlessFrameTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/peer/EndlessFrameTest.java
@@ -55,6 +55,23 @@
         network.close();
     }
 
+    /** Guards against a connection that a first frame keeps open for good by coming byte by byte. */
+    @Test
+    void slowFirstFrameIsClosedByTheTimeLimit() throws Exception {
+        try (Socket socket = connect()) {
+            assertClosedWhileDripping(socket);
+        }
+    }
+
+    /** Guards against a connection that a later frame keeps open for good by coming byte by byte. */
+    @Test
+    void slowLaterFrameIsClosedByTheTimeLimit() throws Exception {
+        try (Socket socket = connect()) {
+            introduce(socket);
+            assertClosedWhileDripping(socket);
+        }
+    }
+
     /** Guards against bytes that are no frames and are read without end. */
     @Test
     void bytesThatAreNoFramesCloseTheConnection() throws Exception {
