Show requests of one peer that take tasks without limit

Cause: Every request frame starts a task at once. A peer that sends requests without end takes tasks and memory (1 MB a frame) without limit.

--- a/modules/banyantally/src/test/java/io/banyantally/internal/peer/EndlessFrameTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/peer/EndlessFrameTest.java
@@ -1,6 +1,7 @@
 package io.banyantally.internal.peer;
 
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.model.AvailabilityZone;
@@ -88,6 +89,21 @@
         }
     }
 
+    /** Guards against requests without end that each take a task and memory while their handlers wait. */
+    @Test
+    void requestsOfOnePeerThatRunTogetherAreLimited() throws Exception {
+        try (Socket socket = connect()) {
+            introduce(socket);
+            DataOutputStream output = new DataOutputStream(socket.getOutputStream());
+            Thread sender = Thread.ofVirtual().start(() -> flood(output));
+            Thread.sleep(FRAME_TIME.toMillis() / 2);
+
+            assertTrue(running.get() > 0 && running.get() <= MOST_AT_ONCE, running + " requests run together");
+            socket.close();
+            sender.join();
+        }
+    }
+
     private static void flood(DataOutputStream output) {
         try {
             for (int exchange = 1; exchange <= FLOOD_REQUESTS; exchange++) {
