Limit the heads of answers that adapters read

Cause: the HTTP library has no limit on response heads unless one is set (maxResponseHeadersSize -1), so a status line, a header line or header fields without end were read and kept up to the route's timeout. Ruled out: the route's timeout as the only bound, since a fast sender fills hundreds of megabytes in it. Change: 32 KiB for a head, twice the usual headerBytes.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -44,6 +44,9 @@
     /** One buffer of this size is held for each open answer, whatever its reader does. */
     private static final int RESPONSE_BUFFER_BYTES = 4096;
 
+    /** Twice the largest head that a caller's configuration usually allows (16 KiB). The HTTP library sets no limit. */
+    private static final int LARGEST_HEAD_BYTES = 32 * 1024;
+
     private final HttpClient client;
 
     private AdapterHttpClient(HttpClient client) {
@@ -75,6 +78,7 @@
         client.setMaxConnectionsPerDestination(CONNECTIONS_PER_ADDRESS);
         client.setMaxRequestsQueuedPerDestination(CONNECTIONS_PER_ADDRESS);
         client.setResponseBufferSize(RESPONSE_BUFFER_BYTES);
+        client.setMaxResponseHeadersSize(LARGEST_HEAD_BYTES);
         try {
             client.start();
         } catch (Exception failure) {
