Bound the bytes of an answer beside its content

Cause: interim answers, blank lines, chunk extensions and trailers pass through the parser without a limit. Ruled out: a listener on the response, which does not see these bytes; a limit on all bytes, since streams have no largest size.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -2,11 +2,13 @@
 
 import io.banyantally.upstream.HeaderField;
 import java.io.ByteArrayOutputStream;
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InterruptedIOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +31,7 @@
     private final Request request;
     private final InputStreamResponseListener listener = new InputStreamResponseListener();
     private final AtomicBoolean begun = new AtomicBoolean();
+    private volatile Optional<ResetAwareEndPoint> endPoint = Optional.empty();
     private Connection connection;
     private Response response;
     private boolean whole;
@@ -37,7 +40,11 @@
         this.call = call;
         this.request = request;
         // Fires before the first byte is written; what fails earlier certainly did not leave.
-        request.onRequestBegin(started -> begun.set(true));
+        request.onRequestBegin(started -> {
+            begun.set(true);
+            endPoint = ResetAwareEndPoint.of(started.getConnection());
+            endPoint.ifPresent(ResetAwareEndPoint::beginAnswer);
+        });
     }
 
     InputStreamResponseListener listener() {
@@ -74,7 +81,7 @@
 
     /** The body of the answer as it comes; at most one network buffer is held for a slow reader. */
     public InputStream body() {
-        return listener.getInputStream();
+        return new CountedContent(listener.getInputStream());
     }
 
     /**
@@ -150,4 +157,30 @@
             connection.close();
         }
     }
+
+    /** Tells the connection how much of what came was content. */
+    private final class CountedContent extends FilterInputStream {
+
+        CountedContent(InputStream content) {
+            super(content);
+        }
+
+        @Override
+        public int read() throws IOException {
+            int next = super.read();
+            if (next >= 0) {
+                endPoint.ifPresent(known -> known.contentRead(1));
+            }
+            return next;
+        }
+
+        @Override
+        public int read(byte[] bytes, int offset, int length) throws IOException {
+            int count = super.read(bytes, offset, length);
+            if (count > 0) {
+                endPoint.ifPresent(known -> known.contentRead(count));
+            }
+            return count;
+        }
+    }
 }
