Take no interim answer for the final one

Cause: the HTTP library's handler passes over one unasked 100; the second is the final answer, or the call never ends (seen with GET: no result, and the connection stays open). A 101 is final at once. The sender passed them on, and the server added a 500 behind. Ruled out: failing on the first 100, since the protocol allows interim answers that nobody asked for. Change: every 100 is passed over as 102 and 103 are; a final status below 200 fails the call and closes its connection.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Connection;
+import org.eclipse.jetty.client.ContinueProtocolHandler;
 import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.ProtocolHandlers;
@@ -89,6 +90,8 @@
         handlers.remove(RedirectProtocolHandler.NAME);
         handlers.remove(WWWAuthenticationProtocolHandler.NAME);
         handlers.remove(new UpgradeProtocolHandler().getName());
+        handlers.remove(ContinueProtocolHandler.NAME);
+        handlers.put(new UnaskedContinueHandler());
         return new AdapterHttpClient(client);
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -65,6 +65,18 @@
             abort(failure);
             throw failed("no answer in time", failure);
         }
+        if (HttpStatus.isInformational(status())) {
+            closeConnection();
+            throw new NoWholeReplyException(call + ": status " + status() + ", which is no final answer");
+        }
+    }
+
+    /** For answers after which the HTTP library would use the connection again. */
+    private void closeConnection() {
+        Connection used = request.getConnection();
+        if (used != null) {
+            used.close();
+        }
     }
 
     /** Returns the status of the answer. */
