Limit the event that an assembler keeps

Cause: EventAssembler kept an unfinished event of any size and copied it for every read. Ruled out: the limit on heads and framing, since an event is content. Change: an event longer than 1 MiB, the largest value of the platform's store, ends the exchange; a stream that has begun is cut, or continued elsewhere where the route allows it.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EventAssembler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EventAssembler.java
@@ -12,6 +12,9 @@
  */
 final class EventAssembler {
 
+    /** The largest value of the platform's store (1 MiB); an event carries one piece of an answer and is far smaller. */
+    private static final int LARGEST_EVENT_BYTES = 1024 * 1024;
+
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private OptionalLong lastEvent;
 
@@ -35,6 +38,11 @@
         return Optional.of(whole);
     }
 
+    /** Returns whether an event that is not complete yet is longer than any upstream's. */
+    boolean isEventTooLong() {
+        return pending.size() > LARGEST_EVENT_BYTES;
+    }
+
     /** Returns the bytes after the last whole event, and forgets them. */
     byte[] takeRest() {
         byte[] rest = pending.toByteArray();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -218,6 +218,9 @@
                     lastEvent = events.lastEvent();
                     calls.resumeAfter(lastEvent);
                 }
+                if (events.isEventTooLong()) {
+                    return new SendOutcome.Unknown("event_too_long");
+                }
             }
             if (events.takeRest().length > 0) {
                 return new SendOutcome.Unknown("torn_event");
