Pass a refusal on without waiting for its whole body

Cause: drain read up to 16 KiB of a refusal's body for as long as the exchange lasts. Ruled out: not reading at all, which costs the connection of every refusal with a body.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /** Sends one request to upstreams, one after the other, and passes a stream on to the caller. */
 final class UpstreamSender {
@@ -168,14 +169,23 @@
                 : whole(exchange, status, headers);
     }
 
+    /** Reads the body of a refusal, so that its connection can be used again; a long or slow one costs the connection. */
     private void drain(HttpExchange exchange) throws InterruptedException {
+        AtomicBoolean read = new AtomicBoolean();
+        Thread reader = Thread.ofVirtual().name("refusal-reader").start(() -> read.set(readRefusal(exchange)));
+        if (reader.join(FINISH_TIME) && read.get()) {
+            exchange.finish(FINISH_TIME);
+        } else {
+            log.add("refusal_torn", sends);
+        }
+    }
+
+    private static boolean readRefusal(HttpExchange exchange) {
         try (InputStream body = exchange.body()) {
-            body.readNBytes(COPY_BYTES);
+            return body.readNBytes(COPY_BYTES).length < COPY_BYTES;
         } catch (IOException broken) {
-            log.add("refusal_torn", sends);
-            return;
+            return false;
         }
-        exchange.finish(FINISH_TIME);
     }
 
     private SendOutcome whole(HttpExchange exchange, int status, List<HeaderField> headers)
