Drop a connection with bytes behind its answer

Cause: the HTTP library discards what it has read behind an answer and returns the connection, on which the rest arrives as the answer to the next request or holds it up. Ruled out: the check of the attempt id alone; the request is then still lost. Change: when a connection is returned, one read without waiting tells whether more has come; then it is closed.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/ClosablePool.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/ClosablePool.java
@@ -25,8 +25,14 @@
         return connection;
     }
 
+    /** Keeps the connection for the next call, unless bytes follow the answer on it: that call would read them. */
     @Override
     public boolean release(Connection connection) {
+        if (ResetAwareEndPoint.of(connection)
+                .filter(ResetAwareEndPoint::hasMore)
+                .isPresent()) {
+            return false;
+        }
         idle.add(connection);
         boolean kept = super.release(connection);
         if (!kept) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/ResetAwareEndPoint.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/ResetAwareEndPoint.java
@@ -48,6 +48,15 @@
         allowance.addAndGet((long) bytes * BYTES_FOR_EACH_OF_CONTENT);
     }
 
+    /** Returns whether more than the answer has come: bytes that belong to no request, or the end of the connection. */
+    boolean hasMore() {
+        try {
+            return getChannel().read(ByteBuffer.allocate(1)) != 0;
+        } catch (IOException reset) {
+            return true;
+        }
+    }
+
     @Override
     public int fill(ByteBuffer buffer) throws IOException {
         if (isInputShutdown()) {
