Bound all bytes of an answer to an order

Cause: OrderAnswerParser limited the body only; heads were kept without limit, interim answers, blank lines, chunk extensions and trailers read up to 3 s. Ruled out: the parser's own limit on heads, which does not count the others. Change: 128 KiB for all answers of an order, twice the largest body.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/OrderAnswerParser.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/OrderAnswerParser.java
@@ -17,12 +17,17 @@
 final class OrderAnswerParser implements HttpParser.ResponseHandler {
 
     private static final int MAXIMUM_BODY_BYTES = 64 * 1024;
+
+    /** For the interim and the final answer with a body of the largest size; heads, chunks and trailers take the other half. */
+    private static final int MAXIMUM_BYTES = 2 * MAXIMUM_BODY_BYTES;
+
     private static final int READ_BYTES = 4 * 1024;
 
     private final HttpParser parser = new HttpParser(this);
     private final ByteBuffer unread = ByteBuffer.allocate(READ_BYTES).flip();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final List<HeaderField> headers = new ArrayList<>();
+    private int bytesRead;
     private int status;
     private boolean complete;
     private String problem = "";
@@ -63,6 +68,10 @@
             }
             return;
         }
+        bytesRead += count;
+        if (bytesRead > MAXIMUM_BYTES) {
+            throw new IOException("the answer is longer than " + MAXIMUM_BYTES + " bytes");
+        }
         unread.position(0).limit(count);
     }
 
