Bound answers that nobody waits for

Cause: sendWithoutAnswer read and dropped an answer up to its time limit. Ruled out: closing at the head, which costs the connection of every such call. Change: the bound on bytes beside the content begins with such a call too; nobody takes content, so it holds for the whole answer. A final status below 200 closes the connection.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -17,11 +17,13 @@
 import org.eclipse.jetty.client.ProtocolHandlers;
 import org.eclipse.jetty.client.RedirectProtocolHandler;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.client.UpgradeProtocolHandler;
 import org.eclipse.jetty.client.WWWAuthenticationProtocolHandler;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -123,11 +125,21 @@
         return begin(call, System.nanoTime() + call.timeLimit().toNanos(), call.timeLimit());
     }
 
-    /** Sends a call whose answer does not matter, and does not wait. */
+    /** Sends a call whose answer does not matter, and does not wait. An answer that is not short closes its connection. */
     public void sendWithoutAnswer(HttpCall call) {
         request(call)
                 .timeout(call.timeLimit().toMillis(), TimeUnit.MILLISECONDS)
-                .send(result -> {});
+                .onRequestBegin(started ->
+                        ResetAwareEndPoint.of(started.getConnection()).ifPresent(ResetAwareEndPoint::beginAnswer))
+                .send(AdapterHttpClient::closeAfterInterimAnswer);
+    }
+
+    /** The HTTP library takes a repeated interim answer for a final one and would use the connection again. */
+    private static void closeAfterInterimAnswer(Result result) {
+        Connection used = result.getRequest().getConnection();
+        if (used != null && HttpStatus.isInformational(result.getResponse().getStatus())) {
+            used.close();
+        }
     }
 
     private HttpExchange begin(HttpCall call, long deadline, Duration wholeLimit)
