Limit the time of a frame from a peer

Cause: the timeout of the first frame began anew with each byte, and later frames had none. Ruled out: a timeout on the wait for a frame, since a calm peer sends none. Change: a frame has 2 s from its first byte to its last, the time after which a silent peer is given up.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/peer/FrameConnection.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/peer/FrameConnection.java
@@ -4,6 +4,7 @@
 import java.io.BufferedOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.Socket;
 import java.time.Duration;
@@ -19,27 +20,41 @@
 
     private static final int QUEUE_CAPACITY = 1_024;
 
+    /** From the first byte of a frame to its last. A peer is given up after the same time without an answer. */
+    private static final Duration FRAME_TIME = Duration.ofSeconds(2);
+
     private final Socket socket;
+    private final TimedInput source;
     private final DataInputStream input;
     private final DataOutputStream output;
     private final BlockingQueue<Frame> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
     private final Thread writer;
+    private volatile Duration beginTimeout = Duration.ZERO;
 
     FrameConnection(Socket socket, String name) throws IOException {
         this.socket = socket;
         socket.setTcpNoDelay(true);
-        this.input = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+        this.source = new TimedInput(socket);
+        this.input = new DataInputStream(new BufferedInputStream(source));
         this.output = new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()));
         this.writer = Thread.ofVirtual().name("peer-writer-" + name).start(this::writeQueued);
     }
 
+    /** Waits for the next frame, which has to come whole once it has begun. */
     Frame read() throws IOException {
+        source.limit(beginTimeout);
+        input.mark(1);
+        if (input.read() < 0) {
+            throw new EOFException("the peer has closed the connection");
+        }
+        input.reset();
+        source.limit(FRAME_TIME);
         return FrameCodec.read(input);
     }
 
-    /** Limits how long {@link #read} waits; zero for no limit. */
-    void setReadTimeout(Duration timeout) throws IOException {
-        socket.setSoTimeout((int) timeout.toMillis());
+    /** Limits how long {@link #read} waits for the beginning of a frame; zero for no limit. */
+    void setReadTimeout(Duration timeout) {
+        beginTimeout = timeout;
     }
 
     /** Queues a frame; returns false if the queue stays full for {@code timeout}. */
