Limit the requests of a peer that run together

Cause: each request frame started a task, so a peer that sends requests without end took tasks and memory without limit. Ruled out: a limit of one, since requests of several topics run together. Change: 1,024 for each connection, as many as its queue takes answers; then no frame is read, and the sender waits.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/peer/TcpPeerNetwork.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/peer/TcpPeerNetwork.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
 
 /**
  * Requests between entry VMs over TCP. Each VM opens one connection to each peer for its own requests and answers the
@@ -29,6 +30,9 @@
     /** An answer that can't be queued for this long is dropped; the asker's own time limit is shorter. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(2);
 
+    /** Requests of one connection that are handled together; its queue takes as many answers. */
+    private static final int REQUESTS_TOGETHER = 1_024;
+
     private final Peer self;
     private final String site;
     private final InetSocketAddress listenAddress;
@@ -146,9 +150,18 @@
         }
         Peer sender = hello.peer();
         connection.setReadTimeout(Duration.ZERO);
+        Semaphore permits = new Semaphore(REQUESTS_TOGETHER);
         while (!closed) {
+            // Not read from the connection before a permit is free, so that its sender waits.
+            permits.acquire();
             Frame request = connection.read();
-            Thread.ofVirtual().name("peer-request").start(() -> answer(connection, sender, request));
+            Thread.ofVirtual().name("peer-request").start(() -> {
+                try {
+                    answer(connection, sender, request);
+                } finally {
+                    permits.release();
+                }
+            });
         }
     }
 
