--- a/modules/banyantally/src/test/java/io/banyantally/internal/peer/EndlessFrameTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/peer/EndlessFrameTest.java
@@ -80,12 +80,7 @@
             byte[] noFrames = new byte[64 * 1024];
             Arrays.fill(noFrames, (byte) 'x');
 
-            assertThrows(IOException.class, () -> {
-                long end = System.nanoTime() + FRAME_TIME.toNanos();
-                while (System.nanoTime() < end) {
-                    socket.getOutputStream().write(noFrames);
-                }
-            });
+            assertThrows(IOException.class, () -> writeForFrameTime(socket, noFrames));
         }
     }
 
@@ -95,12 +90,17 @@
         try (Socket socket = connect()) {
             introduce(socket);
             DataOutputStream output = new DataOutputStream(socket.getOutputStream());
-            Thread sender = Thread.ofVirtual().start(() -> flood(output));
+            Thread.ofVirtual().start(() -> flood(output));
             Thread.sleep(FRAME_TIME.toMillis() / 2);
 
             assertTrue(running.get() > 0 && running.get() <= MOST_AT_ONCE, running + " requests run together");
-            socket.close();
-            sender.join();
+        }
+    }
+
+    private static void writeForFrameTime(Socket socket, byte[] bytes) throws IOException {
+        long end = System.nanoTime() + FRAME_TIME.toNanos();
+        while (System.nanoTime() < end) {
+            socket.getOutputStream().write(bytes);
         }
     }
 
