--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -11,16 +11,19 @@
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Connection;
+import org.eclipse.jetty.client.ContinueProtocolHandler;
 import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.ProtocolHandlers;
 import org.eclipse.jetty.client.RedirectProtocolHandler;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.client.UpgradeProtocolHandler;
 import org.eclipse.jetty.client.WWWAuthenticationProtocolHandler;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -44,6 +47,9 @@
     /** One buffer of this size is held for each open answer, whatever its reader does. */
     private static final int RESPONSE_BUFFER_BYTES = 4096;
 
+    /** Twice the largest head that a caller's configuration usually allows (16 KiB). The HTTP library sets no limit. */
+    private static final int LARGEST_HEAD_BYTES = 32 * 1024;
+
     private final HttpClient client;
 
     private AdapterHttpClient(HttpClient client) {
@@ -75,6 +81,7 @@
         client.setMaxConnectionsPerDestination(CONNECTIONS_PER_ADDRESS);
         client.setMaxRequestsQueuedPerDestination(CONNECTIONS_PER_ADDRESS);
         client.setResponseBufferSize(RESPONSE_BUFFER_BYTES);
+        client.setMaxResponseHeadersSize(LARGEST_HEAD_BYTES);
         try {
             client.start();
         } catch (Exception failure) {
@@ -85,6 +92,8 @@
         handlers.remove(RedirectProtocolHandler.NAME);
         handlers.remove(WWWAuthenticationProtocolHandler.NAME);
         handlers.remove(new UpgradeProtocolHandler().getName());
+        handlers.remove(ContinueProtocolHandler.NAME);
+        handlers.put(new UnaskedContinueHandler());
         return new AdapterHttpClient(client);
     }
 
@@ -116,11 +125,21 @@
         return begin(call, System.nanoTime() + call.timeLimit().toNanos(), call.timeLimit());
     }
 
-    /** Sends a call whose answer does not matter, and does not wait. */
+    /** Sends a call whose answer does not matter, and does not wait. An answer that is not short closes its connection. */
     public void sendWithoutAnswer(HttpCall call) {
         request(call)
                 .timeout(call.timeLimit().toMillis(), TimeUnit.MILLISECONDS)
-                .send(result -> {});
+                .onRequestBegin(started ->
+                        ResetAwareEndPoint.of(started.getConnection()).ifPresent(ResetAwareEndPoint::beginAnswer))
+                .send(AdapterHttpClient::closeAfterInterimAnswer);
+    }
+
+    /** The HTTP library takes a repeated interim answer for a final one and would use the connection again. */
+    private static void closeAfterInterimAnswer(Result result) {
+        Connection used = result.getRequest().getConnection();
+        if (used != null && HttpStatus.isInformational(result.getResponse().getStatus())) {
+            used.close();
+        }
     }
 
     private HttpExchange begin(HttpCall call, long deadline, Duration wholeLimit)
