Bound the time in which the body of a request is read

What callers saw: a request whose body came byte by byte stayed open past its route's timeout for as long as bytes came, and kept a task and, in a shutdown, the process.

Cause: the body was read with a blocking call that only the idle limit of the connection ended.

Ruled out: the idle limit, which each byte renews.

Change: the body is read up to the request's time limit; then the request is answered with 408, which is true since nothing was sent, and the connection closes.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/CallerExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/CallerExchange.java
@@ -1,17 +1,20 @@
 package io.banyantally.internal.forwarding;
 
 import io.banyantally.upstream.HeaderField;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
 
 /** One request of a caller and its answer, with blocking reads and writes. */
 final class CallerExchange {
@@ -67,15 +70,43 @@
                 .toList();
     }
 
-    /** Reads the whole body; empty if it is larger than the limit. */
-    Optional<byte[]> readBody(int maximumBytes) throws IOException {
+    /**
+     * Reads the whole body, at most until a moment in monotonic nanoseconds; empty if it is larger than the limit.
+     *
+     * @throws BodyTimeoutException if the body has not ended by then
+     */
+    Optional<byte[]> readBody(int maximumBytes, long deadline)
+            throws IOException, BodyTimeoutException, InterruptedException {
         if (request.getLength() > maximumBytes) {
             return Optional.empty();
         }
-        try (InputStream input = Content.Source.asInputStream(request)) {
-            byte[] body = input.readNBytes(maximumBytes + 1);
-            wholeRequestRead = body.length <= maximumBytes;
-            return wholeRequestRead ? Optional.of(body) : Optional.empty();
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        while (!wholeRequestRead) {
+            Content.Chunk chunk = awaitChunk(deadline);
+            if (Content.Chunk.isFailure(chunk)) {
+                throw new IOException("the request cannot be read", chunk.getFailure());
+            }
+            body.writeBytes(BufferUtil.toArray(chunk.getByteBuffer()));
+            wholeRequestRead = chunk.isLast();
+            chunk.release();
+            if (body.size() > maximumBytes) {
+                wholeRequestRead = false;
+                return Optional.empty();
+            }
+        }
+        return Optional.of(body.toByteArray());
+    }
+
+    private Content.Chunk awaitChunk(long deadline) throws BodyTimeoutException, InterruptedException {
+        for (Content.Chunk chunk = request.read(); ; chunk = request.read()) {
+            if (chunk != null) {
+                return chunk;
+            }
+            CountDownLatch arrived = new CountDownLatch(1);
+            request.demand(arrived::countDown);
+            if (!arrived.await(deadline - System.nanoTime(), TimeUnit.NANOSECONDS)) {
+                throw new BodyTimeoutException();
+            }
         }
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -80,7 +80,8 @@
         }
     }
 
-    private AdmittedRequest admit(RequestFacts facts, List<HeaderField> headers) throws RefusedException, IOException {
+    private AdmittedRequest admit(RequestFacts facts, List<HeaderField> headers)
+            throws RefusedException, IOException, InterruptedException {
         ActiveConfiguration configuration = services.configuration()
                 .current()
                 .orElseThrow(
@@ -96,8 +97,11 @@
         if (account.isEmpty() && configuration.requiresKeys() && !route.anonymous()) {
             throw new RefusedException(Refusal.wrong(Refusal.UNAUTHORIZED, "unknown_key"));
         }
-        byte[] body = caller.readBody(configuration.document().limits().bodyBytes())
-                .orElseThrow(() -> new RefusedException(Refusal.wrong(Refusal.BODY_TOO_LARGE, "body_too_large")));
+        Duration limit = facts.patience()
+                .filter(patience -> patience.compareTo(route.timeout()) < 0)
+                .orElse(route.timeout());
+        long deadline = log.arrived() + limit.toNanos();
+        byte[] body = readBody(configuration.document().limits().bodyBytes(), deadline);
         ServiceName serviceName = chooseService(route);
         ServiceRule service = configuration
                 .service(serviceName)
@@ -105,15 +109,21 @@
         log.add("service", serviceName);
         facts.prompt()
                 .ifPresent(prompt -> log.add("tokens", prompt.promptTokens() + "+" + prompt.maximumOutputTokens()));
-        Duration limit = facts.patience()
-                .filter(patience -> patience.compareTo(route.timeout()) < 0)
-                .orElse(route.timeout());
-        AdmittedRequest request =
-                new AdmittedRequest(route, service, facts, account, headers, body, log.arrived() + limit.toNanos());
+        AdmittedRequest request = new AdmittedRequest(route, service, facts, account, headers, body, deadline);
         checkShutdown(request);
         return request;
     }
 
+    private byte[] readBody(int maximumBytes, long deadline)
+            throws RefusedException, IOException, InterruptedException {
+        try {
+            return caller.readBody(maximumBytes, deadline)
+                    .orElseThrow(() -> new RefusedException(Refusal.wrong(Refusal.BODY_TOO_LARGE, "body_too_large")));
+        } catch (BodyTimeoutException late) {
+            throw new RefusedException(Refusal.notRead());
+        }
+    }
+
     private void checkShutdown(AdmittedRequest request) throws RefusedException {
         if (!admission.takes(request.deadline())) {
             log.add("left_ms", request.remaining(services.clock()).toMillis());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/Refusal.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/Refusal.java
@@ -14,6 +14,7 @@
     static final int BAD_REQUEST = 400;
     static final int UNAUTHORIZED = 401;
     static final int NOT_FOUND = 404;
+    static final int REQUEST_TIMEOUT = 408;
     static final int BODY_TOO_LARGE = 413;
     static final int BAD_GATEWAY = 502;
     static final int UNAVAILABLE = 503;
@@ -29,6 +30,11 @@
         return new Refusal(UNAVAILABLE, reason, Optional.of(retryAfter));
     }
 
+    /** The request was not read in time, so it has not run and never will. */
+    static Refusal notRead() {
+        return new Refusal(REQUEST_TIMEOUT, "body_late", Optional.empty());
+    }
+
     /** The request may have run. */
     static Refusal mayHaveRun(String reason) {
         return new Refusal(BAD_GATEWAY, reason, Optional.empty());
