Keep an upstream's stated idle time

Seen by callers: 502 for a stream that never ran, sent 1.15 s after the last use of a connection whose upstream had stated "Keep-Alive: timeout=1".

Cause: the client keeps pooled connections for 1.5 s whatever the upstream states. A stream that may not be repeated then meets the upstream's close.

Ruled out: "Connection: close" in an answer, which is respected. An idle timeout on the connection itself: the HTTP library sets it anew around each request, and its expiry races with a new use.

Change: when an answer has ended, the pool notes until when its connection may be used: the stated time less 200 ms. A connection past that is closed when it is taken, and another one is taken or opened. It leaves the pool before it is closed; otherwise the library would begin the queued calls anew within each close. The 1.5 s stay the upper limit. An answer without the header is treated as before.

Open: a body that is read late, for a slow caller, ends later here than at the upstream, by more than the margin if the caller is slow enough. An upstream whose idle time is below one second may state none (PROTOCOL: "in whole seconds, if there are any"); 1.5 s is kept there.

A second test guards against a new connection for each stream within the stated time.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -16,6 +16,7 @@
 import org.eclipse.jetty.client.ProtocolHandlers;
 import org.eclipse.jetty.client.RedirectProtocolHandler;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.UpgradeProtocolHandler;
 import org.eclipse.jetty.client.WWWAuthenticationProtocolHandler;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
@@ -187,12 +188,22 @@
                 fields.put(HttpHeader.CONNECTION, "close");
             }
         });
+        if (!call.ownConnection()) {
+            request.onResponseSuccess(this::noteIdleTime);
+        }
         if (call.body().length > 0) {
             request.body(new BytesRequestContent(request.getHeaders().get(HttpHeader.CONTENT_TYPE), call.body()));
         }
         return request;
     }
 
+    private void noteIdleTime(Response response) {
+        Request request = response.getRequest();
+        if (client.resolveDestination(request).getConnectionPool() instanceof ClosablePool pool) {
+            pool.noteIdleTime(request.getConnection(), response.getHeaders());
+        }
+    }
+
     /**
      * Closes the pooled connections to a receiver that no call uses. A network that has silenced one connection has often
      * silenced them all, and each would cost a call its whole time limit.
