Count a refused request until its answer is out

Callers of the entry daemon can meet a connection that is closed without an answer, if their request is refused while the daemon stops. The test shows the count, not the close.

Cause: EntryHandler.dispatch counted a request out before run wrote its refusal or the answer to a fault. closeAndAwaitEmpty could return in between, and the daemon then closed the connection.

Ruled out: answers that an endpoint writes itself; they are whole before the request is counted out.

Change: run counts in and out around the dispatch and the refusal. Unknown paths and methods count as well. Requests that come after the count is closed are refused as before and are not waited for.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/EntryHandler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/EntryHandler.java
@@ -6,6 +6,7 @@
 import io.banyantally.internal.timeline.EventField;
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -45,8 +46,24 @@
     }
 
     private void run(HttpExchange exchange) throws IOException, InterruptedException {
+        Optional<PathRule> rule = rules.stream()
+                .filter(candidate -> candidate.matches(exchange.path()))
+                .findFirst();
+        boolean counts = rule.map(PathRule::counted).orElse(true);
+        boolean entered = counts && inFlight.enter();
+        try {
+            answer(exchange, rule, entered || !counts);
+        } finally {
+            if (entered) {
+                inFlight.leave();
+            }
+        }
+    }
+
+    private void answer(HttpExchange exchange, Optional<PathRule> rule, boolean admitted)
+            throws IOException, InterruptedException {
         try {
-            dispatch(exchange);
+            dispatch(exchange, rule, admitted);
         } catch (RequestRefusedException refused) {
             metrics.counter("requests.refused." + refused.type().wireName()).inc();
             exchange.sendRefusal(refused);
@@ -61,11 +78,9 @@
         }
     }
 
-    private void dispatch(HttpExchange exchange) throws RequestRefusedException, IOException, InterruptedException {
-        PathRule rule = rules.stream()
-                .filter(candidate -> candidate.matches(exchange.path()))
-                .findFirst()
-                .orElseThrow(() -> RequestRefusedException.notRun(ErrorType.NOT_FOUND, "no such path"));
+    private void dispatch(HttpExchange exchange, Optional<PathRule> found, boolean admitted)
+            throws RequestRefusedException, IOException, InterruptedException {
+        PathRule rule = found.orElseThrow(() -> RequestRefusedException.notRun(ErrorType.NOT_FOUND, "no such path"));
         if (!rule.allows(exchange.method())) {
             exchange.setHeader("Allow", String.join(", ", rule.methods()));
             throw RequestRefusedException.notRun(
@@ -75,7 +90,7 @@
             rule.endpoint().handle(exchange);
             return;
         }
-        if (!inFlight.enter()) {
+        if (!admitted) {
             throw RequestRefusedException.notRun(
                     ErrorType.DRAINING,
                     java.time.Duration.ofSeconds(1),
@@ -86,7 +101,6 @@
             rule.endpoint().handle(exchange);
         } finally {
             timing.stop();
-            inFlight.leave();
         }
     }
 
