Read the rest of the body before a refusal

Seen by callers of the entry daemon: no answer to the next request on a connection, after a refusal that came before the body was read.

Cause: sendRefusal said "Connection: close" only for DRAINING and BODY_TOO_LARGE. After other refusals (keys, paths, methods) the HTTP library closed the connection without saying so if body bytes were missing.

Ruled out: DRAINING and BODY_TOO_LARGE, which announce the close already and are sent without reading on, as before.

Change: sendRefusal reads what is left of the body within the limit, and says "Connection: close" if some is left or its reading fails. The wait for a slow body is bounded by the idle limit of the connection, as for requests that are served.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/HttpExchange.java
@@ -105,6 +105,23 @@
         send(status, "text/plain;charset=utf-8", text.getBytes(StandardCharsets.UTF_8));
     }
 
+    /**
+     * Reads what is left of the body, within the limit, so that the connection can be kept. Returns false if some is still
+     * left.
+     */
+    private boolean readRestOfBody() {
+        if (request.getLength() > maximumBodyBytes) {
+            return false;
+        }
+        try {
+            // Not closed: closing it before the end of the body makes the request fail.
+            InputStream input = Content.Source.asInputStream(request);
+            return input.readNBytes(maximumBodyBytes + 1).length <= maximumBodyBytes;
+        } catch (IOException incomplete) {
+            return false;
+        }
+    }
+
     /** Sends a typed error; call it only before anything else was sent. */
     void sendRefusal(RequestRefusedException refusal) throws IOException {
         refusal.retryAfter()
@@ -113,7 +130,7 @@
         if (refusal.type() == ErrorType.INVALID_KEY) {
             setHeader(HttpHeader.WWW_AUTHENTICATE.asString(), "Bearer");
         }
-        if (refusal.type() == ErrorType.DRAINING || refusal.type() == ErrorType.BODY_TOO_LARGE) {
+        if (refusal.type() == ErrorType.DRAINING || refusal.type() == ErrorType.BODY_TOO_LARGE || !readRestOfBody()) {
             setHeader(HttpHeader.CONNECTION.asString(), "close");
         }
         sendJson(refusal.type().status(), ErrorBody.of(refusal));
