Let no late write replace the last usage counts

Client accounts can get a usage report without the last requests of a process, and an entry that is not marked as closed, for which the reporter waits. Shown with a fake store that delays a write; how often the users' store does so was not measured.

Cause: UsagePublisher.publish and close wrote one key unconditionally. A write of publish that is in hand when the process stops could take effect after the last counts.

Ruled out: the two attempts of close, which write the same counts. Waiting for the write in hand: it may hang longer than the shutdown may, and a write whose answer was lost may still take effect later.

Change: publish expects the revision of its last own write, so that it fails once the last counts are there. close expects nothing, takes no further call and stays within its limit. If an answer was lost and the write took effect, publish learns the revision from the conflict and writes again in the same round.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
@@ -5,10 +5,13 @@
 import io.banyantally.internal.deployment.StoreHealth;
 import io.banyantally.model.VmId;
 import io.banyantally.platform.CoordinationStore;
+import io.banyantally.platform.RevisionConflictException;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreKey;
+import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.StoreTransaction;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +34,7 @@
     private final UsageLedger ledger;
     private final StoreHealth health;
     private final StoreKey key;
+    private StoreRevision ownRevision = StoreRevision.ABSENT;
     private long publishedChanges;
     private long publishedIn;
     private volatile boolean closed;
@@ -61,7 +65,8 @@
 
     /**
      * Writes the last counts of this process, in two attempts that share {@code limit}. The first may hang on a connection
-     * that has gone silent, or in the last moments of an outage; both write the same counts.
+     * that has gone silent, or in the last moments of an outage; both write the same counts. They expect no revision, so
+     * that they succeed beside a write of {@link #publish} that is on its way, which fails if it arrives later.
      *
      * @return whether they were written in time
      */
@@ -91,13 +96,36 @@
         long changes = ledger.changes();
         long window = ledger.currentWindow();
         try {
-            store.apply(StoreTransaction.put(key, WireFormat.encode(ledger.snapshot(false)), Optional.empty()));
+            ownRevision = writeOverLast(WireFormat.encode(ledger.snapshot(false)));
             publishedChanges = changes;
             publishedIn = window;
             health.answered();
+        } catch (RevisionConflictException conflict) {
+            // The last counts are written, or the next round writes all counts again.
+            health.answered();
         } catch (StoreException failure) {
             // The next round writes all counts again.
             health.failed("publish usage", failure);
         }
     }
+
+    /** Writes over the last own write, also if that one took effect although its answer was lost. */
+    private StoreRevision writeOverLast(byte[] counts) throws StoreException {
+        try {
+            return store.apply(putOver(ownRevision, counts));
+        } catch (RevisionConflictException conflict) {
+            if (closed) {
+                throw conflict;
+            }
+            ownRevision = conflict.currentRevision();
+            return store.apply(putOver(ownRevision, counts));
+        }
+    }
+
+    private StoreTransaction putOver(StoreRevision expected, byte[] counts) {
+        return new StoreTransaction(
+                List.of(new StoreTransaction.Expectation(key, expected)),
+                List.of(new StoreTransaction.Put(key, counts, Optional.empty())),
+                List.of());
+    }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsagePublisherTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsagePublisherTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.banyantally.internal.adapter.WireFormat;
 import io.banyantally.internal.deployment.OwnKeys;
 import io.banyantally.internal.deployment.StoreHealth;
 import io.banyantally.internal.time.WallClock;
@@ -79,6 +80,26 @@
         hanging.release();
     }
 
+    /** Guards against counts that are never written again once the answer to a write was lost. */
+    @Test
+    void countsAreWrittenInTheRoundAfterALostAnswer() throws Exception {
+        ManualClock clock = new ManualClock();
+        FakeCoordinationStore store = new FakeCoordinationStore(clock);
+        UsageLedger ledger = new UsageLedger(new WallClock(clock, () -> clock.nanoTime() / 1_000_000), WINDOW);
+        UsagePublisher publisher =
+                new UsagePublisher(store, ledger, new StoreHealth(clock), new VmId("vm-1"), "lifetime");
+        ledger.began(new ClientAccountId("account-1"));
+        store.loseAnswers(1);
+        publisher.publish();
+        ledger.began(new ClientAccountId("account-1"));
+
+        publisher.publish();
+
+        WindowCounts written = WireFormat.decode(
+                store.value(OwnKeys.usageCounts(new VmId("vm-1"), "lifetime")).orElseThrow(), WindowCounts.class);
+        assertEquals(2, written.of(ledger.currentWindow()).get(new ClientAccountId("account-1")));
+    }
+
     /** A store whose first write hangs until it is released. */
     private static final class HangingOnceStore implements CoordinationStore {
         private final CoordinationStore store;
