Keep tracks of upstreams at which requests run

Callers can meet longer waits at an upstream whose entry lapsed, as in an outage of the store, and came back: requests that ran there were counted as none, so that more could be placed there. The waits were not measured.

Cause: UpstreamTracks.retain forgot an upstream without an entry also while requests ran there. When the entry was back, a new track began at zero.

Ruled out: cut requests; they went on and ended on the former track.

Change: retain keeps tracks with outstanding requests. The periodic upkeep forgets them after the last one has ended.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTracks.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTracks.java
@@ -8,6 +8,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 
@@ -75,9 +76,12 @@
         return List.copyOf(tracks.values());
     }
 
-    /** Forgets upstreams that are no longer known. */
+    /** Forgets upstreams that are no longer known and run no request; an entry may lapse and return while they run one. */
     public void retain(List<ReplicaEntry> known) {
-        tracks.keySet().retainAll(known.stream().map(ReplicaEntry::id).collect(Collectors.toSet()));
+        Set<UpstreamId> ids = known.stream().map(ReplicaEntry::id).collect(Collectors.toSet());
+        tracks.values()
+                .removeIf(track ->
+                        !ids.contains(track.entry().id()) && track.ownWork().requests() == 0);
     }
 
     private static boolean isSameLifetime(ReplicaEntry former, ReplicaEntry present) {
