Notice callers that leave after early bytes

Seen at upstreams: work that goes on for a caller that has left, in a slot that other callers could have.

Cause: ProbingEndPoint.isClosedByCaller read no further once it held bytes of a next request, so that it never saw the end behind them.

Ruled out: bytes of a next request that are lost or taken for the end (tests with a next request in two parts, and with one longer than the probe's buffer).

Change: the probe reads on while its buffer has room. A caller that sends a next request and closes its sending half counts as gone, as one without early bytes did before.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ProbingEndPoint.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ProbingEndPoint.java
@@ -31,11 +31,8 @@
         if (ended || !isOpen()) {
             return true;
         }
-        if (early.hasRemaining()) {
-            return false;
-        }
-        BufferUtil.clear(early);
         try {
+            // Also behind bytes of a next request, while there is room: the end of the connection comes after them.
             ended = super.fill(early) < 0;
         } catch (IOException reset) {
             ended = true;
