Close connections whose request head takes too long

What callers saw: nothing; a connection whose head came byte by byte stayed open for good, at all addresses of a VM, and the limit that the configuration sets on this time was read and not used.

Cause: the HTTP library limits the size of a head and the time between two bytes only.

Ruled out: the idle limit, which each byte renews.

Change: a connection notes when the first byte of a head came; every 0.5 s those whose head is older than the configured limit are closed, with a line in the log. Until a configuration is read the limit is 5 s. The other addresses use the same connections.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -164,6 +164,7 @@
         tasks.start("work-exchange", WorkExchange.interval(), exchange::exchange);
         tasks.start("upkeep", UPKEEP_INTERVAL, this::upkeep);
         tasks.start("probe-callers", GatewayServer.probeInterval(), server::probeCallers);
+        tasks.start("late-heads", GatewayServer.HEAD_CHECK_INTERVAL, server::closeLateHeads);
         startDuties();
         LOG.info("started", EventField.of("vm", settings.vm()), EventField.of("callers", settings.callersText()));
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.Executors;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -36,6 +38,12 @@
     /** Until a configuration says more. */
     private static final Duration FIRST_IDLE_TIMEOUT = Duration.ofSeconds(20);
 
+    /** Until a configuration says more; some times what a caller at a slow link needs. */
+    private static final Duration FIRST_HEADER_TIMEOUT = Duration.ofSeconds(5);
+
+    /** How often to call {@link #closeLateHeads}; a head may take longer than its limit by this. */
+    public static final Duration HEAD_CHECK_INTERVAL = Duration.ofMillis(500);
+
     /** Room for the request line and for headers that the limit of the configuration does not count. */
     private static final int HEADER_MARGIN_BYTES = 1024;
 
@@ -46,6 +54,7 @@
     private final HttpConfiguration callerConfiguration = configuration();
     private final ServerConnector callers;
     private final Map<Integer, Handler> handlers;
+    private volatile Duration headerTimeout = FIRST_HEADER_TIMEOUT;
 
     /** Creates a server that is not started yet; {@code handlers} answer at their own addresses. */
     public GatewayServer(
@@ -59,7 +68,7 @@
         bind(callers, callersAddress);
         Map<Integer, Handler> byPort = new HashMap<>();
         handlers.forEach((address, handler) -> {
-            bind(new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration())), address);
+            bind(new ProbingConnector(server, new HttpConnectionFactory(configuration())), address);
             byPort.put(address.getPort(), handler);
         });
         this.handlers = Map.copyOf(byPort);
@@ -90,6 +99,7 @@
     /** Applies the limits of a configuration; that of headers to connections that are opened from now on. */
     public void apply(CallerLimits limits) {
         callerConfiguration.setRequestHeaderSize(limits.headerBytes() + HEADER_MARGIN_BYTES);
+        headerTimeout = limits.headerTimeout();
         long idleMillis = limits.idleTimeout().plus(IDLE_MARGIN).toMillis();
         callers.setIdleTimeout(idleMillis);
         // A caller goes by the limit in force on a connection from before it, too.
@@ -115,6 +125,21 @@
         open.probe();
     }
 
+    /** Closes the connections on which the head of a request has come for longer than the configuration allows. */
+    public void closeLateHeads() {
+        for (Connector connector : server.getConnectors()) {
+            for (EndPoint connection : connector.getConnectedEndPoints()) {
+                if (connection instanceof ProbingEndPoint probing && probing.isHeadLate(headerTimeout)) {
+                    LOG.warn(
+                            "head_late",
+                            EventField.of("caller", connection.getRemoteSocketAddress()),
+                            EventField.of("limit_ms", headerTimeout.toMillis()));
+                    connection.close();
+                }
+            }
+        }
+    }
+
     /** Returns how many requests are being answered. */
     public int openRequests() {
         return open.size();
@@ -167,7 +192,16 @@
         @Override
         public boolean handle(Request request, Response response, Callback callback) throws Exception {
             Handler handler = handlers.getOrDefault(Request.getLocalPort(request), forwarding);
-            return handler.handle(request, response, callback);
+            if (!(request.getConnectionMetaData().getConnection().getEndPoint()
+                    instanceof ProbingEndPoint connection)) {
+                return handler.handle(request, response, callback);
+            }
+            connection.beginAnswer();
+            try {
+                return handler.handle(request, response, callback);
+            } finally {
+                connection.endAnswer();
+            }
         }
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ProbingEndPoint.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ProbingEndPoint.java
@@ -4,14 +4,17 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.time.Duration;
+import java.util.OptionalLong;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * A connection of a caller that can be asked whether the caller has closed it. The HTTP library does not read while a
- * request runs, so it would notice only when it writes the answer.
+ * A connection of a caller that can be asked whether the caller has closed it, and for how long the head of a request has
+ * come. The HTTP library does not read while a request runs, so it would notice a close only when it writes the answer, and it
+ * sets no limit on the time of a head.
  */
 final class ProbingEndPoint extends SocketChannelEndPoint {
 
@@ -21,6 +24,10 @@
     private final ByteBuffer early = BufferUtil.allocate(PROBE_BYTES);
 
     private boolean ended;
+    private boolean answering;
+
+    /** When the first byte of a head came that has not ended, in monotonic nanoseconds. */
+    private OptionalLong headBegan = OptionalLong.empty();
 
     ProbingEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
         super(channel, selector, key, scheduler);
@@ -42,7 +49,27 @@
 
     @Override
     public synchronized int fill(ByteBuffer buffer) throws IOException {
-        return early.hasRemaining() ? BufferUtil.append(buffer, early) : super.fill(buffer);
+        int filled = early.hasRemaining() ? BufferUtil.append(buffer, early) : super.fill(buffer);
+        if (filled > 0 && !answering && headBegan.isEmpty()) {
+            headBegan = OptionalLong.of(System.nanoTime());
+        }
+        return filled;
+    }
+
+    /** The head of a request has ended; what comes now is its body. */
+    synchronized void beginAnswer() {
+        answering = true;
+        headBegan = OptionalLong.empty();
+    }
+
+    /** The request is answered; what comes now is the head of the next one. */
+    synchronized void endAnswer() {
+        answering = false;
+    }
+
+    /** Returns whether a head has come for longer than {@code limit} and has not ended. */
+    synchronized boolean isHeadLate(Duration limit) {
+        return headBegan.isPresent() && System.nanoTime() - headBegan.getAsLong() > limit.toNanos();
     }
 
     @Override
