Use no connection behind whose answer bytes follow

What callers saw: bytes that an upstream sends after a complete answer were read as the next answer on that connection.

Cause: the look for such bytes was made when a connection returns to the pool, and bytes come later, too; and an answer that names no attempt was taken.

Ruled out: the look alone, since bytes may come between it and the call.

Change: the look is made when a connection is taken from the pool, which also finds connections that their receiver has closed; a success that does not echo the attempt is not passed on. The protocol's upstreams echo it.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/ClosablePool.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/ClosablePool.java
@@ -35,7 +35,7 @@
     @Override
     public Connection acquire(boolean create) {
         Connection connection = super.acquire(create);
-        while (connection != null && isPastIdleTime(connection)) {
+        while (connection != null && (isPastIdleTime(connection) || hasMore(connection))) {
             // Removed first: the destination begins queued calls anew for each pooled connection that closes.
             remove(connection);
             connection.close();
@@ -67,14 +67,15 @@
         }
     }
 
-    /** Keeps the connection for the next call, unless bytes follow the answer on it: that call would read them. */
+    /** Returns whether bytes follow the last answer on a connection, or its end: the next call would read them. */
+    private static boolean hasMore(Connection connection) {
+        return ResetAwareEndPoint.of(connection)
+                .filter(ResetAwareEndPoint::hasMore)
+                .isPresent();
+    }
+
     @Override
     public boolean release(Connection connection) {
-        if (ResetAwareEndPoint.of(connection)
-                .filter(ResetAwareEndPoint::hasMore)
-                .isPresent()) {
-            return false;
-        }
         idle.add(connection);
         boolean kept = super.release(connection);
         if (!kept) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -160,6 +160,10 @@
         if (success && !facts.signed()) {
             return new SendOutcome.Unknown("unsigned_answer");
         }
+        if (success && facts.attempt().isEmpty()) {
+            // Upstreams echo the attempt; without it these may be late bytes of another answer.
+            return new SendOutcome.Unknown("unnamed_answer");
+        }
         if (!success && (status == Refusal.UNAVAILABLE || status == TOO_MANY_REQUESTS)) {
             // Passed on, this status would promise that the request has not run, which the upstream does not say.
             return new SendOutcome.Unknown("upstream_" + status);
