--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingHandler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingHandler.java
@@ -45,7 +45,7 @@
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
             callback.failed(stopped);
-        } catch (RuntimeException fault) {
+        } catch (RuntimeException | Error fault) {
             LOG.error("request_fault", fault, EventField.of("target", caller.path()));
             answerFault(caller, callback, fault);
         } finally {
@@ -54,7 +54,7 @@
         return true;
     }
 
-    private static void answerFault(CallerExchange caller, Callback callback, RuntimeException fault) {
+    private static void answerFault(CallerExchange caller, Callback callback, Throwable fault) {
         try {
             if (caller.isCommitted()) {
                 throw new IOException("the answer had begun when the request failed", fault);
