Check the limit of headers in force for each request

What callers saw: 431 on a kept connection for headers that the operator had allowed since it was opened; and with headers of 12 KB, a 502.

Cause: the HTTP library copies the limit into a connection when it is opened. Its client has a limit of its own for the head that it sends, which was not set, so such a request failed at the send.

Ruled out: closing connections from before the change with their next answer, since the request that needs the limit may be that next one.

Change: a connection reads heads of up to 64 KiB, and the limit of the configuration in force is checked for each request, also when it has been lowered. The client sends heads of up to 72 KiB.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -51,6 +51,9 @@
     /** Twice the largest head that a caller's configuration usually allows (16 KiB). The HTTP library sets no limit. */
     private static final int LARGEST_HEAD_BYTES = 32 * 1024;
 
+    /** A caller's largest head (64 KiB) and the headers that are added to it. */
+    private static final int LARGEST_SENT_HEAD_BYTES = 72 * 1024;
+
     private final HttpClient client;
 
     private AdapterHttpClient(HttpClient client) {
@@ -83,6 +86,7 @@
         client.setMaxRequestsQueuedPerDestination(CONNECTIONS_PER_ADDRESS);
         client.setResponseBufferSize(RESPONSE_BUFFER_BYTES);
         client.setMaxResponseHeadersSize(LARGEST_HEAD_BYTES);
+        client.setMaxRequestHeadersSize(LARGEST_SENT_HEAD_BYTES);
         try {
             client.start();
         } catch (Exception failure) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/AdmittedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/AdmittedRequest.java
@@ -26,6 +26,9 @@
         byte[] body,
         long deadline) {
 
+    /** Room for the request line and for headers that the limit of the configuration does not count. */
+    static final int HEAD_MARGIN_BYTES = 1024;
+
     /** The rank of engine requests that is sent when neither route nor account sets one. */
     private static final int LOWEST_URGENCY = 9;
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/CallerExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/CallerExchange.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.io.Content;
@@ -22,6 +23,9 @@
     /** A longer body costs more to read than the new connection that its caller needs otherwise. */
     private static final int MOST_DISCARDED_BYTES = 64 * 1024;
 
+    /** A colon, a space and the end of the line. */
+    private static final int FIELD_SEPARATOR_BYTES = 4;
+
     private final Request request;
     private final Response response;
     private volatile Optional<Runnable> whenGone = Optional.empty();
@@ -53,6 +57,16 @@
         return host == null ? "" : host;
     }
 
+    /** Returns the length of the request line and the headers, with the separators that they need at least. */
+    int headBytes() {
+        int bytes = method().length() + target().length();
+        for (HttpField field : request.getHeaders()) {
+            bytes += field.getName().length() + FIELD_SEPARATOR_BYTES;
+            bytes += field.getValue() == null ? 0 : field.getValue().length();
+        }
+        return bytes;
+    }
+
     /** Returns the path as the caller sent it, without the query. */
     String path() {
         String path = request.getHttpURI().getPath();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -87,6 +87,9 @@
                 .orElseThrow(
                         () -> new RefusedException(Refusal.notRun("no_configuration", RETRY_WITHOUT_CONFIGURATION)));
         log.add("configuration", configuration.version());
+        if (caller.headBytes() > configuration.document().limits().headerBytes() + AdmittedRequest.HEAD_MARGIN_BYTES) {
+            throw new RefusedException(Refusal.wrong(Refusal.HEAD_TOO_LARGE, "head_too_large"));
+        }
         RouteRule route = configuration
                 .route(caller.host(), caller.path())
                 .orElseThrow(() -> new RefusedException(Refusal.wrong(Refusal.NOT_FOUND, "no_route")));
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/GatewayServer.java
@@ -44,8 +44,11 @@
     /** How often to call {@link #closeLateHeads}; a head may take longer than its limit by this. */
     public static final Duration HEAD_CHECK_INTERVAL = Duration.ofMillis(500);
 
-    /** Room for the request line and for headers that the limit of the configuration does not count. */
-    private static final int HEADER_MARGIN_BYTES = 1024;
+    /**
+     * The largest head that is read from a connection; the limit in force is checked for each request. The HTTP library copies
+     * its limit into a connection when it is opened, so a limit that is raised later would not hold there.
+     */
+    private static final int LARGEST_HEAD_BYTES = 64 * 1024;
 
     private final Server server;
     private final OpenExchanges open = new OpenExchanges();
@@ -64,6 +67,7 @@
         threads.setVirtualThreadsExecutor(Executors.newVirtualThreadPerTaskExecutor());
         this.server = new Server(threads);
         this.forwarding = new ForwardingHandler(services, open, admission);
+        callerConfiguration.setRequestHeaderSize(LARGEST_HEAD_BYTES);
         this.callers = new ProbingConnector(server, new HttpConnectionFactory(callerConfiguration));
         bind(callers, callersAddress);
         Map<Integer, Handler> byPort = new HashMap<>();
@@ -96,9 +100,10 @@
         server.addConnector(connector);
     }
 
-    /** Applies the limits of a configuration; that of headers to connections that are opened from now on. */
+    /** Applies the limits of a configuration. */
     public void apply(CallerLimits limits) {
-        callerConfiguration.setRequestHeaderSize(limits.headerBytes() + HEADER_MARGIN_BYTES);
+        callerConfiguration.setRequestHeaderSize(
+                Math.max(LARGEST_HEAD_BYTES, limits.headerBytes() + AdmittedRequest.HEAD_MARGIN_BYTES));
         headerTimeout = limits.headerTimeout();
         long idleMillis = limits.idleTimeout().plus(IDLE_MARGIN).toMillis();
         callers.setIdleTimeout(idleMillis);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/Refusal.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/Refusal.java
@@ -16,6 +16,7 @@
     static final int NOT_FOUND = 404;
     static final int REQUEST_TIMEOUT = 408;
     static final int BODY_TOO_LARGE = 413;
+    static final int HEAD_TOO_LARGE = 431;
     static final int BAD_GATEWAY = 502;
     static final int UNAVAILABLE = 503;
     static final int TIMEOUT = 504;
