Pass a failure on when no other upstream is left

What callers saw: 503 with Retry-After, which says that a request has not run, for a request that an upstream had run and answered with 500.

Cause: a failed answer of a repeatable request leads to another send; if no other upstream could be had, the refusal looked only at answers that were lost.

Ruled out: requests that may not be repeated; their failure was passed on at once.

Change: a failure counts as a run, and it is passed on when nothing more can be tried.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -161,14 +161,23 @@
         int sends = 0;
         int refusals = 0;
         boolean mayHaveRun = false;
+        Optional<SendOutcome.Answered> failure = Optional.empty();
         try {
             while (true) {
                 if (!mayHaveRun) {
                     // The shutdown may have begun while the prompt was read.
                     checkShutdown(request);
                 }
-                Placement.Decision.Send choice =
-                        chosen.isPresent() ? chosen.get() : place(request, tried, handOver, mayHaveRun);
+                Placement.Decision.Send choice;
+                try {
+                    choice = chosen.isPresent() ? chosen.get() : place(request, tried, handOver, mayHaveRun);
+                } catch (RefusedException nobodyLeft) {
+                    if (failure.isEmpty()) {
+                        throw nobodyLeft;
+                    }
+                    passOn(failure.get());
+                    return;
+                }
                 chosen = Optional.empty();
                 tried.add(choice.candidate().entry().id());
                 sends++;
@@ -186,6 +195,10 @@
                     handOver = Optional.empty();
                 }
                 mayHaveRun |= outcome instanceof SendOutcome.Unknown;
+                if (outcome instanceof SendOutcome.Answered answered) {
+                    mayHaveRun = true;
+                    failure = Optional.of(answered);
+                }
                 boolean mayRepeat = sends < request.route().attempts() && refusals <= MOST_REFUSALS;
                 if (finished(request, sender, outcome, mayRepeat, mayHaveRun)) {
                     return;
@@ -232,8 +245,7 @@
                 if (failed && timeLeft && request.route().isRepeatable() && mayRepeat(request, sendsLeft)) {
                     return false;
                 }
-                caller.answer(answer.status(), services.dialect().callerHeaders(answer.headers()), answer.body());
-                log.write(services.metrics(), routeName, answer.status(), answer.reason());
+                passOn(answer);
                 return true;
             }
             case SendOutcome.NotRun refused -> {
@@ -262,8 +274,17 @@
         }
     }
 
+    private void passOn(SendOutcome.Answered answer) throws IOException {
+        caller.answer(answer.status(), services.dialect().callerHeaders(answer.headers()), answer.body());
+        log.write(services.metrics(), routeName, answer.status(), answer.reason());
+    }
+
     private boolean mayRepeat(AdmittedRequest request, boolean sendsLeft) {
-        return sendsLeft && services.retries().tryTake(request.service().name());
+        // A repeat at the end of a shutdown is cut; without it the caller can go elsewhere.
+        boolean endsInTime = sender.hasDelivered() || !admission.hasEnded();
+        return sendsLeft
+                && endsInTime
+                && services.retries().tryTake(request.service().name());
     }
 
     private Placement.Decision.Send place(
