Repeat no request at the end of a shutdown

What callers saw: a request from before the signal whose upstream broke off 7.1 s after it was sent to another upstream and cut at 7.5 s without an answer.

Cause: repeats were possible until the process ended, although no request was taken any more.

Ruled out: streams that have delivered events; only a repeat can continue them.

Change: once a shutdown takes no requests, a request that has delivered nothing is not sent anew: it is answered at once, and its caller can go elsewhere. The waits of the shutdown end at their moment and not up to 60 ms later, all times count from the signal, and a stop without a shutdown takes no requests while it writes usage.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -268,7 +268,10 @@
         Thread.sleep(until(signalled + settings.addressLifetime().toNanos()));
         server.closeConnections();
         LOG.info("connections_closing", EventField.of("open_requests", server.openRequests()));
-        Thread.sleep(settings.connectionCloseTime());
+        Thread.sleep(until(signalled
+                + settings.addressLifetime()
+                        .plus(settings.connectionCloseTime())
+                        .toNanos()));
         server.awaitRequests(until(lastAnswer));
         server.endRequests();
         // Another request may have begun since the last one ended.
@@ -292,6 +295,7 @@
     /** Stops at once; requests that still run are cut. */
     public void stop() {
         draining = true;
+        server.endRequests();
         publishLastUsage();
         close();
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -242,14 +242,14 @@
             case SendOutcome.CallerGone left -> throw new IOException("the caller has left: " + left.reason());
             case SendOutcome.Answered answer -> {
                 boolean failed = answer.status() >= 500;
-                if (failed && timeLeft && request.route().isRepeatable() && mayRepeat(request, sendsLeft)) {
+                if (failed && timeLeft && request.route().isRepeatable() && mayRepeat(request, sender, sendsLeft)) {
                     return false;
                 }
                 passOn(answer);
                 return true;
             }
             case SendOutcome.NotRun refused -> {
-                if (timeLeft && mayRepeat(request, sendsLeft)) {
+                if (timeLeft && mayRepeat(request, sender, sendsLeft)) {
                     return false;
                 }
                 log.add("detail", refused.reason());
@@ -262,7 +262,7 @@
                                 : Refusal.notRun("upstream_refused", jittered(RETRY_WHEN_FULL)));
             }
             case SendOutcome.Unknown lost -> {
-                if (timeLeft && request.route().isRepeatable() && mayRepeat(request, sendsLeft)) {
+                if (timeLeft && request.route().isRepeatable() && mayRepeat(request, sender, sendsLeft)) {
                     return false;
                 }
                 log.add("detail", lost.reason());
@@ -279,7 +279,7 @@
         log.write(services.metrics(), routeName, answer.status(), answer.reason());
     }
 
-    private boolean mayRepeat(AdmittedRequest request, boolean sendsLeft) {
+    private boolean mayRepeat(AdmittedRequest request, UpstreamSender sender, boolean sendsLeft) {
         // A repeat at the end of a shutdown is cut; without it the caller can go elsewhere.
         boolean endsInTime = sender.hasDelivered() || !admission.hasEnded();
         return sendsLeft
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/OpenExchanges.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/OpenExchanges.java
@@ -36,8 +36,8 @@
     /** Waits until no request is open; returns false if some are after {@code limit}. */
     boolean awaitEmpty(Duration limit) throws InterruptedException {
         long end = System.nanoTime() + limit.toNanos();
-        while (!open.isEmpty() && System.nanoTime() < end) {
-            Thread.sleep(PROBE_INTERVAL);
+        for (long left = limit.toNanos(); !open.isEmpty() && left > 0; left = end - System.nanoTime()) {
+            Thread.sleep(Duration.ofNanos(Math.min(left, PROBE_INTERVAL.toNanos())));
         }
         return open.isEmpty();
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ShutdownAdmission.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ShutdownAdmission.java
@@ -21,6 +21,10 @@
         ended = true;
     }
 
+    boolean hasEnded() {
+        return ended;
+    }
+
     /** Returns whether a request with this deadline, in monotonic nanoseconds, may be passed on. */
     boolean takes(long deadline) {
         OptionalLong limit = lastAnswer;
