Cut a stream whose repeat fails

What callers saw: a stream that had begun, whose upstream broke off and whose repeat another upstream failed with 500, ended with the body of that failure behind its events, as if it were complete.

Cause: a failed answer was written without a look whether the answer to the caller had begun.

Ruled out: refusals, which look.

Change: if it has begun, the connection is cut, which is the only sign that the stream is not whole.

Before and after: ForwardingTest.brokenStreamWhoseRepeatFailsIsCut failed and passes; the other tests of streams and failures pass.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -275,6 +275,9 @@
     }
 
     private void passOn(SendOutcome.Answered answer) throws IOException {
+        if (caller.isCommitted()) {
+            throw new IOException("the repeat of the stream failed: " + answer.status());
+        }
         caller.answer(answer.status(), services.dialect().callerHeaders(answer.headers()), answer.body());
         log.write(services.metrics(), routeName, answer.status(), answer.reason());
     }
