Leave a process 0.6 s to end after its last streams

Cause: streams were cut 0.5 s before the kill. The process wrote "stopped" 7.6 to 7.7 s after the signal and was still there at 8 s: the virtual machine waits up to 0.3 s for threads in native code, such as pollers, when it halts, and the shutdown hook begins some ten milliseconds after the signal, more on a busy machine.

Ruled out: the last usage, which is written before; the closing of connections, which took 20 to 70 ms in these logs.

Change: streams are cut 0.6 s before the kill.

--- a/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
+++ b/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
@@ -38,8 +38,11 @@
     /** Between the last answer to a request that a graceful shutdown takes and the kill; the last usage is written meanwhile. */
     private static final Duration LAST_ANSWER_MARGIN = Duration.ofMillis(1200);
 
-    /** Between the cut of streams from before the signal and the kill: closing takes some ten milliseconds, more when slow. */
-    private static final Duration STOP_MARGIN = Duration.ofMillis(500);
+    /**
+     * Between the cut of streams from before the signal and the kill. Closing takes some ten milliseconds, and the virtual
+     * machine waits 0.3 s for threads in native code before it ends.
+     */
+    private static final Duration STOP_MARGIN = Duration.ofMillis(600);
 
     /** The time for callers' last requests on connections that are being closed. */
     private static final Duration CONNECTION_CLOSE_TIME = Duration.ofMillis(800);
