Refuse a request of a shutdown before its body is read

What callers saw: a request that came too late in a shutdown was refused only when its body had been read, and one with a slow body met the end of the process instead of an answer.

Cause: the check by time limit followed the read of the body.

Change: the check is made before and after the read.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -104,6 +104,7 @@
                 .filter(patience -> patience.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
         long deadline = log.arrived() + limit.toNanos();
+        checkShutdown(deadline);
         byte[] body = readBody(configuration.document().limits().bodyBytes(), deadline);
         ServiceName serviceName = chooseService(route);
         ServiceRule service = configuration
@@ -112,9 +113,8 @@
         log.add("service", serviceName);
         facts.prompt()
                 .ifPresent(prompt -> log.add("tokens", prompt.promptTokens() + "+" + prompt.maximumOutputTokens()));
-        AdmittedRequest request = new AdmittedRequest(route, service, facts, account, headers, body, deadline);
-        checkShutdown(request);
-        return request;
+        checkShutdown(deadline);
+        return new AdmittedRequest(route, service, facts, account, headers, body, deadline);
     }
 
     private byte[] readBody(int maximumBytes, long deadline)
@@ -127,9 +127,11 @@
         }
     }
 
-    private void checkShutdown(AdmittedRequest request) throws RefusedException {
-        if (!admission.takes(request.deadline())) {
-            log.add("left_ms", request.remaining(services.clock()).toMillis());
+    private void checkShutdown(long deadline) throws RefusedException {
+        if (!admission.takes(deadline)) {
+            log.add(
+                    "left_ms",
+                    TimeUnit.NANOSECONDS.toMillis(deadline - services.clock().nanoTime()));
             throw new RefusedException(Refusal.notRun(SHUTTING_DOWN, RETRY_ELSEWHERE));
         }
     }
@@ -166,7 +168,7 @@
             while (true) {
                 if (!mayHaveRun) {
                     // The shutdown may have begun while the prompt was read.
-                    checkShutdown(request);
+                    checkShutdown(request.deadline());
                 }
                 Placement.Decision.Send choice;
                 try {
