--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -250,8 +250,8 @@
     }
 
     /**
-     * Shuts down gracefully: leaves the addresses first, accepts until callers' copies of them have run out, finishes every
-     * request, and stops.
+     * Shuts down gracefully: leaves the addresses first, takes requests that end before the process does until none is open,
+     * and stops. Requests from before may run until shortly before the end of the grace period.
      *
      * @return false if requests still ran at the end of the grace period and were cut
      */
