Record a cancelled generation before its stream ends

Cause: the engine stand-in closed the connection of a cancelled generation before it added the generation to its report, so a test that waited for the end of the stream could read the report without it (EngineStandInTest#cancelledGenerationStops, NoSuchElementException). Ruled out: the test's wait; it waits for the last running generation, which ends with the stream.

--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/engine/GenerationRunner.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/engine/GenerationRunner.java
@@ -89,10 +89,11 @@
                 send(http, request, index, text.token(index), false, 0, 0);
                 tokens++;
             }
-            http.dropConnection();
         } finally {
             log.recordEnd(request, promptTokens, cached, tokens, outcome);
         }
+        // Recorded before the connection ends, so that a caller whose stream has ended finds it in the report.
+        http.dropConnection();
     }
 
     /** The token limit of a resumed request includes the tokens before its first index. */
