Stop a request whose caller left before its next send

Cause: a caller that left during a prefill, or before an upstream refused its request, was noticed only by a running exchange. Ruled out: the time limit; it was not over. Change: ForwardedRequest probes the caller's connection before the prefill and before every send, and ends the request if the caller has left.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -128,6 +128,18 @@
         }
     }
 
+    /**
+     * Ends the request if its caller has left, so that no step after a slow one gives work to an upstream.
+     *
+     * @param step the step that is about to begin, for the log
+     */
+    private void checkCaller(String step) throws IOException {
+        caller.probeConnection();
+        if (caller.isDisconnected()) {
+            throw new IOException("the caller disconnected: " + step);
+        }
+    }
+
     private void checkShutdown(long deadlineNanos) throws RefusedException {
         if (!admission.admits(deadlineNanos)) {
             log.add(
@@ -172,6 +184,7 @@
                     // The shutdown may have begun during prefill.
                     checkShutdown(request.deadlineNanos());
                 }
+                checkCaller("before_send");
                 Placement.Decision.Send choice;
                 try {
                     choice = chosen.isPresent() ? chosen.get() : place(request, tried, prefilledCache, mayHaveRun);
@@ -218,11 +231,12 @@
      * capacity.
      */
     private PrefillResult prefill(AdmittedRequest request, PrefillSender prefillSender)
-            throws RefusedException, InterruptedException {
+            throws RefusedException, IOException, InterruptedException {
         Placement.Demand demand = placementDemand(request);
         if (request.service().engine().isEmpty() || !EnginePlacement.isLongPrompt(demand)) {
             return PrefillResult.NONE;
         }
+        checkCaller("before_prefill");
         List<Candidate> candidates = candidates(request, Set.of());
         return switch (services.engines().decidePrefill(demand, candidates)) {
             case Placement.Decision.Send send -> new PrefillResult(prefillSender.prefill(send), Optional.empty());
