Name callers an even choice of VMs in a fleet of over 64

Cause: an answer to a look-up holds 64 addresses and the handler cut the list, which is ordered by VM name, so at 95 VMs 31 of them were never named: they took no new connection while they said that they were ready, and the others carried half as much again. Ruled out: a random choice for each answer; callers drop connections to addresses that the next answer leaves out. Change: CallerAddresses gives each zone a window of one hashed order of all VMs; the windows overlap evenly, and move where the fleet is so large that they leave gaps. The look-up passes the caller's zone on.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -6,6 +6,7 @@
 import io.banyantally.internal.adapter.AdapterHttpClient;
 import io.banyantally.internal.adapter.HttpClientSettings;
 import io.banyantally.internal.deployment.ActiveConfiguration;
+import io.banyantally.internal.deployment.CallerAddresses;
 import io.banyantally.internal.deployment.ConfigurationHolder;
 import io.banyantally.internal.deployment.GatewayStoreKeys;
 import io.banyantally.internal.deployment.MemberEntry;
@@ -245,14 +246,22 @@
     }
 
     /**
-     * Returns the addresses of all VMs that accept callers, as {@code address:port}; without this VM while it drains.
+     * Returns the addresses of VMs that accept callers, as {@code address:port}; without this VM while it drains.
+     *
+     * @param callerZone the name of the caller's zone; may be unknown
+     * @param maximum the most addresses to return
      */
-    public List<String> callerAddresses() {
-        List<String> addresses = members.members().stream()
+    public List<String> callerAddresses(String callerZone, int maximum) {
+        List<MemberEntry> accepting = members.members().stream()
+                .filter(member -> !draining || !member.callers().equals(settings.callersText()))
+                .toList();
+        if (accepting.isEmpty()) {
+            return isReady() ? List.of(settings.callersText()) : List.of();
+        }
+        Duration time = Duration.ofNanos(MonotonicClock.SYSTEM.nanoTime());
+        return CallerAddresses.choose(accepting, callerZone, maximum, time).stream()
                 .map(MemberEntry::callers)
-                .filter(address -> !draining || !address.equals(settings.callersText()))
                 .toList();
-        return addresses.isEmpty() && isReady() ? List.of(settings.callersText()) : addresses;
     }
 
     /** Returns the registry of counters, gauges and latency histograms. */
