Exchange work over one delegate for each zone in large fleets

Cause: every pair of VMs exchanged its work, at an interval that grows with the fleet: at 95 VMs every 376 ms, some 12,000 exchanges a second, for knowledge older than most requests take. Ruled out: a longer interval alone; work older than 500 ms is not used. Change: from 17 VMs on each VM exchanges with the delegate of its zone every 100 ms, and the delegates exchange the sums of their zones every 40 ms. A delegate is the first of a rendezvous hash over connected peers; one that does not respond is passed over for two seconds. Smaller fleets exchange in pairs as before.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -124,12 +124,9 @@
                 settings.dutyTimeToLive());
         MemberEntry own = new MemberEntry(settings.vm(), settings.zone(), settings.callersText(), settings.peersText());
         presence = new MemberPresence(platform.store(), own, health);
-        peers = new TcpPeerNetwork(
-                new Peer(settings.vm(), incarnation, settings.zone()),
-                PEER_SITE,
-                settings.peers(),
-                MonotonicClock.SYSTEM);
-        exchange = new WorkExchange(settings.vm(), peers, tracks, MonotonicClock.SYSTEM, metrics);
+        Peer self = new Peer(settings.vm(), incarnation, settings.zone());
+        peers = new TcpPeerNetwork(self, PEER_SITE, settings.peers(), MonotonicClock.SYSTEM);
+        exchange = new WorkExchange(self, peers, tracks, MonotonicClock.SYSTEM, metrics);
         client = AdapterHttpClient.start(UPSTREAM_CLIENT_SETTINGS);
         LeastLoadedPlacement placement = new LeastLoadedPlacement(new SplittableRandom());
         RetryAllowance retries = new RetryAllowance(
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -17,15 +17,22 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
- * Exchanges with each peer the work that both have at upstreams. Of each pair, the VM with the lower id sends the
- * request and both get the work of the other.
+ * Exchanges the work that VMs have at upstreams.
  *
  * <p>Placement needs this, since engines do not report their queue of prompts and a VM alone sees a sixth of it or
  * less. Without the exchange, all VMs together would fill a queue before any of them notices.
+ *
+ * <p>In a small fleet each pair of VMs exchanges its work; the VM with the lower id sends the request. That grows with
+ * the square of the fleet, so in a larger one each VM exchanges with the delegate of its zone only, and the delegates
+ * exchange the sums of their zones.
  */
 public final class WorkExchange {
 
@@ -35,32 +42,57 @@
     /** The interval grows with the number of peers, so that a VM sends at most a few hundred requests a second. */
     static final Duration INTERVAL_PER_PEER = Duration.ofMillis(4);
 
-    private static final Topic TOPIC = new Topic("gateway.work");
+    /** A delegate serves one request in this time for each VM of its zone, on a fraction of a core. */
+    static final Duration MEMBER_INTERVAL = Duration.ofMillis(100);
+
+    /** Delegates are few, and what they know is as old as the sum of both intervals. */
+    static final Duration DELEGATE_INTERVAL = Duration.ofMillis(40);
+
+    private static final Topic PAIR_TOPIC = new Topic("gateway.work");
+    private static final Topic MEMBER_TOPIC = new Topic("gateway.work.member");
+    private static final Topic ZONE_TOPIC = new Topic("gateway.work.zone");
     private static final MessagePackCodec<WorkMessage> CODEC = MessagePackCodec.of(WorkMessage.class);
 
+    /** The sender under which the work of all other VMs is kept, as last received from a delegate. */
+    private static final VmId ALL_OTHERS = new VmId("all-other-vms");
+
     /** The work in a later answer would be outdated. */
     private static final Duration TIMEOUT = Duration.ofMillis(150);
 
-    private final VmId self;
+    private final Peer self;
     private final PeerNetwork peers;
+    private final ZoneDelegates delegates;
     private final UpstreamTracks tracks;
     private final MonotonicClock clock;
     private final Set<VmId> pendingPeers = ConcurrentHashMap.newKeySet();
     private final Counter unanswered;
+    private final Counter requests;
+    private final Counter handled;
     private long lastRoundAt;
 
     /** Creates the exchange and handles the requests of peers. */
     public WorkExchange(
-            VmId self, PeerNetwork peers, UpstreamTracks tracks, MonotonicClock clock, MetricRegistry metrics) {
+            Peer self, PeerNetwork peers, UpstreamTracks tracks, MonotonicClock clock, MetricRegistry metrics) {
         this.self = self;
         this.peers = peers;
+        this.delegates = new ZoneDelegates(self, peers, clock, "work");
         this.tracks = tracks;
         this.clock = clock;
         this.unanswered = metrics.counter("work_exchange.unanswered");
+        this.requests = metrics.counter("work_exchange.requests");
+        this.handled = metrics.counter("work_exchange.handled");
         this.lastRoundAt = clock.nanoTime();
-        peers.handle(TOPIC, (sender, payload) -> {
+        handle(PAIR_TOPIC, sender -> message(UpstreamTrack::ownWork));
+        handle(MEMBER_TOPIC, sender -> workOf(vm -> !vm.equals(sender) && !vm.equals(ALL_OTHERS)));
+        handle(ZONE_TOPIC, sender -> workOf(ownZone()));
+    }
+
+    /** Receives the work of the sender, and answers with the work that {@code answer} returns for it. */
+    private void handle(Topic topic, Function<VmId, WorkMessage> answer) {
+        peers.handle(topic, (sender, payload) -> {
+            handled.inc();
             receive(sender.vm(), CODEC.decode(payload));
-            return CODEC.encode(message());
+            return CODEC.encode(answer.apply(sender.vm()));
         });
     }
 
@@ -69,51 +101,94 @@
         return MINIMUM_INTERVAL;
     }
 
-    /** Sends requests to the peers with a higher id, each in its own thread, unless the interval has not passed yet. */
+    /** Sends the requests that are due, each in its own thread. */
     public void exchange() {
         List<Peer> connected = peers.peers();
-        Duration interval = INTERVAL_PER_PEER.multipliedBy(connected.size());
-        if (clock.since(lastRoundAt).compareTo(interval) < 0) {
+        if (!delegates.areUsed()) {
+            if (startRound(INTERVAL_PER_PEER.multipliedBy(connected.size()))) {
+                byte[] message = CODEC.encode(message(UpstreamTrack::ownWork));
+                connected.stream().map(Peer::vm).forEach(peer -> requestFromHigherId(peer, PAIR_TOPIC, message));
+            }
             return;
         }
-        lastRoundAt = clock.nanoTime();
-        byte[] message = CODEC.encode(message());
-        for (Peer peer : connected) {
-            if (self.compareTo(peer.vm()) < 0 && pendingPeers.add(peer.vm())) {
-                Thread.ofVirtual().name("work-exchange").start(() -> requestWork(peer.vm(), message));
+        Optional<VmId> delegate = delegates.ofOwnZone();
+        if (delegate.isPresent()) {
+            if (startRound(MEMBER_INTERVAL)) {
+                requestInBackground(
+                        delegate.get(), MEMBER_TOPIC, CODEC.encode(message(UpstreamTrack::ownWork)), ALL_OTHERS);
             }
+        } else if (startRound(DELEGATE_INTERVAL)) {
+            byte[] message = CODEC.encode(workOf(ownZone()));
+            delegates.ofOtherZones().forEach(peer -> requestFromHigherId(peer, ZONE_TOPIC, message));
         }
     }
 
-    private void requestWork(VmId peer, byte[] message) {
+    private boolean startRound(Duration interval) {
+        if (clock.since(lastRoundAt).compareTo(interval) < 0) {
+            return false;
+        }
+        lastRoundAt = clock.nanoTime();
+        return true;
+    }
+
+    /** Of each pair, the VM with the lower id sends the request. */
+    private void requestFromHigherId(VmId peer, Topic topic, byte[] message) {
+        if (self.vm().compareTo(peer) < 0) {
+            requestInBackground(peer, topic, message, peer);
+        }
+    }
+
+    private void requestInBackground(VmId peer, Topic topic, byte[] message, VmId owner) {
+        if (pendingPeers.add(peer)) {
+            Thread.ofVirtual().name("work-exchange").start(() -> requestWork(peer, topic, message, owner));
+        }
+    }
+
+    private void requestWork(VmId peer, Topic topic, byte[] message, VmId owner) {
+        requests.inc();
         try {
-            receive(peer, CODEC.decode(peers.request(peer, TOPIC, message, TIMEOUT)));
+            receive(owner, CODEC.decode(peers.request(peer, topic, message, TIMEOUT)));
         } catch (PeerException unreachable) {
             // The peer's last message is used until it is too old.
             unanswered.inc();
+            delegates.recordFailure(peer);
         } finally {
             pendingPeers.remove(peer);
         }
     }
 
-    private WorkMessage message() {
+    private Predicate<VmId> ownZone() {
+        Set<VmId> members = peers.peers().stream()
+                .filter(peer -> peer.zone().equals(self.zone()))
+                .map(Peer::vm)
+                .collect(Collectors.toSet());
+        return members::contains;
+    }
+
+    /** Returns the work of this VM and of the peers that {@code included} accepts, summed by upstream. */
+    private WorkMessage workOf(Predicate<VmId> included) {
+        long now = clock.nanoTime();
+        return message(track -> track.workWithPeers(included, now));
+    }
+
+    private WorkMessage message(Function<UpstreamTrack, UpstreamTrack.Work> workAt) {
         List<UpstreamWork> work = new ArrayList<>();
         for (UpstreamTrack track : tracks.all()) {
-            UpstreamTrack.OwnWork own = track.ownWork();
-            if (own.requests() > 0) {
-                work.add(new UpstreamWork(track.entry().id().value(), own.requests(), own.millis()));
+            UpstreamTrack.Work atUpstream = workAt.apply(track);
+            if (atUpstream.requests() > 0) {
+                work.add(new UpstreamWork(track.entry().id().value(), atUpstream.requests(), atUpstream.millis()));
             }
         }
         return new WorkMessage(work);
     }
 
-    private void receive(VmId peer, WorkMessage message) {
+    private void receive(VmId owner, WorkMessage message) {
         Map<String, UpstreamWork> byUpstream = new HashMap<>();
         message.work().forEach(work -> byUpstream.put(work.upstream(), work));
         long now = clock.nanoTime();
         for (UpstreamTrack track : tracks.all()) {
             UpstreamWork work = byUpstream.get(track.entry().id().value());
-            track.setPeerWork(peer, work == null ? 0 : work.requests(), work == null ? 0 : work.millis(), now);
+            track.setPeerWork(owner, work == null ? 0 : work.requests(), work == null ? 0 : work.millis(), now);
         }
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * The state of one upstream as this process observes it: requests of this process and its peers, reported load and
@@ -142,27 +143,33 @@
     }
 
     /** Returns the work that this process has at the upstream. */
-    public synchronized OwnWork ownWork() {
-        return new OwnWork(outstanding, outstandingWork);
+    public synchronized Work ownWork() {
+        return new Work(outstanding, outstandingWork);
+    }
+
+    /** Returns the work of this process and the recent work of the peers that {@code included} accepts. */
+    public synchronized Work workWithPeers(Predicate<VmId> included, long now) {
+        int requests = outstanding;
+        double millis = outstandingWork;
+        for (Map.Entry<VmId, PeerWork> peer : peerWorkByVm.entrySet()) {
+            if (peer.getValue().isRecent(now) && included.test(peer.getKey())) {
+                requests += peer.getValue().requests();
+                millis += peer.getValue().millis();
+            }
+        }
+        return new Work(requests, millis);
     }
 
     /** Returns the inputs of a placement decision at {@code now}. */
     public synchronized Candidate candidate(long now) {
         boolean refusing = everRefused && now - refusedAt < REFUSAL_AVOIDANCE_TIME.toNanos();
-        int peerRequests = 0;
-        double peerWork = 0;
-        for (PeerWork work : peerWorkByVm.values()) {
-            if (now - work.receivedAt() < MAXIMUM_PEER_WORK_AGE.toNanos()) {
-                peerRequests += work.requests();
-                peerWork += work.millis();
-            }
-        }
+        Work withPeers = workWithPeers(vm -> true, now);
         return new Candidate(
                 entry,
                 outstanding,
                 outstandingWork,
-                peerRequests,
-                peerWork,
+                withPeers.requests() - outstanding,
+                withPeers.millis() - outstandingWork,
                 load,
                 outstandingAtLoad,
                 now - loadAt,
@@ -185,8 +192,13 @@
         return Math.max(remainingWait, oldestWait);
     }
 
-    /** The requests of this process at the upstream and the time that they keep it busy, in milliseconds. */
-    public record OwnWork(int requests, double millis) {}
+    /** Requests at the upstream and the time that they keep it busy, in milliseconds. */
+    public record Work(int requests, double millis) {}
 
-    private record PeerWork(int requests, double millis, long receivedAt) {}
+    private record PeerWork(int requests, double millis, long receivedAt) {
+
+        boolean isRecent(long now) {
+            return now - receivedAt < MAXIMUM_PEER_WORK_AGE.toNanos();
+        }
+    }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
@@ -1,12 +1,12 @@
 package io.banyantally.internal.exchange;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
 import io.banyantally.deployment.EngineStage;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.internal.peer.Peer;
-import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.placement.Candidate;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.model.AvailabilityZone;
@@ -16,9 +16,13 @@
 import io.banyantally.testing.FakePeerHub;
 import io.banyantally.testing.ManualClock;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @Timeout(20)
 final class WorkExchangeTest {
@@ -27,8 +31,8 @@
 
     private final ManualClock clock = new ManualClock();
     private final FakePeerHub hub = new FakePeerHub();
-    private final Vm first = new Vm("vm-1");
-    private final Vm second = new Vm("vm-2");
+    private final Vm first = new Vm("vm-1", "zone-a");
+    private final Vm second = new Vm("vm-2", "zone-a");
 
     /** Guards against VMs that together fill a queue because each knows only its own requests. */
     @Test
@@ -69,6 +73,73 @@
         assertEquals(0, first.candidate().peerWork());
     }
 
+    /** Guards against VMs of a large fleet that fill a queue because they know only a part of the work in it. */
+    @Test
+    void everyVmOfALargeFleetKnowsTheWorkOfAllOthers() throws InterruptedException {
+        List<Vm> fleet = startFleet(40);
+        fleet.forEach(vm -> vm.tracks.of(ENGINE).recordSent(3, clock.nanoTime()));
+
+        runFor(Duration.ofMillis(300), fleet);
+
+        for (Vm vm : fleet) {
+            assertEquals(3 * (fleet.size() - 1), vm.candidate().peerWork());
+            assertEquals(fleet.size() - 1, vm.candidate().peerRequests());
+        }
+    }
+
+    /** Guards against messages that grow with the square of the fleet. */
+    @ParameterizedTest
+    @ValueSource(ints = {20, 40, 95})
+    void messagesOfALargeFleetGrowWithItsSize(int vms) throws InterruptedException {
+        List<Vm> fleet = startFleet(vms);
+
+        runFor(Duration.ofSeconds(1), fleet);
+
+        long perInterval = fleet.stream().mapToLong(Vm::requests).sum() / 10;
+        double limit = vms * Math.log(vms) / Math.log(2);
+        assertTrue(perInterval <= limit, perInterval + " requests in 100 ms, at most " + limit);
+    }
+
+    /** Guards against a zone that loses its knowledge of others until a failed delegate returns. */
+    @Test
+    void anotherDelegateReplacesOneThatIsDown() throws InterruptedException {
+        List<Vm> fleet = startFleet(40);
+        runFor(Duration.ofMillis(300), fleet);
+        Vm delegate = fleet.stream().max(Comparator.comparingLong(Vm::handled)).orElseThrow();
+        hub.isolate(delegate.self.vm());
+        List<Vm> others = fleet.stream().filter(vm -> vm != delegate).toList();
+        others.forEach(vm -> vm.tracks.of(ENGINE).recordSent(3, clock.nanoTime()));
+
+        runFor(Duration.ofSeconds(1), others);
+
+        for (Vm vm : others) {
+            assertEquals(3 * (others.size() - 1), vm.candidate().peerWork());
+        }
+    }
+
+    /** Starts VMs in four zones, with the two of each test removed. */
+    private List<Vm> startFleet(int vms) {
+        hub.remove(first.self.vm());
+        hub.remove(second.self.vm());
+        List<Vm> fleet = new ArrayList<>();
+        for (int index = 0; index < vms; index++) {
+            Vm vm = new Vm("fleet-" + index, "zone-" + index % 4);
+            vm.tracks.of(ENGINE);
+            fleet.add(vm);
+        }
+        return fleet;
+    }
+
+    private void runFor(Duration time, List<Vm> fleet) throws InterruptedException {
+        for (Duration elapsed = Duration.ZERO;
+                elapsed.compareTo(time) < 0;
+                elapsed = elapsed.plus(WorkExchange.interval())) {
+            clock.advance(WorkExchange.interval());
+            fleet.forEach(vm -> vm.exchange.exchange());
+            Thread.sleep(20);
+        }
+    }
+
     private void exchange() throws InterruptedException {
         clock.advance(Duration.ofMillis(50));
         first.exchange.exchange();
@@ -80,10 +151,20 @@
         private final UpstreamTracks tracks = new UpstreamTracks(clock);
         private final WorkExchange exchange;
 
-        Vm(String name) {
-            VmId vm = new VmId(name);
-            PeerNetwork network = hub.join(new Peer(vm, Incarnation.draw(), new AvailabilityZone("zone-a")));
-            exchange = new WorkExchange(vm, network, tracks, clock, new MetricRegistry());
+        private final MetricRegistry metrics = new MetricRegistry();
+        private final Peer self;
+
+        Vm(String name, String zone) {
+            self = new Peer(new VmId(name), Incarnation.draw(), new AvailabilityZone(zone));
+            exchange = new WorkExchange(self, hub.join(self), tracks, clock, metrics);
+        }
+
+        long handled() {
+            return metrics.counter("work_exchange.handled").getCount();
+        }
+
+        long requests() {
+            return metrics.counter("work_exchange.requests").getCount();
         }
 
         Candidate candidate() {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/DecodeLoadSimulation.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/DecodeLoadSimulation.java
@@ -83,7 +83,7 @@
     private void exchangeWork() {
         for (int sender = 0; sender < VMS; sender++) {
             for (UpstreamTrack track : tracksByVm.get(sender).all()) {
-                UpstreamTrack.OwnWork own = track.ownWork();
+                UpstreamTrack.Work own = track.ownWork();
                 for (int receiver = 0; receiver < VMS; receiver++) {
                     if (receiver != sender) {
                         tracksByVm
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/PromptLoadSimulation.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/PromptLoadSimulation.java
@@ -80,7 +80,7 @@
     private void exchangeWork() {
         for (Vm sender : vms) {
             for (UpstreamTrack track : sender.tracks.all()) {
-                UpstreamTrack.OwnWork own = track.ownWork();
+                UpstreamTrack.Work own = track.ownWork();
                 for (Vm receiver : vms) {
                     if (receiver != sender) {
                         receiver.tracks
