Write usage twice in a window in fleets of over 25 VMs

Cause: above 25 VMs each VM wrote its counts every second, 95 writes a second at 95 VMs, all charged. Ruled out: a longer interval; the final counts of a window must be there soon after its end. Change: within a window a VM waits 40 ms for each VM of the fleet between two writes, half a window at most; the final counts follow the end of the window as before. A crash of many VMs at once can now lose up to half a window of their counts.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -113,7 +113,8 @@
         configuration = new ConfigurationHolder(platform.keys().configuration(), documents);
         replicas = new ReplicaRegistry(documents, health, MonotonicClock.SYSTEM);
         usage = new UsageLedger(wallClock, settings.usageWindow());
-        usagePublisher = new UsagePublisher(platform.store(), usage, health, settings.vm(), incarnationText);
+        usagePublisher = new UsagePublisher(
+                platform.store(), usage, health, MonotonicClock.SYSTEM, settings.vm(), incarnationText);
         duties = new DutyLease(
                 platform.store(),
                 members,
@@ -166,7 +167,10 @@
             throw new StartFailedException(failure.getMessage(), failure);
         }
         tasks.start("presence", MemberPresence.RENEWAL_INTERVAL, this::keepPresence);
-        tasks.start("usage", () -> UsagePublisher.interval(members.members().size()), usagePublisher::publish);
+        tasks.start(
+                "usage",
+                () -> UsagePublisher.interval(members.members().size()),
+                () -> usagePublisher.publish(members.members().size()));
         tasks.startWithJitter("duty-lease", DutyLease.INTERVAL, duties::refresh);
         tasks.start("work-exchange", WorkExchange.interval(), exchange::exchange);
         tasks.start("upkeep", MAINTENANCE_INTERVAL, this::runMaintenance);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageLedger.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageLedger.java
@@ -36,6 +36,11 @@
         }
     }
 
+    /** Returns the length of a window. */
+    Duration window() {
+        return Duration.ofMillis(windowMillis);
+    }
+
     /** Returns the number of the current window. */
     public long currentWindow() {
         return Math.floorDiv(clock.millis(), windowMillis);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
@@ -3,6 +3,7 @@
 import io.banyantally.internal.adapter.WireFormat;
 import io.banyantally.internal.deployment.GatewayStoreKeys;
 import io.banyantally.internal.deployment.StoreHealth;
+import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.model.VmId;
 import io.banyantally.platform.CoordinationStore;
 import io.banyantally.platform.RevisionConflictException;
@@ -32,23 +33,37 @@
      */
     private static final Duration INTERVAL_PER_VM = Duration.ofMillis(40);
 
+    /**
+     * Into how many parts a large fleet divides a window at least; each VM writes once in each part, and a crash of one
+     * VM loses a small part of what all have counted.
+     */
+    private static final int LARGE_FLEET_PARTS = 2;
+
     private static final int FINAL_WRITE_ATTEMPTS = 2;
 
     private final CoordinationStore store;
     private final UsageLedger ledger;
     private final StoreHealth health;
+    private final MonotonicClock clock;
     private final StoreKey key;
     private StoreRevision ownRevision = StoreRevision.ABSENT;
     private long publishedChanges;
     private long publishedWindow;
+    private long publishedAt;
     private volatile boolean closed;
 
     /** Creates a publisher; {@code incarnation} identifies this process among all that ever run on the VM. */
     public UsagePublisher(
-            CoordinationStore store, UsageLedger ledger, StoreHealth health, VmId vm, String incarnation) {
+            CoordinationStore store,
+            UsageLedger ledger,
+            StoreHealth health,
+            MonotonicClock clock,
+            VmId vm,
+            String incarnation) {
         this.store = store;
         this.ledger = ledger;
         this.health = health;
+        this.clock = clock;
         this.key = GatewayStoreKeys.usageCounts(vm, incarnation);
     }
 
@@ -61,13 +76,28 @@
         return proportional.compareTo(MAXIMUM_INTERVAL) > 0 ? MAXIMUM_INTERVAL : proportional;
     }
 
-    /** Writes the counts if there are new ones, or if a window has ended since. */
-    public synchronized void publish() {
-        if (!closed && (ledger.changes() != publishedChanges || ledger.currentWindow() != publishedWindow)) {
+    /** Writes the counts if there are new ones, or if a window has ended since; {@code vms} are running. */
+    public synchronized void publish(int vms) {
+        if (closed) {
+            return;
+        }
+        boolean windowEnded = ledger.currentWindow() != publishedWindow;
+        boolean changed = ledger.changes() != publishedChanges;
+        if (windowEnded || (changed && clock.since(publishedAt).compareTo(pause(vms)) >= 0)) {
             write();
         }
     }
 
+    /** Returns the least time between two writes within a window when {@code vms} are running. */
+    private Duration pause(int vms) {
+        Duration proportional = INTERVAL_PER_VM.multipliedBy(vms);
+        if (proportional.compareTo(MAXIMUM_INTERVAL) <= 0) {
+            return Duration.ZERO;
+        }
+        Duration limit = ledger.window().dividedBy(LARGE_FLEET_PARTS);
+        return proportional.compareTo(limit) > 0 ? limit : proportional;
+    }
+
     /**
      * Writes the final counts of this process, in two attempts that share {@code limit}. The first may hang on an
      * unresponsive connection or at the end of an outage; both write the same counts. They do not check the revision,
@@ -104,6 +134,7 @@
             ownRevision = overwriteOwnCounts(WireFormat.encode(ledger.snapshot(false)));
             publishedChanges = changes;
             publishedWindow = window;
+            publishedAt = clock.nanoTime();
             health.answered();
         } catch (RevisionConflictException conflict) {
             // Either the final counts were written, or the next round writes all counts again.
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/LateUsageWriteTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/LateUsageWriteTest.java
@@ -40,9 +40,9 @@
     @Test
     void delayedOlderWriteDoesNotReplaceTheFinalCounts() throws Exception {
         UsagePublisher publisher =
-                new UsagePublisher(delayed, ledger, new StoreHealth(clock), new VmId("vm-1"), "lifetime");
+                new UsagePublisher(delayed, ledger, new StoreHealth(clock), clock, new VmId("vm-1"), "lifetime");
         ledger.countStarted(ACCOUNT);
-        Thread older = Thread.ofVirtual().start(publisher::publish);
+        Thread older = Thread.ofVirtual().start(() -> publisher.publish(1));
         delayed.awaitCall();
         ledger.countStarted(ACCOUNT);
 
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsagePublisherTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsagePublisherTest.java
@@ -12,12 +12,15 @@
 import io.banyantally.platform.CoordinationStore;
 import io.banyantally.platform.LeaseId;
 import io.banyantally.platform.StoreException;
+import io.banyantally.platform.StoreKey;
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.StoreTransaction;
 import io.banyantally.platform.StoreUnavailableException;
 import io.banyantally.testing.FakeCoordinationStore;
 import io.banyantally.testing.ManualClock;
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
@@ -63,6 +66,28 @@
         }
     }
 
+    /** Guards against usage writes of a large fleet whose number is that of its VMs every second; each is charged. */
+    @Test
+    void vmOfALargeFleetWritesTwiceInAWindow() throws Exception {
+        ManualClock clock = new ManualClock();
+        FakeCoordinationStore store = new FakeCoordinationStore(clock);
+        UsageLedger ledger = new UsageLedger(new WallClock(clock, () -> clock.nanoTime() / 1_000_000), WINDOW);
+        UsagePublisher publisher =
+                new UsagePublisher(store, ledger, new StoreHealth(clock), clock, new VmId("vm-1"), "lifetime");
+        StoreKey key = GatewayStoreKeys.usageCounts(new VmId("vm-1"), "lifetime");
+        Set<StoreRevision> writes = new HashSet<>();
+        int windows = 12;
+        for (int second = 0; second < WINDOW.toSeconds() * windows; second++) {
+            ledger.countStarted(new ClientAccountId("account-1"));
+            publisher.publish(95);
+            store.list(key.path()).items().forEach(item -> writes.add(item.versioned().revision()));
+            clock.advance(UsagePublisher.interval(95));
+        }
+
+        assertTrue(writes.size() <= 2 * windows, writes.size() + " writes");
+        assertTrue(writes.size() >= windows, writes.size() + " writes");
+    }
+
     /**
      * Guards against losing the usage counted during a shutdown because its last write hangs on an unresponsive
      * connection.
@@ -75,7 +100,7 @@
         UsageLedger ledger = new UsageLedger(new WallClock(clock, () -> clock.nanoTime() / 1_000_000), WINDOW);
         ledger.countStarted(new ClientAccountId("account-1"));
         UsagePublisher publisher =
-                new UsagePublisher(hanging, ledger, new StoreHealth(clock), new VmId("vm-1"), "lifetime");
+                new UsagePublisher(hanging, ledger, new StoreHealth(clock), clock, new VmId("vm-1"), "lifetime");
 
         assertTrue(publisher.close(Duration.ofSeconds(2)));
 
@@ -90,13 +115,13 @@
         FakeCoordinationStore store = new FakeCoordinationStore(clock);
         UsageLedger ledger = new UsageLedger(new WallClock(clock, () -> clock.nanoTime() / 1_000_000), WINDOW);
         UsagePublisher publisher =
-                new UsagePublisher(store, ledger, new StoreHealth(clock), new VmId("vm-1"), "lifetime");
+                new UsagePublisher(store, ledger, new StoreHealth(clock), clock, new VmId("vm-1"), "lifetime");
         ledger.countStarted(new ClientAccountId("account-1"));
         store.loseAnswers(1);
-        publisher.publish();
+        publisher.publish(1);
         ledger.countStarted(new ClientAccountId("account-1"));
 
-        publisher.publish();
+        publisher.publish(1);
 
         WindowCounts written = WireFormat.decode(
                 store.value(GatewayStoreKeys.usageCounts(new VmId("vm-1"), "lifetime"))
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsageReporterTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsageReporterTest.java
@@ -56,13 +56,13 @@
     void waitsForADisconnectedVm() throws InterruptedException {
         first.serve(3);
         second.serve(4);
-        second.publisher.publish();
+        second.publisher.publish(1);
         second.serve(5);
         publishFirstForSeconds(9);
         first.reporter.run(HOLDER);
         assertTrue(sink.windows().isEmpty(), "the second VM has not published its final counts");
 
-        second.publisher.publish();
+        second.publisher.publish(1);
         first.reporter.run(HOLDER);
 
         assertEquals(12, sink.counts(0));
@@ -72,7 +72,7 @@
     @Test
     void reportsWithoutACrashedVmBeforeTheDeadline() throws InterruptedException {
         second.serve(4);
-        second.publisher.publish();
+        second.publisher.publish(1);
         first.serve(3);
         publishFirstForSeconds(13);
 
@@ -87,7 +87,7 @@
     @Test
     void leavesTimeForAnOutageAfterWaitingForACrashedVm() throws InterruptedException {
         second.serve(4);
-        second.publisher.publish();
+        second.publisher.publish(1);
         first.serve(3);
         publishFirstForSeconds(WINDOW.plus(REPORT_DEADLINE).minus(OUTAGE).toMillis() / 1000.0);
 
@@ -104,7 +104,7 @@
         sink.loseNextResponse = true;
         first.reporter.run(HOLDER);
         second.serve(1);
-        first.publisher.publish();
+        first.publisher.publish(1);
 
         second.reporter.run(new DutyHolder(new VmId("vm-2"), new FencingNumber(9), () -> true));
 
@@ -131,15 +131,15 @@
     private void publishForSeconds(double seconds) {
         for (double elapsed = 0; elapsed < seconds; elapsed += 0.5) {
             clock.advance(Duration.ofMillis(500));
-            first.publisher.publish();
-            second.publisher.publish();
+            first.publisher.publish(1);
+            second.publisher.publish(1);
         }
     }
 
     private void publishFirstForSeconds(double seconds) {
         for (double elapsed = 0; elapsed < seconds; elapsed += 0.5) {
             clock.advance(Duration.ofMillis(500));
-            first.publisher.publish();
+            first.publisher.publish(1);
         }
     }
 
@@ -150,7 +150,7 @@
 
         Vm(String name) {
             ledger = new UsageLedger(new WallClock(clock, () -> clock.nanoTime() / 1_000_000), WINDOW);
-            publisher = new UsagePublisher(store, ledger, health, new VmId(name), "lifetime-of-" + name);
+            publisher = new UsagePublisher(store, ledger, health, clock, new VmId(name), "lifetime-of-" + name);
             reporter = new UsageReporter(store, ledger, sink, health, REPORT_DEADLINE);
         }
 
