--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
@@ -77,7 +77,8 @@
         ChangeHistory history = history(prefix);
         Optional<VmId> delegate = wait.isZero() ? Optional.empty() : delegates.ofOwnZone();
         if (delegate.isPresent()) {
-            Optional<StoreChanges> changes = relay(delegate.get(), new WatchQuery(prefix, after.value(), wait.toMillis()));
+            Optional<StoreChanges> changes =
+                    relay(delegate.get(), new WatchQuery(prefix, after.value(), wait.toMillis()));
             if (changes.isPresent()) {
                 relayed.inc();
                 history.add(changes.get(), false);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WatchAnswer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WatchAnswer.java
@@ -26,7 +26,10 @@
     }
 
     static WatchAnswer of(StoreChanges read) {
-        return new WatchAnswer(read.changes().stream().map(Change::of).toList(), read.revision().value(), false);
+        return new WatchAnswer(
+                read.changes().stream().map(Change::of).toList(),
+                read.revision().value(),
+                false);
     }
 
     StoreChanges toStoreChanges() {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -2,15 +2,18 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import io.banyantally.internal.exchange.WorkMessage.PrefillRate;
 import io.banyantally.internal.exchange.WorkMessage.UpstreamWork;
 import io.banyantally.internal.peer.MessagePackCodec;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.PeerException;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.peer.Topic;
+import io.banyantally.internal.placement.PrefillRates;
 import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.model.ServiceName;
 import io.banyantally.model.VmId;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -63,6 +66,7 @@
     private final PeerNetwork peers;
     private final ZoneDelegates delegates;
     private final UpstreamTracks tracks;
+    private final PrefillRates rates;
     private final MonotonicClock clock;
     private final Set<VmId> pendingPeers = ConcurrentHashMap.newKeySet();
     private final Counter unanswered;
@@ -72,8 +76,14 @@
 
     /** Creates the exchange and handles the requests of peers. */
     public WorkExchange(
-            Peer self, PeerNetwork peers, UpstreamTracks tracks, MonotonicClock clock, MetricRegistry metrics) {
+            Peer self,
+            PeerNetwork peers,
+            UpstreamTracks tracks,
+            PrefillRates rates,
+            MonotonicClock clock,
+            MetricRegistry metrics) {
         this.self = self;
+        this.rates = rates;
         this.peers = peers;
         this.delegates = new ZoneDelegates(self, peers, clock, "work");
         this.tracks = tracks;
@@ -179,10 +189,17 @@
                 work.add(new UpstreamWork(track.entry().id().value(), atUpstream.requests(), atUpstream.millis()));
             }
         }
-        return new WorkMessage(work);
+        return new WorkMessage(work, learnedRates());
+    }
+
+    private List<PrefillRate> learnedRates() {
+        return rates.learned().entrySet().stream()
+                .map(learned -> new PrefillRate(learned.getKey().value(), learned.getValue()))
+                .toList();
     }
 
     private void receive(VmId owner, WorkMessage message) {
+        message.rates().forEach(rate -> rates.adopt(new ServiceName(rate.service()), rate.millisPerToken()));
         Map<String, UpstreamWork> byUpstream = new HashMap<>();
         message.work().forEach(work -> byUpstream.put(work.upstream(), work));
         long now = clock.nanoTime();
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsagePublisherTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsagePublisherTest.java
@@ -80,7 +80,9 @@
         for (int second = 0; second < WINDOW.toSeconds() * windows; second++) {
             ledger.countStarted(new ClientAccountId("account-1"));
             publisher.publish(95);
-            store.list(key.path()).items().forEach(item -> writes.add(item.versioned().revision()));
+            store.list(key.path())
+                    .items()
+                    .forEach(item -> writes.add(item.versioned().revision()));
             clock.advance(UsagePublisher.interval(95));
         }
 
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
@@ -8,6 +8,7 @@
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.placement.Candidate;
+import io.banyantally.internal.placement.PrefillRates;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.Incarnation;
@@ -73,6 +74,18 @@
         assertEquals(0, first.candidate().peerWork());
     }
 
+    /** Guards against a VM that has just started and predicts waits with a rate that others know to be wrong. */
+    @Test
+    void vmThatHasJustStartedAdoptsTheRatesOfOthers() throws InterruptedException {
+        for (int prompt = 0; prompt < 10; prompt++) {
+            second.rates.recordPrefill(ENGINE.service(), 0.016);
+        }
+
+        exchange();
+
+        assertEquals(second.rates.millisPerToken(ENGINE.service()), first.rates.millisPerToken(ENGINE.service()));
+    }
+
     /** Guards against VMs of a large fleet that fill a queue because they know only a part of the work in it. */
     @Test
     void everyVmOfALargeFleetKnowsTheWorkOfAllOthers() throws InterruptedException {
@@ -151,12 +164,13 @@
         private final UpstreamTracks tracks = new UpstreamTracks(clock);
         private final WorkExchange exchange;
 
+        private final PrefillRates rates = new PrefillRates();
         private final MetricRegistry metrics = new MetricRegistry();
         private final Peer self;
 
         Vm(String name, String zone) {
             self = new Peer(new VmId(name), Incarnation.draw(), new AvailabilityZone(zone));
-            exchange = new WorkExchange(self, hub.join(self), tracks, clock, metrics);
+            exchange = new WorkExchange(self, hub.join(self), tracks, rates, clock, metrics);
         }
 
         long handled() {
