--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ChangeHistory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ChangeHistory.java
@@ -10,6 +10,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /** The recent changes under one prefix of the store, in the batches in which this VM has read them. */
 final class ChangeHistory {
@@ -20,6 +21,7 @@
     private final MonotonicClock clock;
     private final Deque<StoreChanges> batches = new ArrayDeque<>();
     private boolean started;
+    private long version;
 
     /** The history is complete from this revision on. */
     private StoreRevision start = StoreRevision.ABSENT;
@@ -36,7 +38,7 @@
         start = revision;
         started = true;
         confirmedAt = Optional.of(clock.nanoTime());
-        notifyAll();
+        changed();
     }
 
     /**
@@ -54,13 +56,13 @@
         if (fromStore) {
             confirmedAt = Optional.of(clock.nanoTime());
         }
-        notifyAll();
+        changed();
     }
 
     /** Makes the history unconfirmed until the store responds again. */
     synchronized void withdrawConfirmation() {
         confirmedAt = Optional.empty();
-        notifyAll();
+        changed();
     }
 
     /** Returns whether the store has returned changes, or that there are none, less than {@code limit} ago. */
@@ -85,8 +87,25 @@
         return Optional.of(new StoreChanges(changes, last));
     }
 
-    /** Waits until something is added, at most for {@code limit}. */
-    synchronized void awaitAddition(Duration limit) throws InterruptedException {
-        wait(Math.max(1, limit.toMillis()));
+    /** Returns a number that changes with the history and its confirmation. */
+    synchronized long version() {
+        return version;
+    }
+
+    /** Waits until the version is not {@code seen}, at most for {@code limit}. */
+    synchronized void awaitChange(long seen, Duration limit) throws InterruptedException {
+        long deadline = System.nanoTime() + limit.toNanos();
+        while (version == seen) {
+            long millis = TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime());
+            if (millis <= 0) {
+                return;
+            }
+            wait(millis);
+        }
+    }
+
+    private void changed() {
+        version++;
+        notifyAll();
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
@@ -118,13 +118,14 @@
         long startedAt = clock.nanoTime();
         try {
             while (true) {
+                long version = history.version();
                 Duration waited = clock.since(startedAt);
                 if (!history.isConfirmedWithin(wait.plus(CONFIRMATION_MARGIN))) {
                     // A VM that has just become the delegate confirms its history with its next watch.
                     if (waited.compareTo(CONFIRMATION_WAIT) >= 0) {
                         throw new PeerException("this VM does not watch " + query.prefix() + " at the store");
                     }
-                    history.awaitAddition(CONFIRMATION_WAIT.minus(waited));
+                    history.awaitChange(version, CONFIRMATION_WAIT.minus(waited));
                     continue;
                 }
                 Optional<StoreChanges> changes = history.after(after);
@@ -136,7 +137,7 @@
                     WatchAnswer answer = WatchAnswer.of(changes.get());
                     return answer.valueBytes() > MAXIMUM_RELAYED_BYTES ? WatchAnswer.READ_STORE : answer;
                 }
-                history.awaitAddition(left);
+                history.awaitChange(version, left);
             }
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
