Take back learned speeds of engines; round of the exchange by topology

The exchange of work returns its interval, so a VM of a large fleet wakes up 10 times a second for it and not 50 times.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -31,7 +31,6 @@
 import io.banyantally.internal.peer.TcpPeerNetwork;
 import io.banyantally.internal.placement.EnginePlacement;
 import io.banyantally.internal.placement.LeastLoadedPlacement;
-import io.banyantally.internal.placement.PrefillRates;
 import io.banyantally.internal.placement.RetryAllowance;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.internal.time.MonotonicClock;
@@ -98,8 +97,7 @@
     private final UsagePublisher usagePublisher;
     private final AdapterHttpClient client;
     private final GatewayServer server;
-    private final PrefillRates prefillRates = new PrefillRates();
-    private final EnginePlacement engines = new EnginePlacement(new SplittableRandom(), prefillRates);
+    private final EnginePlacement engines = new EnginePlacement(new SplittableRandom());
     private final TcpPeerNetwork peers;
     private final WorkExchange exchange;
     private final RelayedStore watchedStore;
@@ -131,7 +129,7 @@
         presence = new MemberPresence(platform.store(), own, health);
         Peer self = new Peer(settings.vm(), incarnation, settings.zone());
         peers = new TcpPeerNetwork(self, PEER_SITE, settings.peers(), MonotonicClock.SYSTEM);
-        exchange = new WorkExchange(self, peers, tracks, prefillRates, MonotonicClock.SYSTEM, metrics);
+        exchange = new WorkExchange(self, peers, tracks, MonotonicClock.SYSTEM, metrics);
         watchedStore = new RelayedStore(platform.store(), self, peers, MonotonicClock.SYSTEM, metrics);
         client = AdapterHttpClient.start(UPSTREAM_CLIENT_SETTINGS);
         LeastLoadedPlacement placement = new LeastLoadedPlacement(new SplittableRandom());
@@ -177,7 +175,7 @@
                 () -> UsagePublisher.interval(members.members().size()),
                 () -> usagePublisher.publish(members.members().size()));
         tasks.startWithJitter("duty-lease", DutyLease.INTERVAL, duties::refresh);
-        tasks.start("work-exchange", WorkExchange.interval(), exchange::exchange);
+        tasks.start("work-exchange", exchange::interval, exchange::exchange);
         tasks.start("upkeep", MAINTENANCE_INTERVAL, this::runMaintenance);
         tasks.start("probe-callers", GatewayServer.probeInterval(), server::probeCallers);
         tasks.start("late-heads", GatewayServer.HEADER_CHECK_INTERVAL, server::closeSlowHeaderConnections);
@@ -186,7 +184,8 @@
     }
 
     private void follow(String prefix, Duration watchTime, PrefixListener listener) {
-        PrefixWatcher follower = new PrefixWatcher(watchedStore, prefix, watchTime, listener, health, Sleeper.SYSTEM);
+        PrefixWatcher follower =
+                new PrefixWatcher(watchedStore, prefix, watchTime, listener, health, Sleeper.SYSTEM);
         tasks.startOnce("follow " + prefix, follower);
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -2,18 +2,15 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
-import io.banyantally.internal.exchange.WorkMessage.PrefillRate;
 import io.banyantally.internal.exchange.WorkMessage.UpstreamWork;
 import io.banyantally.internal.peer.MessagePackCodec;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.PeerException;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.peer.Topic;
-import io.banyantally.internal.placement.PrefillRates;
 import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.internal.time.MonotonicClock;
-import io.banyantally.model.ServiceName;
 import io.banyantally.model.VmId;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -66,24 +63,21 @@
     private final PeerNetwork peers;
     private final ZoneDelegates delegates;
     private final UpstreamTracks tracks;
-    private final PrefillRates rates;
     private final MonotonicClock clock;
     private final Set<VmId> pendingPeers = ConcurrentHashMap.newKeySet();
     private final Counter unanswered;
     private final Counter requests;
     private final Counter handled;
-    private long lastRoundAt;
+    private volatile Duration interval = MINIMUM_INTERVAL;
 
     /** Creates the exchange and handles the requests of peers. */
     public WorkExchange(
             Peer self,
             PeerNetwork peers,
             UpstreamTracks tracks,
-            PrefillRates rates,
             MonotonicClock clock,
             MetricRegistry metrics) {
         this.self = self;
-        this.rates = rates;
         this.peers = peers;
         this.delegates = new ZoneDelegates(self, peers, clock, "work");
         this.tracks = tracks;
@@ -91,7 +85,6 @@
         this.unanswered = metrics.counter("work_exchange.unanswered");
         this.requests = metrics.counter("work_exchange.requests");
         this.handled = metrics.counter("work_exchange.handled");
-        this.lastRoundAt = clock.nanoTime();
         handle(PAIR_TOPIC, sender -> message(UpstreamTrack::ownWork));
         handle(MEMBER_TOPIC, sender -> workOf(vm -> !vm.equals(sender) && !vm.equals(ALL_OTHERS)));
         handle(ZONE_TOPIC, sender -> workOf(ownZone()));
@@ -106,39 +99,35 @@
         });
     }
 
-    /** Returns how often to call {@link #exchange}. */
-    public static Duration interval() {
-        return MINIMUM_INTERVAL;
+    /** Returns the time until the next call of {@link #exchange}. */
+    public Duration interval() {
+        return interval;
     }
 
-    /** Sends the requests that are due, each in its own thread. */
+    /** Sends the requests of one round, each in its own thread. */
     public void exchange() {
         List<Peer> connected = peers.peers();
-        if (!delegates.areUsed()) {
-            if (startRound(INTERVAL_PER_PEER.multipliedBy(connected.size()))) {
-                byte[] message = CODEC.encode(message(UpstreamTrack::ownWork));
-                connected.stream().map(Peer::vm).forEach(peer -> requestFromHigherId(peer, PAIR_TOPIC, message));
-            }
+        if (connected.size() + 1 < ZoneDelegates.MINIMUM_VMS) {
+            interval = pairInterval(connected.size());
+            byte[] message = CODEC.encode(message(UpstreamTrack::ownWork));
+            connected.stream().map(Peer::vm).forEach(peer -> requestFromHigherId(peer, PAIR_TOPIC, message));
             return;
         }
         Optional<VmId> delegate = delegates.ofOwnZone();
         if (delegate.isPresent()) {
-            if (startRound(MEMBER_INTERVAL)) {
-                requestInBackground(
-                        delegate.get(), MEMBER_TOPIC, CODEC.encode(message(UpstreamTrack::ownWork)), ALL_OTHERS);
-            }
-        } else if (startRound(DELEGATE_INTERVAL)) {
+            interval = MEMBER_INTERVAL;
+            requestInBackground(
+                    delegate.get(), MEMBER_TOPIC, CODEC.encode(message(UpstreamTrack::ownWork)), ALL_OTHERS);
+        } else {
+            interval = DELEGATE_INTERVAL;
             byte[] message = CODEC.encode(workOf(ownZone()));
             delegates.ofOtherZones().forEach(peer -> requestFromHigherId(peer, ZONE_TOPIC, message));
         }
     }
 
-    private boolean startRound(Duration interval) {
-        if (clock.since(lastRoundAt).compareTo(interval) < 0) {
-            return false;
-        }
-        lastRoundAt = clock.nanoTime();
-        return true;
+    private static Duration pairInterval(int peerCount) {
+        Duration proportional = INTERVAL_PER_PEER.multipliedBy(peerCount);
+        return proportional.compareTo(MINIMUM_INTERVAL) < 0 ? MINIMUM_INTERVAL : proportional;
     }
 
     /** Of each pair, the VM with the lower id sends the request. */
@@ -189,17 +178,10 @@
                 work.add(new UpstreamWork(track.entry().id().value(), atUpstream.requests(), atUpstream.millis()));
             }
         }
-        return new WorkMessage(work, learnedRates());
-    }
-
-    private List<PrefillRate> learnedRates() {
-        return rates.learned().entrySet().stream()
-                .map(learned -> new PrefillRate(learned.getKey().value(), learned.getValue()))
-                .toList();
+        return new WorkMessage(work);
     }
 
     private void receive(VmId owner, WorkMessage message) {
-        message.rates().forEach(rate -> rates.adopt(new ServiceName(rate.service()), rate.millisPerToken()));
         Map<String, UpstreamWork> byUpstream = new HashMap<>();
         message.work().forEach(work -> byUpstream.put(work.upstream(), work));
         long now = clock.nanoTime();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
@@ -103,7 +103,6 @@
         long now = services.clock().nanoTime();
         double elapsedMillis = TimeUnit.NANOSECONDS.toMillis(now - startedAt) - CALL_OVERHEAD_MILLIS;
         track.recordWait(elapsedMillis - choice.work(), now);
-        services.engines().recordPrefill(choice, elapsedMillis);
     }
 
     /** Releases the KV cache of a prompt that no engine will use. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
@@ -6,7 +6,6 @@
 import io.banyantally.deployment.ReportedLoad;
 import io.banyantally.internal.routing.Rendezvous;
 import io.banyantally.model.AvailabilityZone;
-import io.banyantally.model.ServiceName;
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
@@ -36,8 +35,11 @@
  */
 public final class EnginePlacement {
 
-    /** How much longer a decoding engine takes for a prompt, between the decoding steps of other requests. */
-    static final double DECODING_ENGINE_FACTOR = 2;
+    /** Prompt tokens that a prefill engine computes in a millisecond. */
+    static final double PREFILL_TOKENS_PER_MILLI = 514;
+
+    /** A decoding engine computes prompts at half this rate, between the decoding steps of other requests. */
+    static final double DECODE_TOKENS_PER_MILLI = PREFILL_TOKENS_PER_MILLI / 2;
 
     /** Shorter prompts are computed by the decoding engine: a second call would cost more than their prefill. */
     static final int MINIMUM_PREFILL_TOKENS = 1024;
@@ -70,8 +72,8 @@
     /** The fraction of prompts whose session is no longer cached at its home engine. */
     static final double HOME_CACHE_MISS_RATE = 0.35;
 
-    /** How much attention to one earlier token adds to the prefill time of each token, as a fraction of it. */
-    static final double ATTENTION_FRACTION_PER_TOKEN = 4e-5;
+    /** Prefill time that attention to one earlier token adds to each token, from the data sheet of the engines. */
+    static final double ATTENTION_MILLIS_PER_TOKEN_PAIR = 8.08e-8;
 
     /** Upper bound of the random amount that breaks ties between engines of equal load. */
     private static final double MAXIMUM_TIE_BREAK = 0.01;
@@ -79,34 +81,12 @@
     /** The weight of one prompt in the moving share of refused ones; a VM places about 50 prompts a second. */
     private static final double REFUSED_SHARE_SMOOTHING = 0.02;
 
-    /**
-     * While more prompts are refused, none is sent to an engine outside its session's hash order: computing the session
-     * again takes the time of several prompts whose session is cached.
-     */
-    static final double MAXIMUM_REFUSED_SHARE_TO_RECOMPUTE = 0.1;
-
     private final RandomGenerator random;
-    private final PrefillRates rates;
     private double refusedShare;
 
-    /**
-     * Creates the policy.
-     *
-     * @param random breaks ties and spreads the retry delays of refused callers
-     * @param rates how fast engines prefill
-     */
-    public EnginePlacement(RandomGenerator random, PrefillRates rates) {
+    /** Creates the policy; {@code random} breaks ties and spreads the retry delays of refused callers. */
+    public EnginePlacement(RandomGenerator random) {
         this.random = random;
-        this.rates = rates;
-    }
-
-    /** Learns from a prefill that took {@code elapsedMillis} after it was sent as {@code choice} says. */
-    public void recordPrefill(Placement.Decision.Send choice, double elapsedMillis) {
-        ServiceName service = choice.candidate().entry().service();
-        double predictedMillis = choice.waitMillis() + choice.work();
-        if (predictedMillis > 0 && choice.millisPerToken() > 0) {
-            rates.recordPrefill(service, choice.millisPerToken() * elapsedMillis / predictedMillis);
-        }
     }
 
     /** Returns whether a prompt is long enough for a separate call to a prefill engine. */
@@ -135,7 +115,7 @@
         }
         Placement.Decision.Send best = fastestOfHomeAndSpill(demand, engines);
         double limit = maximumWaitMillis(demand);
-        if (best.waitMillis() > limit && refusedShare < MAXIMUM_REFUSED_SHARE_TO_RECOMPUTE) {
+        if (best.waitMillis() > limit) {
             best = shortestQueue(demand, engines);
         }
         return best.waitMillis() > limit ? refuse(best.waitMillis(), limit) : best;
@@ -175,9 +155,8 @@
      * with few generations get such prompts, since a prefill delays the events of running generations.
      */
     public synchronized Placement.Decision decideOverflow(Placement.Demand demand, List<Candidate> candidates) {
-        List<Candidate> engines = eligible(candidates, EngineStage.DECODE);
-        double prefillWork = DECODING_ENGINE_FACTOR * prefillMillis(demand.prompt(), 0, millisPerToken(engines));
-        Optional<Candidate> least = engines.stream()
+        double prefillWork = prefillMillis(demand.prompt(), 0, DECODE_TOKENS_PER_MILLI);
+        Optional<Candidate> least = eligible(candidates, EngineStage.DECODE).stream()
                 .filter(engine -> occupancy(engine) < MAXIMUM_OVERFLOW_OCCUPANCY && queuedMillis(engine) < prefillWork)
                 .min(Comparator.comparingDouble(EnginePlacement::queuedMillis));
         return least.<Placement.Decision>map(
@@ -201,14 +180,7 @@
         return !accepting.isEmpty() ? accepting : trusted.isEmpty() ? ofStage : trusted;
     }
 
-    private double millisPerToken(List<Candidate> engines) {
-        return engines.isEmpty()
-                ? PrefillRates.INITIAL_MILLIS_PER_TOKEN
-                : rates.millisPerToken(engines.getFirst().entry().service());
-    }
-
     private Placement.Decision.Send fastestOfHomeAndSpill(Placement.Demand demand, List<Candidate> engines) {
-        double millisPerToken = millisPerToken(engines);
         String session = demand.prompt().map(EnginePlacement::sessionId).orElse("");
         List<Candidate> ranked = engines.stream()
                 .sorted(Comparator.comparingLong((Candidate engine) ->
@@ -222,9 +194,8 @@
             Placement.Decision.Send choice = new Placement.Decision.Send(
                     engine,
                     waitMillis(engine),
-                    prefillMillis(demand.prompt(), rank, millisPerToken),
-                    rank == 0 ? "home" : "spilled",
-                    millisPerToken);
+                    prefillMillis(demand.prompt(), rank, PREFILL_TOKENS_PER_MILLI),
+                    rank == 0 ? "home" : "spilled");
             if (best == null || choice.waitMillis() + choice.work() < best.waitMillis() + best.work()) {
                 best = choice;
             }
@@ -271,13 +242,12 @@
      * Returns the engine with the shortest queue, even if it has no cache of the session: computing it again is better
      * than a refusal.
      */
-    private Placement.Decision.Send shortestQueue(Placement.Demand demand, List<Candidate> engines) {
+    private static Placement.Decision.Send shortestQueue(Placement.Demand demand, List<Candidate> engines) {
         Candidate least = engines.stream()
                 .min(Comparator.comparingDouble(EnginePlacement::waitMillis))
                 .orElseThrow();
-        double millisPerToken = millisPerToken(engines);
-        double work = prefillMillis(demand.prompt(), 1 + SPILL_ENGINES, millisPerToken);
-        return new Placement.Decision.Send(least, waitMillis(least), work, "any", millisPerToken);
+        double work = prefillMillis(demand.prompt(), 1 + SPILL_ENGINES, PREFILL_TOKENS_PER_MILLI);
+        return new Placement.Decision.Send(least, waitMillis(least), work, "any");
     }
 
     private static double maximumWaitMillis(Placement.Demand demand) {
@@ -320,7 +290,7 @@
         return parts.isEmpty() ? "" : parts.get(Math.max(0, parts.size() - 2)).id();
     }
 
-    private static double prefillMillis(Optional<PromptMetadata> prompt, int rank, double millisPerToken) {
+    private static double prefillMillis(Optional<PromptMetadata> prompt, int rank, double rate) {
         if (prompt.isEmpty()) {
             return UNKNOWN_PREFILL_MILLIS;
         }
@@ -329,7 +299,7 @@
                 parts.isEmpty() ? prompt.get().promptTokens() : parts.getLast().tokens();
         int sessionTokens = parts.size() < 2 ? 0 : parts.get(parts.size() - 2).tokens();
         double uncachedTokens = uniqueTokens + sessionTokens * (rank == 0 ? HOME_CACHE_MISS_RATE : 1);
-        double attention = 1 + prompt.get().promptTokens() * ATTENTION_FRACTION_PER_TOKEN;
-        return uncachedTokens * millisPerToken * attention;
+        double attentionPairs = uncachedTokens * prompt.get().promptTokens();
+        return uncachedTokens / rate + attentionPairs * ATTENTION_MILLIS_PER_TOKEN_PAIR;
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/Placement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/Placement.java
@@ -28,16 +28,8 @@
          * @param waitMillis the expected time until the upstream starts the request, in milliseconds
          * @param work the time that the request keeps the upstream busy, in milliseconds
          * @param reason the rule by which the upstream was chosen, as logged
-         * @param millisPerToken the time of a token of a prompt with which wait and work were predicted; 0 if none was
          */
-        record Send(Candidate candidate, double waitMillis, double work, String reason, double millisPerToken)
-                implements Decision {
-
-            /** Creates a decision whose prediction does not rest on the time of a token. */
-            public Send(Candidate candidate, double waitMillis, double work, String reason) {
-                this(candidate, waitMillis, work, reason, 0);
-            }
-        }
+        record Send(Candidate candidate, double waitMillis, double work, String reason) implements Decision {}
 
         /**
          * Refuse the request, since it would wait too long at every upstream.
