--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -184,8 +184,7 @@
     }
 
     private void follow(String prefix, Duration watchTime, PrefixListener listener) {
-        PrefixWatcher follower =
-                new PrefixWatcher(watchedStore, prefix, watchTime, listener, health, Sleeper.SYSTEM);
+        PrefixWatcher follower = new PrefixWatcher(watchedStore, prefix, watchTime, listener, health, Sleeper.SYSTEM);
         tasks.startOnce("follow " + prefix, follower);
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -72,11 +72,7 @@
 
     /** Creates the exchange and handles the requests of peers. */
     public WorkExchange(
-            Peer self,
-            PeerNetwork peers,
-            UpstreamTracks tracks,
-            MonotonicClock clock,
-            MetricRegistry metrics) {
+            Peer self, PeerNetwork peers, UpstreamTracks tracks, MonotonicClock clock, MetricRegistry metrics) {
         this.self = self;
         this.peers = peers;
         this.delegates = new ZoneDelegates(self, peers, clock, "work");
--- /dev/null
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/ChangeHistoryTest.java
@@ -0,0 +1,55 @@
+package io.banyantally.internal.exchange;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.banyantally.platform.CoordinationStore.StoreChange;
+import io.banyantally.platform.CoordinationStore.StoreChanges;
+import io.banyantally.platform.StoreKey;
+import io.banyantally.platform.StoreRevision;
+import io.banyantally.testing.ManualClock;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+final class ChangeHistoryTest {
+
+    private final ChangeHistory history = new ChangeHistory(new ManualClock());
+
+    /** Guards against an upstream or key that returns because a delegate lags behind the VM that asks it. */
+    @Test
+    void historyThatLagsBehindTheAskerReturnsNothing() {
+        history.restart(new StoreRevision(5));
+        history.add(changes("a", 8), true);
+
+        assertEquals(
+                Optional.of(new StoreChanges(List.of(), new StoreRevision(12))), history.after(new StoreRevision(12)));
+    }
+
+    /** Guards against changes that are missed because a delegate has started after the VM that asks it. */
+    @Test
+    void historyThatStartsAfterTheAskerIsNotUsed() {
+        history.restart(new StoreRevision(5));
+
+        assertEquals(Optional.empty(), history.after(new StoreRevision(4)));
+    }
+
+    /** Guards against changes that are skipped between two batches. */
+    @Test
+    void allBatchesAfterTheRevisionAreReturnedInOrder() {
+        history.restart(new StoreRevision(5));
+        history.add(changes("a", 6), true);
+        history.add(changes("b", 7), true);
+        history.add(changes("c", 9), false);
+
+        StoreChanges after = history.after(new StoreRevision(6)).orElseThrow();
+
+        assertEquals(
+                List.of("b", "c"),
+                after.changes().stream().map(change -> change.key().path()).toList());
+        assertEquals(new StoreRevision(9), after.revision());
+    }
+
+    private static StoreChanges changes(String key, long revision) {
+        return new StoreChanges(List.of(new StoreChange.Removed(new StoreKey(key))), new StoreRevision(revision));
+    }
+}
