Describe both exchanges in the package's comment

Cause: the package holds the relayed watches of the store besides the exchange of work, and its comment named only the latter. Change: the comment. Nothing to measure.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/package-info.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/package-info.java
@@ -1,2 +1,2 @@
-/** Exchange between the VMs of a gateway of the work that each of them has at the upstreams. */
+/** What the VMs of a gateway tell each other: the work that they have at upstreams, and changes of the store. */
 package io.banyantally.internal.exchange;
