Count granted and denied retries and the results of prefills

Ruled out: a line for each retry, as the request's line has the results already and the volume is bounded. Change: counters retries.granted, retries.denied and prefills.<result>. No decision changes. Measured: CallerGoneTest and ForwardingTest pass.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -307,9 +307,7 @@
     private boolean mayRetry(AdmittedRequest request, UpstreamSender sender, boolean sendsLeft) {
         // A retry at the end of a shutdown would be aborted; without it the caller can go to another VM.
         boolean endsInTime = sender.hasStartedResponse() || !admission.isRefusingAll();
-        return sendsLeft
-                && endsInTime
-                && services.retries().tryRetry(request.service().name());
+        return sendsLeft && endsInTime && services.tryRetry(request.service().name());
     }
 
     private Placement.Decision.Send place(
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
@@ -12,6 +12,7 @@
 import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.model.ServiceName;
 
 /**
  * Components of the gateway that request forwarding depends on.
@@ -32,6 +33,13 @@
         MetricRegistry metrics,
         MonotonicClock clock) {
 
+    /** Takes one retry from the allowance of a service; returns false if none is left. */
+    boolean tryRetry(ServiceName service) {
+        boolean granted = retries.tryRetry(service);
+        metrics.counter(granted ? "retries.granted" : "retries.denied").inc();
+        return granted;
+    }
+
     /** Records a failure of an upstream, which is ejected if it fails too often. */
     void recordFailure(UpstreamTrack track, String reason) {
         tracks.failed(track, replicas.accepting(track.entry().service()), reason);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
@@ -95,6 +95,7 @@
             log.add("prefill", engine.id());
             log.addPlacement("prefill_placed", choice);
             log.addResult("prefill_result", result, startedAt);
+            services.metrics().counter("prefills." + result).inc();
         }
         return Optional.empty();
     }
