Send a request on after a refused prefill only within the retry limit

Cause: a prefill that an engine refuses or does not answer is an arrival like any other, but only sends after it asked the retry allowance. Class: a limit that a call is counted against but not held to. Change: PrefillSender says whether an engine got the call; after a call without a result the request asks the allowance, and is refused as not run if nothing is left. RetryAllowance has no way around it any more. Ruled out: a reserve for prefills, as the refusal costs a caller less than a limit that fails in an overload.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -239,7 +239,7 @@
         checkCaller("before_prefill");
         List<Candidate> candidates = candidates(request, Set.of());
         return switch (services.engines().decidePrefill(demand, candidates)) {
-            case Placement.Decision.Send send -> new PrefillResult(prefillSender.prefill(send), Optional.empty());
+            case Placement.Decision.Send send -> prefillResult(request, prefillSender.prefill(send));
             case Placement.Decision.Refuse full -> {
                 if (services.engines().decideOverflow(demand, candidates) instanceof Placement.Decision.Send decoder) {
                     yield new PrefillResult(Optional.empty(), Optional.of(decoder));
@@ -250,6 +250,22 @@
         };
     }
 
+    private PrefillResult prefillResult(AdmittedRequest request, PrefillOutcome outcome)
+            throws RefusedException, IOException {
+        return switch (outcome) {
+            case PrefillOutcome.Cached cached -> new PrefillResult(Optional.of(cached.cache()), Optional.empty());
+            case PrefillOutcome.NotSent notSent -> PrefillResult.NONE;
+            case PrefillOutcome.Failed failed -> {
+                checkCaller("after_prefill");
+                if (!services.tryRetry(request.service().name())) {
+                    throw new RefusedException(
+                            Refusal.notRun("no_retry_after_prefill", jittered(RETRY_AFTER_FULL_UPSTREAM)));
+                }
+                yield PrefillResult.NONE;
+            }
+        };
+    }
+
     /** Ends the request and returns true, or returns false if it should be sent to another upstream. */
     private boolean handleOutcome(
             AdmittedRequest request, UpstreamSender sender, SendOutcome outcome, boolean sendsLeft, boolean mayHaveRun)
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
@@ -42,10 +42,8 @@
         this.log = log;
     }
 
-    /**
-     * Computes the KV cache of the prompt; empty if that failed, in which case a decode engine can compute it itself.
-     */
-    Optional<PrefilledCache> prefill(Placement.Decision.Send choice) throws InterruptedException {
+    /** Has the chosen engine compute the KV cache of the prompt, and waits for the result. */
+    PrefillOutcome prefill(Placement.Decision.Send choice) throws InterruptedException {
         ReplicaEntry engine = choice.candidate().entry();
         UpstreamTrack track = services.tracks().of(engine);
         long startedAt = services.clock().nanoTime();
@@ -68,27 +66,30 @@
                         services.tracks().succeeded(track);
                         recordWait(track, startedAt, choice);
                         result = "read";
-                        return Optional.of(new PrefilledCache(engine, response.handle()));
+                        return new PrefillOutcome.Cached(new PrefilledCache(engine, response.handle()));
                     }
                 }
-                services.retries().recordRetry(engine.service());
                 track.recordRefusal(services.clock().nanoTime());
                 track.health().recordInconclusive();
+                return PrefillOutcome.FAILED;
             }
+            return PrefillOutcome.NOT_SENT;
         } catch (NothingSentException unsent) {
             result = "not_connected";
             services.recordFailure(track, result);
+            return PrefillOutcome.NOT_SENT;
         } catch (ExchangeException failure) {
             result = "no_answer";
-            services.retries().recordRetry(engine.service());
             if (!caller.isDisconnected() && calls.remaining().isPositive()) {
                 services.recordFailure(track, result);
             } else {
                 track.health().recordInconclusive();
             }
+            return PrefillOutcome.FAILED;
         } catch (UnreadableDocumentException unreadable) {
             result = "unreadable_answer";
             services.recordFailure(track, result);
+            return PrefillOutcome.FAILED;
         } finally {
             track.recordEnd(choice.work(), startedAt);
             caller.clearDisconnectAction();
@@ -97,7 +98,6 @@
             log.addResult("prefill_result", result, startedAt);
             services.metrics().counter("prefills." + result).inc();
         }
-        return Optional.empty();
     }
 
     private void recordWait(UpstreamTrack track, long startedAt, Placement.Decision.Send choice) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/RetryAllowance.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/RetryAllowance.java
@@ -53,11 +53,6 @@
         return true;
     }
 
-    /** Counts a retry that was sent without {@link #tryRetry}. */
-    public synchronized void recordRetry(ServiceName service) {
-        window(service).retries.addLast(clock.nanoTime());
-    }
-
     private Window window(ServiceName service) {
         return windows.computeIfAbsent(service, name -> new Window());
     }
