Divide the fixed retry allowance by the most VMs of the last window

Cause: each VM divides the fixed part of the retry limit by the VMs that it has listed at that moment. While the entries of all VMs have expired in an outage of the store, every VM takes the whole part. Class: a limit of all VMs that one VM keeps with incomplete knowledge of the others. Ruled out: peers' connections as the number, which an outage of the network shortens too. Change: RetryAllowance uses the largest number of the last window. Measured: RetryAllowanceTest, six VMs with an empty list: 198 retries before, where 76 are allowed; within the limit after.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/RetryAllowance.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/RetryAllowance.java
@@ -13,7 +13,8 @@
  *
  * <p>Prevents a retry storm in an outage, in which every request fails. The limit applies to all VMs together in every
  * window: each VM may retry a share of its own requests, plus an equal part of the fixed allowance. No message is
- * needed, so VMs that cannot reach each other still keep the limit together.
+ * needed, so VMs that cannot reach each other still keep the limit together. The list of VMs may be short for a moment
+ * after an outage of the store, so the fixed allowance is divided by the most VMs of the last window.
  */
 public final class RetryAllowance {
 
@@ -24,6 +25,8 @@
     private final RetryLimit limit;
     private final IntSupplier vms;
     private final Map<ServiceName, Window> windows = new HashMap<>();
+    private int mostVms = 1;
+    private long mostVmsAt;
 
     /** Creates an unused allowance; {@code vms} returns the number of VMs that share the limit. */
     public RetryAllowance(MonotonicClock clock, RetryLimit limit, IntSupplier vms) {
@@ -34,6 +37,7 @@
 
     /** Records a request of a caller; retries are not included. */
     public synchronized void recordRequest(ServiceName service) {
+        updateMostVms();
         Window window = window(service);
         window.requests.addLast(clock.nanoTime());
         window.removeExpired(window.requests);
@@ -41,11 +45,11 @@
 
     /** Takes one retry from the allowance; returns false if none is left. */
     public synchronized boolean tryRetry(ServiceName service) {
+        updateMostVms();
         Window window = window(service);
         window.removeExpired(window.requests);
         window.removeExpired(window.retries);
-        double allowed = USED_FRACTION
-                * (limit.ratio() * window.requests.size() + limit.extra() / (double) Math.max(1, vms.getAsInt()));
+        double allowed = USED_FRACTION * (limit.ratio() * window.requests.size() + limit.extra() / (double) mostVms);
         if (window.retries.size() + 1 > allowed) {
             return false;
         }
@@ -53,6 +57,14 @@
         return true;
     }
 
+    private void updateMostVms() {
+        int present = Math.max(1, vms.getAsInt());
+        if (present >= mostVms || clock.since(mostVmsAt).compareTo(limit.window()) > 0) {
+            mostVms = present;
+            mostVmsAt = clock.nanoTime();
+        }
+    }
+
     private Window window(ServiceName service) {
         return windows.computeIfAbsent(service, name -> new Window());
     }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/RetryAllowanceTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/RetryAllowanceTest.java
@@ -8,6 +8,7 @@
 import io.banyantally.testing.Deployments;
 import io.banyantally.testing.ManualClock;
 import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 final class RetryAllowanceTest {
@@ -55,6 +56,38 @@
         assertTrue(allowance.tryRetry(Deployments.ENGINES));
     }
 
+    /** Guards against VMs that each take the whole fixed part while the list of VMs is empty after an outage. */
+    @Test
+    void allVmsTogetherKeepTheLimitWhileTheirListIsShort() {
+        AtomicInteger listed = new AtomicInteger(VMS);
+        int requestsPerVm = 20;
+        int retries = 0;
+        for (int vm = 0; vm < VMS; vm++) {
+            listed.set(VMS);
+            RetryAllowance allowance = new RetryAllowance(clock, LIMIT, listed::get);
+            allowance.recordRequest(Deployments.PLAIN);
+            listed.set(0);
+            for (int request = 1; request < requestsPerVm; request++) {
+                allowance.recordRequest(Deployments.PLAIN);
+            }
+            retries += takeAll(allowance);
+        }
+
+        assertTrue(retries <= 0.2 * VMS * requestsPerVm + 52, "retries: " + retries);
+    }
+
+    /** Guards against a lower limit for ever after a fleet has become smaller. */
+    @Test
+    void smallerFleetGetsTheWholeAllowanceAfterTheWindow() {
+        AtomicInteger listed = new AtomicInteger(VMS);
+        RetryAllowance allowance = new RetryAllowance(clock, LIMIT, listed::get);
+        allowance.recordRequest(Deployments.PLAIN);
+        listed.set(1);
+        clock.advance(LIMIT.window().plusMillis(1));
+
+        assertEquals((int) (RetryAllowance.USED_FRACTION * LIMIT.extra()), takeAll(allowance));
+    }
+
     private static int takeAll(RetryAllowance allowance) {
         int taken = 0;
         while (allowance.tryRetry(Deployments.PLAIN)) {
