Log the parts of a prompt whose answer an upstream broke off

Ruled out: the parts on every line, as the volume of the log is bounded. Change: promptN=ID/ID on the line of a request whose Nth upstream broke off the answer; the last part, which belongs to the request, is left out. No decision changes. Measured: ForwardingTest passes.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -2,6 +2,8 @@
 
 import io.banyantally.deployment.EngineStage;
 import io.banyantally.deployment.PrefilledCache;
+import io.banyantally.deployment.PromptMetadata;
+import io.banyantally.deployment.PromptPart;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.RequestKind;
 import io.banyantally.deployment.ResponseMetadata;
@@ -20,6 +22,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Collectors;
 
 /** Sends one request to upstreams, one after the other, and streams event responses to the caller. */
 final class UpstreamSender {
@@ -84,9 +87,20 @@
         log.add("upstream" + sends, upstream.id());
         log.addPlacement("placed" + sends, choice);
         log.addResult("result" + sends, outcome.reason(), startedAt);
+        if (outcome instanceof SendOutcome.Unknown) {
+            request.metadata().prompt().ifPresent(prompt -> log.add("prompt" + sends, describe(prompt)));
+        }
         return outcome;
     }
 
+    /** Returns the ids of the parts of a prompt, without the last one, which no other request has. */
+    private static String describe(PromptMetadata prompt) {
+        return prompt.parts().stream()
+                .limit(Math.max(0, prompt.parts().size() - 1))
+                .map(PromptPart::id)
+                .collect(Collectors.joining("/"));
+    }
+
     private void recordOutcome(UpstreamTrack track, SendOutcome outcome) {
         switch (outcome) {
             case SendOutcome.Delivered delivered -> services.tracks().succeeded(track);
