Refuse prompts with a part that crashes one upstream after the other

Cause: nothing remembers what an upstream had when it ended, and each VM sees a sixth of the crashes. Class: a fault that follows the request is counted against the upstream only. Evidence: CrashingPromptTest, 10 of 10 such requests crashed an upstream 3 s after the fifth crash before, none after; the other prompts, which share the caller and the first part, are all served. Change: a VM whose upstream breaks off an answer and refuses a connection reports the crash to the store with the shared parts of its prompts there; CrashAttribution blames the part that explains the crashes, unless a prompt with it was served since by any VM. Requests with it are refused as not run, before the prefill and before each send. Ruled out: episodes of a second (in CrashLoadTest at 10 such requests a second and 6 engines, 6 sends after the limit, with 400 ms and the rule for five crashes at most 3), blame without a probe, counts on one VM.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -2,9 +2,13 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.banyantally.deployment.DocumentReader;
+import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.RequestDialect;
 import io.banyantally.internal.adapter.AdapterHttpClient;
 import io.banyantally.internal.adapter.HttpClientSettings;
+import io.banyantally.internal.crash.CrashLedger;
+import io.banyantally.internal.crash.CrashReporter;
+import io.banyantally.internal.crash.CrashStoreKeys;
 import io.banyantally.internal.deployment.ActiveConfiguration;
 import io.banyantally.internal.deployment.CallerAddresses;
 import io.banyantally.internal.deployment.ConfigurationHolder;
@@ -101,6 +105,8 @@
     private final TcpPeerNetwork peers;
     private final WorkExchange exchange;
     private final RelayedStore watchedStore;
+    private final CrashLedger crashes = new CrashLedger(MonotonicClock.SYSTEM);
+    private final CrashReporter crashReporter;
     private final PeriodicTasks tasks = new PeriodicTasks();
     private volatile boolean draining;
 
@@ -137,6 +143,7 @@
                 MonotonicClock.SYSTEM,
                 settings.retryLimit(),
                 () -> members.members().size());
+        crashReporter = CrashReporter.create(platform.store(), crashes, this::isInService, settings.vm());
         ForwardingServices services = new ForwardingServices(
                 configuration,
                 replicas,
@@ -144,6 +151,8 @@
                 engines,
                 placement,
                 retries,
+                crashes,
+                crashReporter,
                 dialect,
                 client,
                 usage,
@@ -163,6 +172,7 @@
         follow(platform.keys().configuration().path(), PrefixWatcher.SHORT_WATCH, configuration);
         follow(platform.keys().replicaPrefix(), PrefixWatcher.SHORT_WATCH, replicas);
         follow(GatewayStoreKeys.LIVE_PREFIX, PrefixWatcher.LONG_WATCH, members);
+        follow(CrashStoreKeys.PREFIX, PrefixWatcher.LONG_WATCH, crashes);
         try {
             peers.start();
             server.start();
@@ -174,6 +184,7 @@
                 "usage",
                 () -> UsagePublisher.interval(members.members().size()),
                 () -> usagePublisher.publish(members.members().size()));
+        tasks.startWithJitter("crash-clearances", CrashReporter.CLEARANCE_INTERVAL, crashReporter::publishClearances);
         tasks.startWithJitter("duty-lease", DutyLease.INTERVAL, duties::refresh);
         tasks.start("work-exchange", exchange::interval, exchange::exchange);
         tasks.start("upkeep", MAINTENANCE_INTERVAL, this::runMaintenance);
@@ -245,7 +256,12 @@
 
     /** Returns whether this VM accepts callers: it has a configuration and is not draining. */
     public boolean isReady() {
-        return !draining && configuration.current().isPresent();
+        return !draining && configuration.current().isPresent() && crashes.isRead();
+    }
+
+    private boolean isInService(ReplicaEntry upstream) {
+        return replicas.accepting(upstream.service()).stream()
+                .anyMatch(entry -> entry.id().equals(upstream.id()));
     }
 
     /**
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -43,6 +43,11 @@
     /** Retry-After for a service without upstreams. */
     private static final Duration RETRY_AFTER_NO_UPSTREAM = Duration.ofMillis(400);
 
+    private static final String REASON_CRASHING_PROMPT = "crashing_prompt";
+
+    /** Retry-After for a prompt that crashes upstreams; it stays refused for minutes. */
+    private static final Duration RETRY_AFTER_CRASHING_PROMPT = Duration.ofMinutes(1);
+
     /** Upstreams that may refuse a request before its caller is told to retry later. */
     private static final int MAXIMUM_REFUSALS = 2;
 
@@ -83,6 +88,7 @@
             throws RefusedException, IOException, InterruptedException {
         ActiveConfiguration configuration = services.configuration()
                 .current()
+                .filter(active -> services.crashes().isRead())
                 .orElseThrow(
                         () -> new RefusedException(Refusal.notRun("no_configuration", RETRY_AFTER_NO_CONFIGURATION)));
         log.add("configuration", configuration.version());
@@ -140,6 +146,21 @@
         }
     }
 
+    /** Ends a request whose prompt would crash the upstream that generates the answer. */
+    private void checkPrompt(AdmittedRequest request, boolean mayHaveRun) throws RefusedException {
+        boolean crashing = request.metadata()
+                .prompt()
+                .filter(prompt ->
+                        services.crashes().isCrashing(request.service().name(), prompt))
+                .isPresent();
+        if (crashing) {
+            throw new RefusedException(
+                    mayHaveRun
+                            ? Refusal.mayHaveRun(REASON_CRASHING_PROMPT)
+                            : Refusal.notRun(REASON_CRASHING_PROMPT, RETRY_AFTER_CRASHING_PROMPT));
+        }
+    }
+
     private void checkShutdown(long deadlineNanos) throws RefusedException {
         if (!admission.admits(deadlineNanos)) {
             log.add(
@@ -166,6 +187,7 @@
     }
 
     private void forward(AdmittedRequest request) throws RefusedException, IOException, InterruptedException {
+        checkPrompt(request, false);
         services.retries().recordRequest(request.service().name());
         UpstreamCallFactory calls = new UpstreamCallFactory(services, caller, request);
         UpstreamSender sender = new UpstreamSender(services, caller, request, calls, log);
@@ -185,6 +207,7 @@
                     checkShutdown(request.deadlineNanos());
                 }
                 checkCaller("before_send");
+                checkPrompt(request, mayHaveRun);
                 Placement.Decision.Send choice;
                 try {
                     choice = chosen.isPresent() ? chosen.get() : place(request, tried, prefilledCache, mayHaveRun);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
@@ -3,6 +3,8 @@
 import com.codahale.metrics.MetricRegistry;
 import io.banyantally.deployment.RequestDialect;
 import io.banyantally.internal.adapter.AdapterHttpClient;
+import io.banyantally.internal.crash.CrashLedger;
+import io.banyantally.internal.crash.CrashReporter;
 import io.banyantally.internal.deployment.ConfigurationHolder;
 import io.banyantally.internal.deployment.ReplicaRegistry;
 import io.banyantally.internal.duty.UsageLedger;
@@ -19,6 +21,7 @@
  *
  * @param engines chooses among engines
  * @param plain chooses among upstreams of plain services
+ * @param crashes knows the prompts that crash upstreams
  */
 public record ForwardingServices(
         ConfigurationHolder configuration,
@@ -27,6 +30,8 @@
         EnginePlacement engines,
         Placement plain,
         RetryAllowance retries,
+        CrashLedger crashes,
+        CrashReporter crashReporter,
         RequestDialect dialect,
         AdapterHttpClient client,
         UsageLedger usage,
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -84,6 +84,7 @@
             caller.clearDisconnectAction();
         }
         recordOutcome(track, outcome);
+        recordPrompt(upstream, outcome);
         log.add("upstream" + sends, upstream.id());
         log.addPlacement("placed" + sends, choice);
         log.addResult("result" + sends, outcome.reason(), startedAt);
@@ -132,6 +133,19 @@
         }
     }
 
+    /** Records whether the upstream served the prompt, or broke off while it had the prompt. */
+    private void recordPrompt(ReplicaEntry upstream, SendOutcome outcome) {
+        if (request.metadata().prompt().isEmpty()) {
+            return;
+        }
+        PromptMetadata prompt = request.metadata().prompt().get();
+        if (outcome instanceof SendOutcome.Delivered) {
+            services.crashes().recordServed(upstream.service(), prompt);
+        } else if (outcome instanceof SendOutcome.Unknown && services.clock().nanoTime() < request.deadlineNanos()) {
+            services.crashReporter().recordBrokenOff(upstream, prompt);
+        }
+    }
+
     private SendOutcome exchange(
             ReplicaEntry upstream, UpstreamTrack track, long sentAt, Optional<PrefilledCache> prefilledCache)
             throws InterruptedException {
