Take a prefill's answer only if it names the attempt

Other operators: a faulty upstream wrote an earlier answer once more on a kept connection. Cause: PrefillSender did not compare the attempt that an answer names, so the late copy of another prompt's answer gave its KV cache handle to the next prompt, which would go on from the memory of another request. Class: an answer on a kept connection is taken for the one expected. Ruled out: an own connection for each prefill, as new connections cost a millisecond of a slot each. Change: an answer with another attempt, or none, is a failed prefill. Measured: RepeatedAnswerTest, a2 was sent with handle-a1 before; passes after.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
@@ -60,6 +60,11 @@
                     metadata.load()
                             .ifPresent(load ->
                                     track.recordLoad(load, services.clock().nanoTime()));
+                    if (!calls.isNamedIn(metadata)) {
+                        result = metadata.attempt().isPresent() ? "crossed_answer" : "unnamed_answer";
+                        services.recordFailure(track, result);
+                        return PrefillOutcome.FAILED;
+                    }
                     result = "upstream_" + reply.status();
                     if (reply.status() == OK) {
                         PrefillResponse response = services.dialect().readPrefillResponse(reply.body());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
@@ -4,6 +4,7 @@
 import io.banyantally.deployment.PrefilledCache;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.RequestKind;
+import io.banyantally.deployment.ResponseMetadata;
 import io.banyantally.deployment.UpstreamRequestOptions;
 import io.banyantally.internal.adapter.HttpCall;
 import java.time.Duration;
@@ -24,6 +25,14 @@
         this.request = request;
     }
 
+    /**
+     * Returns whether a response names this attempt. On a connection that is kept, the late copy of another response may
+     * precede the one that belongs to the request.
+     */
+    boolean isNamedIn(ResponseMetadata response) {
+        return response.attempt().equals(Optional.of(request.metadata().attempt()));
+    }
+
     /** Makes later calls resume the stream after this event. */
     void resumeAfter(OptionalLong eventId) {
         resumeAfter = eventId;
