Take a refusal on a kept connection only if it names the attempt

Other operators: a faulty upstream wrote an earlier refusal once more on a kept connection; clients were told 'not run' for requests that an upstream ran, or the request ran at a second one (REFUSED, TWICE). Cause: a refusal that names another attempt was recognised, but one that names none was taken for the answer to the request. Ruled out: the check on connections that are not kept, on which no earlier answer can be. Change: an unnamed answer on a kept connection leaves the outcome unknown: no repeat unless the request may run twice, else 502. Measured: RepeatedAnswerTest, the stream got 503 and ran before; passes after.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
@@ -33,6 +33,11 @@
         return response.attempt().equals(Optional.of(request.metadata().attempt()));
     }
 
+    /** Returns whether connections are kept after a request. */
+    boolean keepsConnections() {
+        return request.route().kind() != RequestKind.NON_IDEMPOTENT;
+    }
+
     /** Makes later calls resume the stream after this event. */
     void resumeAfter(OptionalLong eventId) {
         resumeAfter = eventId;
@@ -54,14 +59,13 @@
                 resumeAfter,
                 stage,
                 prefilledCache);
-        boolean ownConnection = request.route().kind() == RequestKind.NON_IDEMPOTENT;
         return new HttpCall(
                 upstream.address(),
                 caller.method(),
                 caller.target(),
                 services.dialect().upstreamHeaders(request.headers(), options),
                 request.body(),
-                ownConnection,
+                !keepsConnections(),
                 remaining,
                 () -> true);
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -182,6 +182,10 @@
         if (isOtherAttempt) {
             return new SendOutcome.Unknown("crossed_answer");
         }
+        if (calls.keepsConnections() && !calls.isNamedIn(metadata)) {
+            // The response may be the late copy of another one.
+            return new SendOutcome.Unknown("unnamed_answer");
+        }
         if (metadata.instanceMismatch()) {
             drainRefusal(exchange);
             return new SendOutcome.NotRun("other_instance");
