Cut a stream whose next upstream answers with another status

Cause: a signed 204 to the request to resume a stream ended it as complete, since it holds no incomplete event. Class: a success of another kind is taken for the rest of a stream. Ruled out by the same test: errors of nine other kinds, which cut the stream without a byte of them; streams that end with their connection inside an event, which are cut, and after an event, which are complete. Change: an answer that continues a stream must have its status. Measured: BrokenStreamTest, the 204 failed before, all pass after.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -45,6 +45,7 @@
     private final UpstreamCallFactory calls;
     private final RequestLog log;
     private Optional<OutputStream> callerStream = Optional.empty();
+    private int startedStatus;
     private OptionalLong lastEventId;
     private boolean runCounted;
     private int sends;
@@ -206,6 +207,9 @@
             // To the caller this status would mean that the request has not run, which the upstream does not state.
             return new SendOutcome.Unknown("upstream_" + status);
         }
+        if (success && callerStream.isPresent() && status != startedStatus) {
+            return new SendOutcome.Unknown("other_status");
+        }
         return success && request.route().kind() == RequestKind.STREAMING
                 ? receiveStream(exchange, status, headers, track, sentAt)
                 : receiveBuffered(exchange, status, headers);
@@ -309,6 +313,7 @@
     private void deliver(int status, List<HeaderField> headers, byte[] events) throws IOException {
         if (callerStream.isEmpty()) {
             log.responseStarted();
+            startedStatus = status;
             callerStream =
                     Optional.of(caller.startResponse(status, services.dialect().callerHeaders(headers)));
         }
