Look through crash reports less often

Cause: each served prompt with a suspected part looked for every served part in all reports, and every VM four times a second at all reports. Ruled out: an index, as reports are few outside a loss of many upstreams. Change: served parts are dropped when a report expires; without a served suspected part there is nothing to look for. Measured: CrashLoadTest, CrashAttributionTest and CrashingPromptTest pass.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/crash/CrashLedger.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/crash/CrashLedger.java
@@ -93,6 +93,9 @@
 
     /** Returns the parts that this VM has served and that other VMs are about to blame. */
     synchronized List<PromptPartKey> unpublishedClearances() {
+        if (servedHereUpTo.isEmpty()) {
+            return List.of();
+        }
         return CrashAttribution.nearlyBlamed(crashes(part -> clearedUpTo.getOrDefault(part, 0L))).stream()
                 .filter(part -> servedHereUpTo.getOrDefault(part, 0L) > clearedUpTo.getOrDefault(part, 0L))
                 .sorted()
@@ -142,15 +145,16 @@
     }
 
     private void removed(StoreKey key) {
-        reports.remove(key);
+        if (reports.remove(key) != null) {
+            Set<PromptPartKey> reported = reports.values().stream()
+                    .flatMap(report -> report.parts().stream())
+                    .collect(Collectors.toSet());
+            servedHereUpTo.keySet().retainAll(reported);
+        }
         CrashStoreKeys.clearedPart(key).ifPresent(clearedUpTo::remove);
     }
 
     private void evaluate() {
-        servedHereUpTo
-                .keySet()
-                .removeIf(part -> reports.values().stream()
-                        .noneMatch(report -> report.parts().contains(part)));
         Collection<Crash> crashes = crashes(this::clearedOrServedUpTo);
         suspected = crashes.stream().flatMap(crash -> crash.parts().stream()).collect(Collectors.toUnmodifiableSet());
         List<Set<PromptPartKey>> previous = crashing;
