--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -262,7 +262,7 @@
         checkCaller("before_prefill");
         List<Candidate> candidates = candidates(request, Set.of());
         return switch (services.engines().decidePrefill(demand, candidates)) {
-            case Placement.Decision.Send send -> prefillResult(request, prefillSender.prefill(send));
+            case Placement.Decision.Send send -> resultOf(request, prefillSender.prefill(send));
             case Placement.Decision.Refuse full -> {
                 if (services.engines().decideOverflow(demand, candidates) instanceof Placement.Decision.Send decoder) {
                     yield new PrefillResult(Optional.empty(), Optional.of(decoder));
@@ -273,7 +273,8 @@
         };
     }
 
-    private PrefillResult prefillResult(AdmittedRequest request, PrefillOutcome outcome)
+    /** Refuses a request whose prefill failed if the retry limit leaves no send to another engine. */
+    private PrefillResult resultOf(AdmittedRequest request, PrefillOutcome outcome)
             throws RefusedException, IOException {
         return switch (outcome) {
             case PrefillOutcome.Cached cached -> new PrefillResult(Optional.of(cached.cache()), Optional.empty());
