Add a case of requests on kept connections that get no answer

The walk that looks for callers which have left reads from connections whose request ends at the same moment. It takes the first bytes of the next request after Jetty has begun to wait for input, and nothing wakes the connection.

--- a/review/stand-ins/review/Manifest.java
+++ b/review/stand-ins/review/Manifest.java
@@ -7,7 +7,10 @@
 
     private Manifest() {}
 
-    /** Returns a manifest with a non-idempotent and an idempotent route to one plain service. */
+    /**
+     * Returns a manifest with a non-idempotent and an idempotent route to one plain service, and an idempotent route to
+     * the service {@code second}.
+     */
     static String of(long version, String orderService, int timeoutMillis) {
         return """
                 {"version":%1$d,
@@ -17,6 +20,9 @@
                    "sticky":false,"resumable":false},
                   {"name":"look","host":"%2$s","prefix":"/look/","kind":"idempotent","timeoutMs":%3$d,
                    "latencyTargetMs":1000,"priority":2,"service":"%4$s","attempts":2,"allowAnonymous":false,
+                   "sticky":false,"resumable":false},
+                  {"name":"soon","host":"%2$s","prefix":"/soon/","kind":"idempotent","timeoutMs":%3$d,
+                   "latencyTargetMs":1000,"priority":2,"service":"second","attempts":2,"allowAnonymous":false,
                    "sticky":false,"resumable":false}],
                  "services":[{"name":"first","healthPath":"/health","connectionLimit":96,"protocol":"h1","tls":false},
                   {"name":"second","healthPath":"/health","connectionLimit":96,"protocol":"h1","tls":false}],
--- a/review/stand-ins/review/ReplicaStandIn.java
+++ b/review/stand-ins/review/ReplicaStandIn.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.LongAdder;
 
 /** A plain replica: it runs requests in its slots and signs its answers. */
 final class ReplicaStandIn implements AutoCloseable {
@@ -26,9 +27,18 @@
     private final Semaphore freeSlots;
     private final List<Arrival> arrivals = new ArrayList<>();
     private final List<Socket> connections = new ArrayList<>();
+    private final LongAdder runs = new LongAdder();
+    private final boolean inDetail;
     private volatile long workMillis;
 
     ReplicaStandIn(String id, String service, int slots, long workMillis, Record record) throws IOException {
+        this(id, service, slots, workMillis, record, true);
+    }
+
+    /** Creates a replica that only counts its runs if {@code inDetail} is false. */
+    ReplicaStandIn(String id, String service, int slots, long workMillis, Record record, boolean inDetail)
+            throws IOException {
+        this.inDetail = inDetail;
         this.id = id;
         this.service = service;
         this.slots = slots;
@@ -60,7 +70,12 @@
         workMillis = millis;
     }
 
-    /** Returns the requests that reached this replica. */
+    /** Returns the number of requests that this replica has run. */
+    long runs() {
+        return runs.sum();
+    }
+
+    /** Returns the requests that reached this replica, if it records them in detail. */
     List<Arrival> arrivals() {
         synchronized (arrivals) {
             return List.copyOf(arrivals);
@@ -104,17 +119,24 @@
             return "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: " + attempt
                     + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
         }
-        synchronized (arrivals) {
-            arrivals.add(new Arrival(attempt, System.nanoTime()));
+        if (inDetail) {
+            synchronized (arrivals) {
+                arrivals.add(new Arrival(attempt, System.nanoTime()));
+            }
+            record.write("replica %s: request %s reaches it, %d bytes", id, attempt, request.body().length);
         }
-        record.write("replica %s: request %s reaches it, %d bytes", id, attempt, request.body().length);
         freeSlots.acquire();
         try {
-            Thread.sleep(workMillis);
+            if (workMillis > 0) {
+                Thread.sleep(workMillis);
+            }
         } finally {
             freeSlots.release();
         }
-        record.write("replica %s: request %s has run", id, attempt);
+        runs.increment();
+        if (inDetail) {
+            record.write("replica %s: request %s has run", id, attempt);
+        }
         String body = "served " + attempt + " by " + id;
         return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Signature: signature-of-" + attempt
                 + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
