--- a/review/stand-ins/review/GatewayProcess.java
+++ b/review/stand-ins/review/GatewayProcess.java
@@ -95,7 +95,9 @@
 
     /** Sends a signal such as STOP, CONT, TERM or KILL. */
     void signal(String signal) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                .start()
+                .waitFor();
     }
 
     /** Waits until the process says that it is ready. */
--- a/review/stand-ins/review/LateRemoval.java
+++ b/review/stand-ins/review/LateRemoval.java
@@ -34,7 +34,8 @@
         System.exit(Script.run(arguments, (folder, record, started) -> run(trouble, folder, record, started)));
     }
 
-    private static boolean run(boolean trouble, Path folder, Record record, List<AutoCloseable> started) throws Exception {
+    private static boolean run(boolean trouble, Path folder, Record record, List<AutoCloseable> started)
+            throws Exception {
         PlatformStandIn platform = new PlatformStandIn(record);
         started.add(platform);
         platform.write(Manifest.KEY, Manifest.of(1, "first", 1500));
@@ -66,9 +67,7 @@
             }
             for (ReplicaStandIn leaving : replicas.subList(REPLICAS_THAT_STAY, replicas.size())) {
                 record.write("store: the entry of %s is removed%s", leaving.id(), trouble ? ", watches are cut" : "");
-                long removedAt = trouble
-                        ? platform.removeAndCutWatches(leaving.key())
-                        : platform.remove(leaving.key());
+                long removedAt = trouble ? platform.removeAndCutWatches(leaving.key()) : platform.remove(leaving.key());
                 departures.add(new Departure(leaving, removedAt));
                 Thread.sleep(PAUSE_MILLIS + ThreadLocalRandom.current().nextLong(200));
             }
--- a/review/stand-ins/review/Manifest.java
+++ b/review/stand-ins/review/Manifest.java
@@ -27,7 +27,6 @@
                  "services":[{"name":"first","healthPath":"/health","connectionLimit":96,"protocol":"h1","tls":false},
                   {"name":"second","healthPath":"/health","connectionLimit":96,"protocol":"h1","tls":false}],
                  "limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-                 "tenants":[{"name":"first-tenant","keys":["%5$s"],"priority":1}]}"""
-                .formatted(version, Caller.HOST, timeoutMillis, orderService, Caller.API_KEY);
+                 "tenants":[{"name":"first-tenant","keys":["%5$s"],"priority":1}]}""".formatted(version, Caller.HOST, timeoutMillis, orderService, Caller.API_KEY);
     }
 }
--- a/review/stand-ins/review/PlatformStandIn.java
+++ b/review/stand-ins/review/PlatformStandIn.java
@@ -82,7 +82,9 @@
                 .put("key", key)
                 .put("value", base64)
                 .put("revision", revision)
-                .put("createdAt", former == null ? revision : former.path("createdAt").asLong())
+                .put(
+                        "createdAt",
+                        former == null ? revision : former.path("createdAt").asLong())
                 .put("lease", lease);
         items.put(key, item);
         events.add(item);
@@ -92,7 +94,8 @@
     private void delete(String key) {
         if (items.remove(key) != null) {
             revision++;
-            events.add(NODES.objectNode().put("key", key).put("revision", revision).put("removed", true));
+            events.add(
+                    NODES.objectNode().put("key", key).put("revision", revision).put("removed", true));
             notifyAll();
         }
     }
@@ -208,7 +211,8 @@
         for (JsonNode expected : body.path("expected")) {
             String key = expected.path("key").asText();
             ObjectNode item = items.get(key);
-            holds &= expected.path("revision").asLong() == (item == null ? 0 : item.path("revision").asLong());
+            holds &= expected.path("revision").asLong()
+                    == (item == null ? 0 : item.path("revision").asLong());
             current.add(item == null ? NODES.objectNode().put("key", key).put("revision", 0) : item);
         }
         if (!holds) {
--- a/review/stand-ins/review/ReplicaStandIn.java
+++ b/review/stand-ins/review/ReplicaStandIn.java
@@ -62,8 +62,7 @@
     String entry(String state) {
         return """
                 {"service":"%s","address":"127.0.0.1:%d","zone":"zone-a","version":"v1","slots":%d,"state":"%s",
-                 "coldRemainingMs":0,"sequence":0}"""
-                .formatted(service, server.getLocalPort(), slots, state);
+                 "coldRemainingMs":0,"sequence":0}""".formatted(service, server.getLocalPort(), slots, state);
     }
 
     void setWorkMillis(long millis) {
--- a/review/stand-ins/review/RollingStop.java
+++ b/review/stand-ins/review/RollingStop.java
@@ -98,8 +98,8 @@
                     continue;
                 }
                 KeptConnectionCaller.Unanswered request = unanswered.get();
-                boolean counts = request.end() == KeptConnectionCaller.End.CLOSED
-                        && request.waitedMillis() > LOSS_SLACK_MILLIS;
+                boolean counts =
+                        request.end() == KeptConnectionCaller.End.CLOSED && request.waitedMillis() > LOSS_SLACK_MILLIS;
                 String line = String.format(
                         Locale.ROOT,
                         "%s: request %s for %s got no answer, after %d ms: %s",
