--- a/review/stand-ins/review/RollingStop.java
+++ b/review/stand-ins/review/RollingStop.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Clients send requests on kept connections. With trouble, the gateways are stopped with SIGTERM in turn. The rule is
@@ -58,7 +59,7 @@
             for (int number = 0; number < GATEWAYS; number++) {
                 GatewayProcess gateway = new GatewayProcess("front-a-" + number, folder, platform.address());
                 started.add(gateway);
-                gateways.add(new StoppedGateway(gateway, new Load(), new ArrayList<>()));
+                gateways.add(new StoppedGateway(gateway, new Load(), new ArrayList<>(), new AtomicLong()));
             }
             for (StoppedGateway gateway : gateways) {
                 gateway.process().awaitReady();
@@ -75,6 +76,7 @@
             for (StoppedGateway gateway : gateways) {
                 if (trouble) {
                     record.write("platform: SIGTERM to %s", gateway.process().name());
+                    gateway.signalledAt().set(System.nanoTime());
                     gateway.process().signal("TERM");
                 }
                 Thread.sleep(GAP_MILLIS);
@@ -110,7 +112,9 @@
                         request.end());
                 if (counts) {
                     lost++;
-                    record.print("%s, LOST", line);
+                    record.print(
+                            "%s, LOST; sent %d ms after SIGTERM",
+                            line, (request.sentAt() - gateway.signalledAt().get()) / 1_000_000);
                 } else {
                     record.write("%s", line);
                 }
@@ -121,6 +125,14 @@
         return lost > 0;
     }
 
+    /**
+     * A gateway with its callers.
+     *
+     * @param signalledAt the monotonic time of SIGTERM in nanoseconds; 0 without it
+     */
     private record StoppedGateway(
-            GatewayProcess process, Load load, List<Future<Optional<KeptConnectionCaller.Unanswered>>> callers) {}
+            GatewayProcess process,
+            Load load,
+            List<Future<Optional<KeptConnectionCaller.Unanswered>>> callers,
+            AtomicLong signalledAt) {}
 }
