--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -136,7 +136,7 @@
         request(call)
                 .timeout(call.timeLimit().toMillis(), TimeUnit.MILLISECONDS)
                 .onRequestBegin(started ->
-                        ResetAwareEndPoint.of(started.getConnection()).ifPresent(ResetAwareEndPoint::beginResponse))
+                        ResetAwareEndPoint.of(started.getConnection()).ifPresent(ResetAwareEndPoint::beginRequest))
                 .send(AdapterHttpClient::closeAfterInterimResponse);
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -32,6 +32,7 @@
     private final InputStreamResponseListener listener = new InputStreamResponseListener();
     private final AtomicBoolean sendStarted = new AtomicBoolean();
     private volatile Optional<ResetAwareEndPoint> endPoint = Optional.empty();
+    private volatile int earlierRequests;
     private Connection connection;
     private Response response;
     private boolean complete;
@@ -43,7 +44,7 @@
         request.onRequestBegin(started -> {
             sendStarted.set(true);
             endPoint = ResetAwareEndPoint.of(started.getConnection());
-            endPoint.ifPresent(ResetAwareEndPoint::beginResponse);
+            endPoint.ifPresent(connected -> earlierRequests = connected.beginRequest());
         });
     }
 
@@ -55,6 +56,11 @@
         connection = ownConnection;
     }
 
+    /** Returns whether the request was sent on a connection that had carried another one. */
+    public boolean usesKeptConnection() {
+        return earlierRequests > 0;
+    }
+
     /** Waits for the response headers, at most for the time limit of the request. */
     public void awaitHeaders() throws ExchangeException, InterruptedException {
         try {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/ResetAwareEndPoint.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/ResetAwareEndPoint.java
@@ -5,6 +5,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.ManagedSelector;
@@ -28,6 +29,7 @@
     private static final int BYTES_PER_CONTENT_BYTE = 6;
 
     private final AtomicLong remainingBytes = new AtomicLong(MAXIMUM_OVERHEAD_BYTES);
+    private final AtomicInteger requests = new AtomicInteger();
 
     ResetAwareEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
         super(channel, selector, key, scheduler);
@@ -41,9 +43,10 @@
                 : Optional.empty();
     }
 
-    /** Resets the limit before a new response. */
-    void beginResponse() {
+    /** Resets the limit before a new request is sent; returns how many were sent on the connection before. */
+    int beginRequest() {
         remainingBytes.set(MAXIMUM_OVERHEAD_BYTES);
+        return requests.getAndIncrement();
     }
 
     /** Raises the limit after content was read. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -89,6 +89,7 @@
         log.add("upstream" + sends, upstream.id());
         log.addPlacement("placed" + sends, choice);
         log.addResult("result" + sends, outcome.reason(), startedAt);
+        services.metrics().counter("sends." + outcome.reason()).inc();
         if (outcome instanceof SendOutcome.Unknown) {
             request.metadata().prompt().ifPresent(prompt -> log.add("prompt" + sends, describe(prompt)));
         }
@@ -159,8 +160,12 @@
             if (request.route().kind() != RequestKind.NON_IDEMPOTENT) {
                 caller.onDisconnect(exchange::close);
             }
-            exchange.awaitHeaders();
-            return receive(exchange, track, sentAt);
+            try {
+                exchange.awaitHeaders();
+                return receive(exchange, track, sentAt);
+            } finally {
+                log.add("connection" + sends, exchange.usesKeptConnection() ? "kept" : "new");
+            }
         } catch (NothingSentException unsent) {
             return caller.isDisconnected()
                     ? new SendOutcome.CallerDisconnected("before_send")
