Send an attempt to an upstream a second time over its own connection

Callers saw: 503, which promises "not run", for a stream that ran (REFUSED), or a second run at another upstream (TWICE). Cause: a prefill and the run of its prompt bear the same attempt. If an engine refuses the prefill, changes its stage and then gets the run on the same kept connection, a late copy of the refusal names the attempt and passes for the refusal of the run. Class: a name that is not unique on its connection. Ruled out: a repeat after a failed send, which goes to another upstream. Change: the second call of an attempt at one upstream uses a connection of its own, on which no earlier answer can be. Measured: RepeatedAnswerTest#repeatedRefusalOfThePrefill...: 503 with the stream run before, 200 after; 46 tests of forwarding pass.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
@@ -6,11 +6,14 @@
 import io.banyantally.deployment.RequestKind;
 import io.banyantally.deployment.UpstreamRequestOptions;
 import io.banyantally.internal.adapter.HttpCall;
+import io.banyantally.model.UpstreamId;
 import io.banyantally.upstream.HeaderField;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /** Creates the HTTP calls that send one request to upstreams. */
 final class UpstreamCallFactory {
@@ -18,6 +21,7 @@
     private final ForwardingServices services;
     private final CallerExchange caller;
     private final AdmittedRequest request;
+    private final Set<UpstreamId> called = new HashSet<>();
     private OptionalLong resumeAfter = OptionalLong.empty();
 
     UpstreamCallFactory(ForwardingServices services, CallerExchange caller, AdmittedRequest request) {
@@ -41,10 +45,6 @@
         return attempt.get().equals(request.metadata().attempt()) ? Optional.empty() : Optional.of("crossed_answer");
     }
 
-    private boolean keepsConnections() {
-        return request.route().kind() != RequestKind.NON_IDEMPOTENT;
-    }
-
     /** Makes later calls resume the stream after this event. */
     void resumeAfter(OptionalLong eventId) {
         resumeAfter = eventId;
@@ -66,15 +66,18 @@
                 resumeAfter,
                 stage,
                 prefilledCache);
+        // The late copy of the first answer to this attempt would name it, too.
+        boolean ownConnection = !called.add(upstream.id()) || request.route().kind() == RequestKind.NON_IDEMPOTENT;
+        boolean mayBeUnnamed = ownConnection && stage == EngineStage.NONE;
         return new HttpCall(
                 upstream.address(),
                 caller.method(),
                 caller.target(),
                 services.dialect().upstreamHeaders(request.headers(), options),
                 request.body(),
-                !keepsConnections(),
+                ownConnection,
                 remaining,
                 () -> true,
-                (status, headers) -> mismatch(status, headers, !keepsConnections() && stage == EngineStage.NONE));
+                (status, headers) -> mismatch(status, headers, mayBeUnnamed));
     }
 }
