Bound the memory of all buffered bodies together

Cause: each response was bounded by 8 MiB, each event by 1 MiB and each request body by the configured limit, but their sum by nothing; the heap is 160 MB. Class: a bound for one where the sum counts. Ruled out: endless heads, which are bounded by 64 KiB a connection. Change: bodies of requests and responses are read into reserved memory, a quarter of the heap each. A body may grow only while as much as it takes is left, so large ones never keep small ones out. A response that may not grow fails (answer_memory, 502 or a repeat), a request is refused as not run before it is sent (no_memory).

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -28,6 +28,7 @@
 import io.banyantally.internal.duty.UsageReporter;
 import io.banyantally.internal.exchange.RelayedStore;
 import io.banyantally.internal.exchange.WorkExchange;
+import io.banyantally.internal.forwarding.BufferMemory;
 import io.banyantally.internal.forwarding.ForwardingServices;
 import io.banyantally.internal.forwarding.GatewayServer;
 import io.banyantally.internal.logging.EventLog;
@@ -69,6 +70,9 @@
 
     private static final EventLog LOG = EventLog.of(Gateway.class);
 
+    /** Bodies of requests and responses take at most one in this many parts of the heap each. */
+    private static final int BUFFER_HEAP_PARTS = 4;
+
     /** Upstreams accept connections within milliseconds; after a lost packet it is faster to try another upstream. */
     private static final HttpClientSettings UPSTREAM_CLIENT_SETTINGS =
             new HttpClientSettings(Duration.ofMillis(400), Duration.ofMillis(1500), 32);
@@ -144,6 +148,7 @@
                 settings.retryLimit(),
                 () -> members.members().size());
         crashReporter = CrashReporter.create(platform.store(), crashes, this::isInService, settings.vm());
+        long bufferBytes = Runtime.getRuntime().maxMemory() / BUFFER_HEAP_PARTS;
         ForwardingServices services = new ForwardingServices(
                 configuration,
                 replicas,
@@ -155,6 +160,8 @@
                 crashReporter,
                 dialect,
                 client,
+                new BufferMemory(bufferBytes),
+                new BufferMemory(bufferBytes),
                 usage,
                 metrics,
                 MonotonicClock.SYSTEM);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/CallerExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/CallerExchange.java
@@ -1,7 +1,6 @@
 package io.banyantally.internal.forwarding;
 
 import io.banyantally.upstream.HeaderField;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.List;
@@ -15,7 +14,6 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
-import org.eclipse.jetty.util.BufferUtil;
 
 /** One request of a caller and its response, with blocking reads and writes. */
 final class CallerExchange {
@@ -87,27 +85,31 @@
      * Reads the whole body, until {@code deadlineNanos}, a monotonic time; empty if it is larger than the limit.
      *
      * @throws BodyTimeoutException if the body is not complete by then
+     * @throws BufferMemoryException if there is no memory for the body
      */
-    Optional<byte[]> readBody(int maximumBytes, long deadlineNanos)
-            throws IOException, BodyTimeoutException, InterruptedException {
+    Optional<byte[]> readBody(BufferMemory.Reservation memory, int maximumBytes, long deadlineNanos)
+            throws IOException, BodyTimeoutException, BufferMemoryException, InterruptedException {
         if (request.getLength() > maximumBytes) {
             return Optional.empty();
         }
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        BodyBuffer body = new BodyBuffer(memory);
         while (!requestFullyRead) {
             Content.Chunk chunk = awaitChunk(deadlineNanos);
             if (Content.Chunk.isFailure(chunk)) {
                 throw new IOException("reading the request body failed", chunk.getFailure());
             }
-            body.writeBytes(BufferUtil.toArray(chunk.getByteBuffer()));
+            try {
+                body.write(chunk.getByteBuffer());
+            } finally {
+                chunk.release();
+            }
             requestFullyRead = chunk.isLast();
-            chunk.release();
             if (body.size() > maximumBytes) {
                 requestFullyRead = false;
                 return Optional.empty();
             }
         }
-        return Optional.of(body.toByteArray());
+        return Optional.of(body.takeBytes());
     }
 
     private Content.Chunk awaitChunk(long deadlineNanos) throws BodyTimeoutException, InterruptedException {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EventAssembler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/EventAssembler.java
@@ -17,6 +17,9 @@
      */
     private static final int MAXIMUM_EVENT_BYTES = 1024 * 1024;
 
+    /** Adding to an event takes a buffer of up to twice its size and a copy. */
+    private static final int COPIES = 3;
+
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private OptionalLong lastEventId;
 
@@ -40,6 +43,11 @@
         return Optional.of(complete);
     }
 
+    /** Returns the memory that the incomplete event takes, in bytes. */
+    long memoryBytes() {
+        return (long) COPIES * pending.size();
+    }
+
     /** Returns whether the incomplete event is longer than events may be. */
     boolean isEventTooLong() {
         return pending.size() > MAXIMUM_EVENT_BYTES;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -65,13 +65,19 @@
     }
 
     void run() throws IOException, InterruptedException {
+        try (BufferMemory.Reservation bodyMemory = services.requestMemory().open()) {
+            run(bodyMemory);
+        }
+    }
+
+    private void run(BufferMemory.Reservation bodyMemory) throws IOException, InterruptedException {
         List<HeaderField> headers = caller.headers();
         Optional<RequestMetadata> metadata = Optional.empty();
         try {
             metadata = Optional.of(services.dialect().readRequest(headers));
             log.add("request", metadata.get().attempt());
             caller.setAttemptId(metadata.get().attempt());
-            forward(admit(metadata.get(), headers));
+            forward(admit(metadata.get(), headers, bodyMemory));
         } catch (MalformedRequestException malformed) {
             log.add("detail", malformed.getMessage());
             refuse(Refusal.clientError(Refusal.BAD_REQUEST, "malformed"), metadata);
@@ -84,7 +90,8 @@
         }
     }
 
-    private AdmittedRequest admit(RequestMetadata metadata, List<HeaderField> headers)
+    private AdmittedRequest admit(
+            RequestMetadata metadata, List<HeaderField> headers, BufferMemory.Reservation bodyMemory)
             throws RefusedException, IOException, InterruptedException {
         ActiveConfiguration configuration = services.configuration()
                 .current()
@@ -111,7 +118,7 @@
                 .orElse(route.timeout());
         long deadlineNanos = log.arrivedAt() + timeout.toNanos();
         checkShutdown(deadlineNanos);
-        byte[] body = readBody(configuration.document().limits().bodyBytes(), deadlineNanos);
+        byte[] body = readBody(bodyMemory, configuration.document().limits().bodyBytes(), deadlineNanos);
         ServiceName serviceName = chooseService(route);
         ServiceRule service = configuration
                 .service(serviceName)
@@ -123,14 +130,17 @@
         return new AdmittedRequest(route, service, metadata, account, headers, body, deadlineNanos);
     }
 
-    private byte[] readBody(int maximumBytes, long deadlineNanos)
+    private byte[] readBody(BufferMemory.Reservation bodyMemory, int maximumBytes, long deadlineNanos)
             throws RefusedException, IOException, InterruptedException {
         try {
-            return caller.readBody(maximumBytes, deadlineNanos)
+            return caller.readBody(bodyMemory, maximumBytes, deadlineNanos)
                     .orElseThrow(
                             () -> new RefusedException(Refusal.clientError(Refusal.BODY_TOO_LARGE, "body_too_large")));
         } catch (BodyTimeoutException late) {
             throw new RefusedException(Refusal.requestTimeout());
+        } catch (BufferMemoryException full) {
+            log.add("detail", full.getMessage());
+            throw new RefusedException(Refusal.notRun("no_memory", jittered(RETRY_AFTER_FULL_UPSTREAM)));
         }
     }
 
@@ -246,6 +256,7 @@
             }
         } finally {
             prefilledCache.ifPresent(prefillSender::releaseCache);
+            sender.close();
         }
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
@@ -22,6 +22,8 @@
  * @param engines chooses among engines
  * @param plain chooses among upstreams of plain services
  * @param crashes knows the prompts that crash upstreams
+ * @param requestMemory holds the bodies of callers' requests
+ * @param responseMemory holds responses of upstreams that are not complete yet
  */
 public record ForwardingServices(
         ConfigurationHolder configuration,
@@ -34,6 +36,8 @@
         CrashReporter crashReporter,
         RequestDialect dialect,
         AdapterHttpClient client,
+        BufferMemory requestMemory,
+        BufferMemory responseMemory,
         UsageLedger usage,
         MetricRegistry metrics,
         MonotonicClock clock) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -14,11 +14,12 @@
 import io.banyantally.internal.placement.Placement;
 import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.upstream.HeaderField;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -26,7 +27,7 @@
 import java.util.stream.Collectors;
 
 /** Sends one request to upstreams, one after the other, and streams event responses to the caller. */
-final class UpstreamSender {
+final class UpstreamSender implements AutoCloseable {
 
     private static final double NANOS_PER_MILLI = 1_000_000;
     private static final int SUCCESS_FIRST = 200;
@@ -45,6 +46,7 @@
     private final AdmittedRequest request;
     private final UpstreamCallFactory calls;
     private final RequestLog log;
+    private final List<BufferMemory.Reservation> responseMemory = new ArrayList<>();
     private Optional<OutputStream> callerStream = Optional.empty();
     private int startedStatus;
     private OptionalLong lastEventId;
@@ -238,15 +240,17 @@
     private SendOutcome receiveBuffered(HttpExchange exchange, int status, List<HeaderField> headers)
             throws InterruptedException {
         countRun();
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        BodyBuffer bytes = new BodyBuffer(reserveMemory());
         byte[] buffer = new byte[BUFFER_BYTES];
         try (InputStream body = exchange.body()) {
             for (int count = body.read(buffer); count >= 0; count = body.read(buffer)) {
-                bytes.write(buffer, 0, count);
+                bytes.write(ByteBuffer.wrap(buffer, 0, count));
                 if (bytes.size() > MAXIMUM_BUFFERED_RESPONSE_BYTES) {
                     return new SendOutcome.Unknown("answer_too_large");
                 }
             }
+        } catch (BufferMemoryException full) {
+            return new SendOutcome.Unknown("answer_memory");
         } catch (IOException disconnected) {
             return caller.isDisconnected()
                     ? new SendOutcome.CallerDisconnected("during_run")
@@ -255,13 +259,27 @@
         log.responseStarted();
         exchange.finish(RESPONSE_END_TIMEOUT);
         return new SendOutcome.CompleteResponse(
-                status, headers, bytes.toByteArray(), status >= 500 ? "upstream_error" : "served");
+                status, headers, bytes.takeBytes(), status >= 500 ? "upstream_error" : "served");
+    }
+
+    /** Returns a reservation that lasts until the request ends, as its response is written to the caller until then. */
+    private BufferMemory.Reservation reserveMemory() {
+        BufferMemory.Reservation reservation = services.responseMemory().open();
+        responseMemory.add(reservation);
+        return reservation;
+    }
+
+    /** Frees the memory of all responses. */
+    @Override
+    public void close() {
+        responseMemory.forEach(BufferMemory.Reservation::close);
     }
 
     private SendOutcome receiveStream(
             HttpExchange exchange, int status, List<HeaderField> headers, UpstreamTrack track, long sentAt)
             throws InterruptedException {
         EventAssembler events = new EventAssembler(lastEventId);
+        BufferMemory.Reservation memory = reserveMemory();
         byte[] buffer = new byte[BUFFER_BYTES];
         long firstByteAt = 0;
         try (InputStream body = exchange.body()) {
@@ -277,6 +295,7 @@
                     lastEventId = events.lastEventId();
                     calls.resumeAfter(lastEventId);
                 }
+                memory.resize(events.memoryBytes());
                 if (events.isEventTooLong()) {
                     return new SendOutcome.Unknown("event_too_long");
                 }
@@ -290,6 +309,8 @@
             exchange.finish(RESPONSE_END_TIMEOUT);
             callerStream.get().close();
             return new SendOutcome.Delivered("served");
+        } catch (BufferMemoryException full) {
+            return new SendOutcome.Unknown("answer_memory");
         } catch (UpstreamDisconnectedException disconnected) {
             return caller.isDisconnected()
                     ? new SendOutcome.CallerDisconnected("during_stream")
