Wake the reader of a connection whose bytes a probe has taken

Cause: a probe for callers that have left reads ahead. If the request ends while the probe is under way, Jetty has already asked the selector for input; the probe takes the bytes of the next request, and the selector waits for more. Class: a check and an act with the owner's state changing between them. Ruled out: probing only while a request is handled, as the end of the handling is not ordered with the next read either. Change: after it has read ahead, the probe wakes a reader that waits, on a thread of its own. A reader that finds bytes read ahead is woken the same way instead of being called within the former read.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ProbingEndPoint.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ProbingEndPoint.java
@@ -36,7 +36,16 @@
     /**
      * Returns whether the caller has closed the connection. Call it only after the current request was read completely.
      */
-    synchronized boolean isClosedByCaller() {
+    boolean isClosedByCaller() {
+        boolean closed = readAhead();
+        if (hasPrefetchedBytes() && isFillInterested()) {
+            // The current request has ended meanwhile, and the selector waits for bytes that have been read here.
+            wakeReader();
+        }
+        return closed;
+    }
+
+    private synchronized boolean readAhead() {
         if (closedByCaller || !isOpen()) {
             return true;
         }
@@ -77,12 +86,17 @@
     @Override
     protected void needsFillInterest() {
         if (hasPrefetchedBytes()) {
-            getFillInterest().fillable();
+            wakeReader();
         } else {
             super.needsFillInterest();
         }
     }
 
+    /** Lets the connection read on a thread of its own, as it may handle the next request there. */
+    private void wakeReader() {
+        Thread.ofVirtual().name("caller-reader").start(() -> getFillInterest().fillable());
+    }
+
     private synchronized boolean hasPrefetchedBytes() {
         return prefetched.hasRemaining();
     }
