Heed upstreams that say that they leave or want no requests

Cause: no line of the code read either header. Change: UpstreamNotices keeps both for one lifetime of an upstream, apart from its entry and its track. Placement leaves such upstreams out for plain sends, prefills, decodes and repeats. A wait ends at its latest end, at most a minute, plus a random part of a quarter; when all upstreams of a service wait, the request is refused at once with the time of the first return.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -37,6 +37,7 @@
 import io.banyantally.internal.placement.EnginePlacement;
 import io.banyantally.internal.placement.LeastLoadedPlacement;
 import io.banyantally.internal.placement.RetryAllowance;
+import io.banyantally.internal.placement.UpstreamNotices;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.time.PeriodicTasks;
@@ -153,6 +154,7 @@
                 configuration,
                 replicas,
                 tracks,
+                new UpstreamNotices(MonotonicClock.SYSTEM, new SplittableRandom(), metrics),
                 engines,
                 placement,
                 retries,
--- a/modules/banyantally/src/main/java/io/banyantally/deployment/ResponseMetadata.java
+++ b/modules/banyantally/src/main/java/io/banyantally/deployment/ResponseMetadata.java
@@ -1,5 +1,6 @@
 package io.banyantally.deployment;
 
+import java.time.Duration;
 import java.util.Optional;
 
 /**
@@ -9,10 +10,14 @@
  * @param instanceMismatch whether a process other than the expected one responded
  * @param signed whether the response has the signature of the upstream
  * @param attempt the attempt to which the response belongs
+ * @param leaving whether the upstream is about to end
+ * @param retryAfter how long the upstream wants no further request from this VM
  */
 public record ResponseMetadata(
         boolean notExecuted,
         boolean instanceMismatch,
         boolean signed,
         Optional<String> attempt,
-        Optional<ReportedLoad> load) {}
+        Optional<ReportedLoad> load,
+        boolean leaving,
+        Optional<Duration> retryAfter) {}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -48,6 +48,8 @@
     /** Retry-After for a prompt that crashes upstreams; it stays refused for minutes. */
     private static final Duration RETRY_AFTER_CRASHING_PROMPT = Duration.ofMinutes(1);
 
+    private static final int MINIMUM_SPREAD_MILLIS = 100;
+
     /** Upstreams that may refuse a request before its caller is told to retry later. */
     private static final int MAXIMUM_REFUSALS = 2;
 
@@ -385,7 +387,11 @@
         if (decision instanceof Placement.Decision.Refuse full) {
             throw allUpstreamsFull(full);
         }
-        throw new RefusedException(Refusal.notRun("no_upstream", jittered(RETRY_AFTER_NO_UPSTREAM)));
+        Optional<Duration> firstReturn = services.notices().untilFirstReturn(untried(request, tried));
+        throw new RefusedException(
+                firstReturn.isPresent()
+                        ? Refusal.notRun("upstreams_waiting", spread(firstReturn.get()))
+                        : Refusal.notRun("no_upstream", jittered(RETRY_AFTER_NO_UPSTREAM)));
     }
 
     private RefusedException allUpstreamsFull(Placement.Decision.Refuse full) {
@@ -394,13 +400,13 @@
     }
 
     private List<Candidate> candidates(AdmittedRequest request, Set<UpstreamId> tried) {
-        List<ReplicaEntry> untried = services
-                .replicas()
-                .accepting(request.service().name())
-                .stream()
+        return services.tracks().candidates(services.notices().accepting(untried(request, tried)));
+    }
+
+    private List<ReplicaEntry> untried(AdmittedRequest request, Set<UpstreamId> tried) {
+        return services.replicas().accepting(request.service().name()).stream()
                 .filter(entry -> !tried.contains(entry.id()))
                 .toList();
-        return services.tracks().candidates(untried);
     }
 
     private static Placement.Demand placementDemand(AdmittedRequest request) {
@@ -432,6 +438,11 @@
         return String.format(Locale.ROOT, "%.3f", duration.toMillis() / (double) TimeUnit.SECONDS.toMillis(1));
     }
 
+    /** Adds up to a quarter, so that callers come after an upstream's wait and not all at its end. */
+    private static Duration spread(Duration minimum) {
+        return minimum.plusMillis(ThreadLocalRandom.current().nextLong(minimum.toMillis() / 4 + MINIMUM_SPREAD_MILLIS));
+    }
+
     /** Adds up to 100% jitter, so that callers which are refused together do not retry together. */
     private static Duration jittered(Duration minimum) {
         return minimum.plusMillis(ThreadLocalRandom.current().nextLong(minimum.toMillis() + 1));
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
@@ -11,6 +11,7 @@
 import io.banyantally.internal.placement.EnginePlacement;
 import io.banyantally.internal.placement.Placement;
 import io.banyantally.internal.placement.RetryAllowance;
+import io.banyantally.internal.placement.UpstreamNotices;
 import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.internal.time.MonotonicClock;
@@ -19,6 +20,7 @@
 /**
  * Components of the gateway that request forwarding depends on.
  *
+ * @param notices knows which upstreams leave or want no request for some time
  * @param engines chooses among engines
  * @param plain chooses among upstreams of plain services
  * @param crashes knows the prompts that crash upstreams
@@ -29,6 +31,7 @@
         ConfigurationHolder configuration,
         ReplicaRegistry replicas,
         UpstreamTracks tracks,
+        UpstreamNotices notices,
         EnginePlacement engines,
         Placement plain,
         RetryAllowance retries,
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
@@ -61,6 +61,7 @@
                     metadata.load()
                             .ifPresent(load ->
                                     track.recordLoad(load, services.clock().nanoTime()));
+                    services.notices().record(engine, metadata, caller.attemptId());
                     result = "upstream_" + reply.status();
                     if (reply.status() == OK) {
                         PrefillResponse response = services.dialect().readPrefillResponse(reply.body());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -165,7 +165,7 @@
             }
             try {
                 exchange.awaitHeaders();
-                return receive(exchange, track, sentAt);
+                return receive(exchange, upstream, track, sentAt);
             } finally {
                 log.add("connection" + sends, exchange.usesKeptConnection() ? "kept" : "new");
             }
@@ -184,12 +184,14 @@
         }
     }
 
-    private SendOutcome receive(HttpExchange exchange, UpstreamTrack track, long sentAt) throws InterruptedException {
+    private SendOutcome receive(HttpExchange exchange, ReplicaEntry upstream, UpstreamTrack track, long sentAt)
+            throws InterruptedException {
         int status = exchange.status();
         List<HeaderField> headers = exchange.headers();
         ResponseMetadata metadata = services.dialect().readResponse(status, headers);
         metadata.load()
                 .ifPresent(load -> track.recordLoad(load, services.clock().nanoTime()));
+        services.notices().record(upstream, metadata, request.metadata().attempt());
         if (metadata.instanceMismatch()) {
             drainRefusal(exchange);
             return new SendOutcome.NotRun("other_instance");
--- a/modules/banyantally/src/main/java/io/banyantally/internal/logging/RequestExplanation.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/logging/RequestExplanation.java
@@ -133,6 +133,10 @@
             case "upstream_error" ->
                 "The upstream failed the request itself, and its answer was passed on; " + sends(request);
             case "cut" -> "The answer was cut because it could not be completed" + detail + "; " + sends(request);
+            case "upstreams_waiting" ->
+                "Refused without having run: all upstreams had asked for no requests for some time.";
+            case "no_memory" ->
+                "Refused without having run: bodies of other requests left no memory for this one" + detail + ".";
             case "no_upstream" -> "Refused without having run: no listed upstream took work.";
             case "draining" -> "Refused without having run: the VM was shutting down.";
             case "upstream_failed" -> "The last upstream did not answer completely" + detail + "; " + sends(request);
