Pass no status on that promises "not run" for a request that may have run

Callers saw: 408 from an upstream that had run the request. They take it for a promise that it has not run, and send a non-idempotent request once more (REFUSED). Cause: what an answer promises was decided in UpstreamSender case by case; 429 and 503 without X-Not-Executed were held back, 408 was not. Class: a list of cases kept apart from the callers' one. Ruled out: 421, which the users' pages name as "not run" by itself. Change: ResponseStatement is the one place that decides from the head of an answer whether it is the request's, and whether the request has run, may have run or has not; a success that claims "not run" promises nothing.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/Refusal.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/Refusal.java
@@ -16,6 +16,8 @@
     static final int NOT_FOUND = 404;
     static final int REQUEST_TIMEOUT = 408;
     static final int BODY_TOO_LARGE = 413;
+    static final int MISDIRECTED = 421;
+    static final int TOO_MANY_REQUESTS = 429;
     static final int HEADERS_TOO_LARGE = 431;
     static final int BAD_GATEWAY = 502;
     static final int UNAVAILABLE = 503;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
@@ -7,10 +7,8 @@
 import io.banyantally.deployment.UpstreamRequestOptions;
 import io.banyantally.internal.adapter.HttpCall;
 import io.banyantally.model.UpstreamId;
-import io.banyantally.upstream.HeaderField;
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -30,21 +28,6 @@
         this.request = request;
     }
 
-    /**
-     * Returns why a response does not belong to this attempt; empty if it does. On a connection that is kept, the late
-     * copy of another response may precede the one that belongs to the request.
-     *
-     * @param mayBeUnnamed whether a response that names no attempt is taken
-     */
-    private Optional<String> mismatch(int status, List<HeaderField> headers, boolean mayBeUnnamed) {
-        Optional<String> attempt =
-                services.dialect().readResponse(status, headers).attempt();
-        if (attempt.isEmpty()) {
-            return mayBeUnnamed ? Optional.empty() : Optional.of("unnamed_answer");
-        }
-        return attempt.get().equals(request.metadata().attempt()) ? Optional.empty() : Optional.of("crossed_answer");
-    }
-
     /** Makes later calls resume the stream after this event. */
     void resumeAfter(OptionalLong eventId) {
         resumeAfter = eventId;
@@ -78,6 +61,9 @@
                 ownConnection,
                 remaining,
                 () -> true,
-                (status, headers) -> mismatch(status, headers, mayBeUnnamed));
+                (status, headers) -> ResponseStatement.mismatch(
+                        services.dialect().readResponse(status, headers),
+                        request.metadata().attempt(),
+                        mayBeUnnamed));
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -32,7 +32,6 @@
     private static final double NANOS_PER_MILLI = 1_000_000;
     private static final int SUCCESS_FIRST = 200;
     private static final int SUCCESS_LAST = 299;
-    private static final int TOO_MANY_REQUESTS = 429;
     private static final int BUFFER_BYTES = 16 * 1024;
 
     /** Responses of plain services are buffered before they are forwarded, so that the caller gets no truncated one. */
@@ -192,26 +191,17 @@
         metadata.load()
                 .ifPresent(load -> track.recordLoad(load, services.clock().nanoTime()));
         services.notices().record(upstream, metadata, request.metadata().attempt());
-        if (metadata.instanceMismatch()) {
-            drainRefusal(exchange);
-            return new SendOutcome.NotRun("other_instance");
-        }
-        if (metadata.notExecuted()) {
-            drainRefusal(exchange);
-            return new SendOutcome.NotRun("upstream_" + status);
+        switch (ResponseStatement.of(status, metadata)) {
+            case ResponseStatement.NotRun notRun -> {
+                drainRefusal(exchange);
+                return new SendOutcome.NotRun(notRun.reason());
+            }
+            case ResponseStatement.MayHaveRun unclear -> {
+                return new SendOutcome.Unknown(unclear.reason());
+            }
+            case ResponseStatement.Ran ran -> {}
         }
         boolean success = status >= SUCCESS_FIRST && status <= SUCCESS_LAST;
-        if (success && !metadata.signed()) {
-            return new SendOutcome.Unknown("unsigned_answer");
-        }
-        if (success && metadata.attempt().isEmpty()) {
-            // Upstreams echo the attempt; without it these may be late bytes of another response.
-            return new SendOutcome.Unknown("unnamed_answer");
-        }
-        if (!success && (status == Refusal.UNAVAILABLE || status == TOO_MANY_REQUESTS)) {
-            // To the caller this status would mean that the request has not run, which the upstream does not state.
-            return new SendOutcome.Unknown("upstream_" + status);
-        }
         if (success && callerStream.isPresent() && status != startedStatus) {
             return new SendOutcome.Unknown("other_status");
         }
