Count the use of a missing entry from when it was last known to be there

Cause: any failed call within the last 1.8 s made a missing entry pass for one that lapsed in an outage, which stays in use for 1.8 s from the moment at which the VM learns of it, and then until the next upkeep. Class: a bound counted from the notice instead of from the event. Ruled out: a length of outage derived from the replicas' check-ins, which this process does not need to know for the bound. Change: the listener learns when its watcher has caught up. A missing entry is used until 1.8 s after it was last known to be there if a call failed since; only if the store was silent to all calls for 1.8 s, until 1.8 s after its return. Placement checks the time itself.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixListener.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixListener.java
@@ -11,4 +11,7 @@
 
     /** Applies changes to the known items. */
     void changed(StoreChanges changes);
+
+    /** All changes until now have been delivered; called after each answer of the store, also one without changes. */
+    default void caughtUp() {}
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixWatcher.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixWatcher.java
@@ -109,6 +109,7 @@
         StoreListing listing = store.list(prefix);
         health.answered();
         listener.listed(listing);
+        listener.caughtUp();
         return listing.revision();
     }
 
@@ -117,7 +118,10 @@
         health.answered();
         if (!changes.changes().isEmpty()) {
             listener.changed(changes);
+            listener.caughtUp();
             sleeper.sleep(BATCHING_DELAY);
+        } else {
+            listener.caughtUp();
         }
         return changes.revision();
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
@@ -7,6 +7,7 @@
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.timeline.EventField;
 import io.banyantally.model.ServiceName;
+import io.banyantally.model.UpstreamId;
 import io.banyantally.platform.CoordinationStore.StoreChange;
 import io.banyantally.platform.CoordinationStore.StoreChanges;
 import io.banyantally.platform.CoordinationStore.StoreItem;
@@ -18,18 +19,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
 /**
  * The upstreams that have an entry in the platform's store. While the store is unavailable, the last known entries stay
- * in use. An entry that is missing after an outage may have expired because of it, so it stays in use for a short time.
+ * in use. An entry that is missing after an outage may have expired because of it, so it stays in use for a short time;
+ * after a failed call without an outage, only as long as an upstream that left during the call may be used.
  */
 public final class ReplicaRegistry implements PrefixListener {
 
     /**
-     * How long an entry that expired during an outage of the store is still used. Live upstreams register again within
-     * two seconds after the outage, and two seconds after an upstream leaves it must get no new work.
+     * How long a missing entry is still used, from the end of an outage that was at least as long, else from the last
+     * time at which the entry was known to be there. Live upstreams register again within two seconds after the outage,
+     * and two seconds after an upstream leaves it must get no new work.
      */
     static final Duration LAPSED_ENTRY_GRACE = Duration.ofMillis(1800);
 
@@ -39,7 +43,9 @@
     private final StoreHealth health;
     private final MonotonicClock clock;
     private final Map<StoreKey, ReplicaEntry> entries = new HashMap<>();
-    private final Map<StoreKey, Long> missingSince = new HashMap<>();
+    private final Map<StoreKey, Long> missingUntil = new HashMap<>();
+    private long caughtUpAt;
+    private volatile Map<UpstreamId, Long> usableUntil = Map.of();
     private volatile Map<ServiceName, List<ReplicaEntry>> byService = Map.of();
 
     /** Creates an empty registry. */
@@ -47,6 +53,7 @@
         this.reader = reader;
         this.health = health;
         this.clock = clock;
+        this.caughtUpAt = clock.nanoTime();
     }
 
     /** Returns all known upstreams of a service, leaving ones included. */
@@ -56,7 +63,12 @@
 
     /** Returns the upstreams of a service that accept new work. */
     public List<ReplicaEntry> accepting(ServiceName service) {
-        return replicas(service).stream().filter(entry -> !entry.draining()).toList();
+        return replicas(service).stream().filter(this::isAccepting).toList();
+    }
+
+    private boolean isAccepting(ReplicaEntry entry) {
+        Long until = usableUntil.get(entry.id());
+        return !entry.draining() && (until == null || clock.nanoTime() - until < 0);
     }
 
     /** Returns all known upstreams. */
@@ -88,14 +100,19 @@
         rebuildIndex();
     }
 
-    /** Drops missing entries after {@link #LAPSED_ENTRY_GRACE}; call it several times a second. */
+    @Override
+    public synchronized void caughtUp() {
+        caughtUpAt = clock.nanoTime();
+    }
+
+    /** Drops missing entries that are no longer used; call it several times a second. */
     public synchronized void dropLapsed() {
-        if (missingSince.isEmpty() || !health.isReachable()) {
+        if (missingUntil.isEmpty() || !health.isReachable()) {
             return;
         }
         long now = clock.nanoTime();
-        List<StoreKey> expired = missingSince.entrySet().stream()
-                .filter(missing -> now - missing.getValue() >= LAPSED_ENTRY_GRACE.toNanos())
+        List<StoreKey> expired = missingUntil.entrySet().stream()
+                .filter(missing -> now - missing.getValue() >= 0)
                 .map(Map.Entry::getKey)
                 .toList();
         expired.forEach(key -> remove(key, "lapsed"));
@@ -105,7 +122,7 @@
     }
 
     private void read(StoreItem item) {
-        missingSince.remove(item.key());
+        missingUntil.remove(item.key());
         try {
             ReplicaEntry entry = reader.replica(item.key(), item.value());
             ReplicaEntry previous = entries.put(item.key(), entry);
@@ -144,16 +161,26 @@
         if (!entries.containsKey(key)) {
             return;
         }
-        boolean leaving = entries.get(key).draining();
-        if (!leaving && health.wasUnreachableWithin(LAPSED_ENTRY_GRACE)) {
-            missingSince.putIfAbsent(key, clock.nanoTime());
+        long until = usableUntil();
+        if (!entries.get(key).draining() && clock.nanoTime() - until < 0) {
+            missingUntil.putIfAbsent(key, until);
         } else {
             remove(key, "removed");
         }
     }
 
+    /** Returns until when an entry that is found missing now may be used, in monotonic nanoseconds. */
+    private long usableUntil() {
+        long now = clock.nanoTime();
+        OptionalLong regainedAt = health.regainedAfter(LAPSED_ENTRY_GRACE);
+        if (regainedAt.isPresent() && now - regainedAt.getAsLong() < LAPSED_ENTRY_GRACE.toNanos()) {
+            return regainedAt.getAsLong() + LAPSED_ENTRY_GRACE.toNanos();
+        }
+        return health.hasFailedSince(caughtUpAt) ? caughtUpAt + LAPSED_ENTRY_GRACE.toNanos() : now;
+    }
+
     private void remove(StoreKey key, String reason) {
-        missingSince.remove(key);
+        missingUntil.remove(key);
         ReplicaEntry removed = entries.remove(key);
         if (removed != null) {
             LOG.info("upstream_gone", EventField.of("upstream", removed.id()), EventField.of("reason", reason));
@@ -161,6 +188,9 @@
     }
 
     private void rebuildIndex() {
+        Map<UpstreamId, Long> limits = new HashMap<>();
+        missingUntil.forEach((key, until) -> limits.put(entries.get(key).id(), until));
+        usableUntil = Map.copyOf(limits);
         byService = entries.values().stream()
                 .collect(Collectors.collectingAndThen(
                         Collectors.groupingBy(ReplicaEntry::service, Collectors.toUnmodifiableList()), Map::copyOf));
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryTest.java
@@ -19,6 +19,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
@@ -67,6 +68,51 @@
         assertEquals(List.of(), accepting());
     }
 
+    /** Guards against work for an upstream more than two seconds after it left, because a watch was cut meanwhile. */
+    @Test
+    void upstreamThatLeavesWhileAWatchIsCutIsDroppedInTime() throws StoreException {
+        write("a", "ready");
+        clock.advance(PrefixWatcher.SHORT_WATCH);
+        store.delete(PREFIX + "a");
+        outage();
+        clock.advance(PrefixWatcher.FIRST_RETRY_DELAY.multipliedBy(2));
+        health.answered();
+        feed.deliver();
+
+        clock.advance(ReplicaRegistry.LAPSED_ENTRY_GRACE.minus(PrefixWatcher.FIRST_RETRY_DELAY.multipliedBy(2)));
+
+        assertEquals(List.of(), accepting());
+    }
+
+    /** Guards against counting the time in use from the answer to a watch that hung while other calls were answered. */
+    @Test
+    void upstreamThatLeftWhileAWatchHungIsDroppedAtOnce() throws StoreException {
+        write("a", "ready");
+        store.delete(PREFIX + "a");
+        clock.advance(ReplicaRegistry.LAPSED_ENTRY_GRACE);
+        health.answered();
+        outage();
+        health.answered();
+        feed.deliver();
+
+        assertEquals(List.of(), accepting());
+    }
+
+    /** Guards against dropping upstreams whose entries expire shortly after the store is back from an outage. */
+    @Test
+    void entryThatExpiresAfterTheEndOfAnOutageStaysInUse() throws StoreException {
+        write("a", "ready");
+        outage();
+        clock.advance(ReplicaRegistry.LAPSED_ENTRY_GRACE);
+        health.answered();
+        feed.deliver();
+        clock.advance(Duration.ofMillis(500));
+        store.delete(PREFIX + "a");
+        feed.deliver();
+
+        assertEquals(List.of("a"), accepting());
+    }
+
     /** Guards against dropping an upstream that registers again within its grace period. */
     @Test
     void upstreamThatReturnsAfterAnOutageStays() throws StoreException {
--- a/modules/banyantally/src/test/java/io/banyantally/testing/StoreFeed.java
+++ b/modules/banyantally/src/test/java/io/banyantally/testing/StoreFeed.java
@@ -35,6 +35,7 @@
             listener.changed(changes);
             position = Optional.of(changes.revision());
         }
+        listener.caughtUp();
     }
 
     /** Delivers a new listing, as after the store has discarded its history. */
