Keep entries of an outage in use while the store is away again

Change: such entries stay in use while the store is unreachable, as before; an entry that went missing in a failed call only does not.

--- a/modules/banyantally/src/main/java/io/banyantally/deployment/RequestDialect.java
+++ b/modules/banyantally/src/main/java/io/banyantally/deployment/RequestDialect.java
@@ -2,6 +2,7 @@
 
 import io.banyantally.upstream.HeaderField;
 import java.util.List;
+import java.util.Optional;
 
 /** Translates between the HTTP headers of a deployment and the data on which the gateway decides. */
 public interface RequestDialect {
@@ -12,6 +13,9 @@
     /** Returns the headers to send to an upstream: those of the caller that are forwarded, and those of the gateway. */
     List<HeaderField> upstreamHeaders(List<HeaderField> callerHeaders, UpstreamRequestOptions send);
 
+    /** Returns the attempt that a response names. */
+    Optional<String> answeredAttempt(List<HeaderField> headers);
+
     /** Parses the status and headers of an upstream's response. */
     ResponseMetadata readResponse(int status, List<HeaderField> headers);
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -59,7 +59,7 @@
     private Optional<String> mismatch(Response received) {
         return HttpStatus.isInformational(received.getStatus())
                 ? Optional.empty()
-                : call.responseCheck().mismatch(received.getStatus(), headerFields(received));
+                : call.responseCheck().mismatch(headerFields(received));
     }
 
     InputStreamResponseListener listener() {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixWatcher.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixWatcher.java
@@ -116,12 +116,13 @@
     private StoreRevision watch(StoreRevision after, Duration wait) throws StoreException, InterruptedException {
         StoreChanges changes = store.awaitChanges(prefix, after, wait);
         health.answered();
-        if (!changes.changes().isEmpty()) {
+        boolean changed = !changes.changes().isEmpty();
+        if (changed) {
             listener.changed(changes);
-            listener.caughtUp();
+        }
+        listener.caughtUp();
+        if (changed) {
             sleeper.sleep(BATCHING_DELAY);
-        } else {
-            listener.caughtUp();
         }
         return changes.revision();
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
@@ -43,9 +43,9 @@
     private final StoreHealth health;
     private final MonotonicClock clock;
     private final Map<StoreKey, ReplicaEntry> entries = new HashMap<>();
-    private final Map<StoreKey, Long> missingUntil = new HashMap<>();
+    private final Map<StoreKey, Missing> missing = new HashMap<>();
     private long caughtUpAt;
-    private volatile Map<UpstreamId, Long> usableUntil = Map.of();
+    private volatile Map<UpstreamId, Missing> missingById = Map.of();
     private volatile Map<ServiceName, List<ReplicaEntry>> byService = Map.of();
 
     /** Creates an empty registry. */
@@ -67,8 +67,12 @@
     }
 
     private boolean isAccepting(ReplicaEntry entry) {
-        Long until = usableUntil.get(entry.id());
-        return !entry.draining() && (until == null || clock.nanoTime() - until < 0);
+        Missing absence = missingById.get(entry.id());
+        return !entry.draining() && (absence == null || isUsable(absence));
+    }
+
+    private boolean isUsable(Missing absence) {
+        return clock.nanoTime() - absence.until() < 0 || (absence.afterOutage() && !health.isReachable());
     }
 
     /** Returns all known upstreams. */
@@ -107,12 +111,11 @@
 
     /** Drops missing entries that are no longer used; call it several times a second. */
     public synchronized void dropLapsed() {
-        if (missingUntil.isEmpty() || !health.isReachable()) {
+        if (missing.isEmpty()) {
             return;
         }
-        long now = clock.nanoTime();
-        List<StoreKey> expired = missingUntil.entrySet().stream()
-                .filter(missing -> now - missing.getValue() >= 0)
+        List<StoreKey> expired = missing.entrySet().stream()
+                .filter(absence -> !isUsable(absence.getValue()))
                 .map(Map.Entry::getKey)
                 .toList();
         expired.forEach(key -> remove(key, "lapsed"));
@@ -122,7 +125,7 @@
     }
 
     private void read(StoreItem item) {
-        missingUntil.remove(item.key());
+        missing.remove(item.key());
         try {
             ReplicaEntry entry = reader.replica(item.key(), item.value());
             ReplicaEntry previous = entries.put(item.key(), entry);
@@ -161,26 +164,26 @@
         if (!entries.containsKey(key)) {
             return;
         }
-        long until = usableUntil();
-        if (!entries.get(key).draining() && clock.nanoTime() - until < 0) {
-            missingUntil.putIfAbsent(key, until);
+        Missing absence = beginAbsence();
+        if (!entries.get(key).draining() && isUsable(absence)) {
+            missing.putIfAbsent(key, absence);
         } else {
             remove(key, "removed");
         }
     }
 
-    /** Returns until when an entry that is found missing now may be used, in monotonic nanoseconds. */
-    private long usableUntil() {
+    /** Returns how long an entry that is found missing now may be used. */
+    private Missing beginAbsence() {
         long now = clock.nanoTime();
         OptionalLong regainedAt = health.regainedAfter(LAPSED_ENTRY_GRACE);
         if (regainedAt.isPresent() && now - regainedAt.getAsLong() < LAPSED_ENTRY_GRACE.toNanos()) {
-            return regainedAt.getAsLong() + LAPSED_ENTRY_GRACE.toNanos();
+            return new Missing(regainedAt.getAsLong() + LAPSED_ENTRY_GRACE.toNanos(), true);
         }
-        return health.hasFailedSince(caughtUpAt) ? caughtUpAt + LAPSED_ENTRY_GRACE.toNanos() : now;
+        return new Missing(health.hasFailedSince(caughtUpAt) ? caughtUpAt + LAPSED_ENTRY_GRACE.toNanos() : now, false);
     }
 
     private void remove(StoreKey key, String reason) {
-        missingUntil.remove(key);
+        missing.remove(key);
         ReplicaEntry removed = entries.remove(key);
         if (removed != null) {
             LOG.info("upstream_gone", EventField.of("upstream", removed.id()), EventField.of("reason", reason));
@@ -188,11 +191,19 @@
     }
 
     private void rebuildIndex() {
-        Map<UpstreamId, Long> limits = new HashMap<>();
-        missingUntil.forEach((key, until) -> limits.put(entries.get(key).id(), until));
-        usableUntil = Map.copyOf(limits);
+        missingById = missing.entrySet().stream()
+                .collect(Collectors.toUnmodifiableMap(
+                        absence -> entries.get(absence.getKey()).id(), Map.Entry::getValue));
         byService = entries.values().stream()
                 .collect(Collectors.collectingAndThen(
                         Collectors.groupingBy(ReplicaEntry::service, Collectors.toUnmodifiableList()), Map::copyOf));
     }
+
+    /**
+     * An entry that is missing but may still be used.
+     *
+     * @param until the monotonic time in nanoseconds until which it is used
+     * @param afterOutage whether it is also used while the store is unreachable again, since an outage may have ended it
+     */
+    private record Missing(long until, boolean afterOutage) {}
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ResponseStatement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ResponseStatement.java
@@ -22,13 +22,14 @@
      * Returns in one word why a response does not belong to an attempt; empty if it does. On a connection that was kept,
      * the late copy of another response may precede the one that belongs to the request.
      *
+     * @param answered the attempt that the response names
      * @param mayBeUnnamed whether a response that names no attempt is taken
      */
-    static Optional<String> mismatch(ResponseMetadata response, String attempt, boolean mayBeUnnamed) {
-        if (response.attempt().isEmpty()) {
+    static Optional<String> mismatch(Optional<String> answered, String attempt, boolean mayBeUnnamed) {
+        if (answered.isEmpty()) {
             return mayBeUnnamed ? Optional.empty() : Optional.of("unnamed_answer");
         }
-        return response.attempt().get().equals(attempt) ? Optional.empty() : Optional.of("crossed_answer");
+        return answered.get().equals(attempt) ? Optional.empty() : Optional.of("crossed_answer");
     }
 
     /** Reads the head of a response that belongs to the request. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
@@ -61,8 +61,8 @@
                 ownConnection,
                 remaining,
                 () -> true,
-                (status, headers) -> ResponseStatement.mismatch(
-                        services.dialect().readResponse(status, headers),
+                headers -> ResponseStatement.mismatch(
+                        services.dialect().answeredAttempt(headers),
                         request.metadata().attempt(),
                         mayBeUnnamed));
     }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryTest.java
@@ -113,6 +113,25 @@
         assertEquals(List.of("a"), accepting());
     }
 
+    /** Guards against a service without upstreams while the store is away once more, before they could register. */
+    @Test
+    void entryThatExpiredInAnOutageStaysInUseDuringTheNext() throws StoreException {
+        write("a", "ready");
+        outage();
+        clock.advance(ReplicaRegistry.LAPSED_ENTRY_GRACE);
+        store.delete(PREFIX + "a");
+        health.answered();
+        feed.deliver();
+        outage();
+        clock.advance(ReplicaRegistry.LAPSED_ENTRY_GRACE.multipliedBy(3));
+        registry.dropLapsed();
+        assertEquals(List.of("a"), accepting());
+
+        health.answered();
+        registry.dropLapsed();
+        assertEquals(List.of(), accepting());
+    }
+
     /** Guards against dropping an upstream that registers again within its grace period. */
     @Test
     void upstreamThatReturnsAfterAnOutageStays() throws StoreException {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/forwarding/ResponseStatementTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/forwarding/ResponseStatementTest.java
@@ -67,10 +67,10 @@
         ResponseMetadata named = metadata(200, false, true, true);
         ResponseMetadata unnamed = metadata(200, false, true, false);
 
-        assertEquals(Optional.empty(), ResponseStatement.mismatch(named, "attempt", false));
-        assertEquals(Optional.of("crossed_answer"), ResponseStatement.mismatch(named, "other", true));
-        assertEquals(Optional.of("unnamed_answer"), ResponseStatement.mismatch(unnamed, "attempt", false));
-        assertEquals(Optional.empty(), ResponseStatement.mismatch(unnamed, "attempt", true));
+        assertEquals(Optional.empty(), ResponseStatement.mismatch(named.attempt(), "attempt", false));
+        assertEquals(Optional.of("crossed_answer"), ResponseStatement.mismatch(named.attempt(), "other", true));
+        assertEquals(Optional.of("unnamed_answer"), ResponseStatement.mismatch(unnamed.attempt(), "attempt", false));
+        assertEquals(Optional.empty(), ResponseStatement.mismatch(unnamed.attempt(), "attempt", true));
         assertInstanceOf(ResponseStatement.MayHaveRun.class, ResponseStatement.of(200, unnamed));
     }
 
