Free the memory of responses before the KV cache is released

Cause: at the end of a request the release of its unused KV cache came first; if that call failed at once, the memory of its responses stayed reserved for the life of the process. Change: the memory is freed first, which cannot fail.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -257,8 +257,8 @@
                 }
             }
         } finally {
-            prefilledCache.ifPresent(prefillSender::releaseCache);
             sender.close();
+            prefilledCache.ifPresent(prefillSender::releaseCache);
         }
     }
 
