Use a second connection for an attempt by address, not by upstream

Callers got 503, a promise that their request has not run, for a stream that ran; with a retry left, the stream ran twice.

Cause: a refusal is matched to a request by the attempt that it names. An attempt that reaches an upstream again gets a connection of its own, as a late copy of the first refusal would name it, too. The check went by the id of the upstream, but connections are kept by address: an upstream that replaces another one at its address has another id. Its refusal of the prefill, written once more, was taken for one of the run.

On the code before this change RepeatedAnswerTest.repeatedRefusalOfAReplacedEngineIsNotTakenForOneOfIts Successor got 503 for the stream that ran. Ruled out: the name of the answer is right, and so is its connection.

Change: the check goes by address, as the pool does. This covers plain sends, prefills, decodes and resumed streams, which share this code; orders and usage reports have connections of their own anyway. RepeatedAnswerTest, RepeatedAnswerConnectionTest and PromisedStatusTest: 15 of 15 pass.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
@@ -6,7 +6,7 @@
 import io.banyantally.deployment.RequestKind;
 import io.banyantally.deployment.UpstreamRequestOptions;
 import io.banyantally.internal.adapter.HttpCall;
-import io.banyantally.model.UpstreamId;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
@@ -19,7 +19,7 @@
     private final ForwardingServices services;
     private final CallerExchange caller;
     private final AdmittedRequest request;
-    private final Set<UpstreamId> called = new HashSet<>();
+    private final Set<InetSocketAddress> called = new HashSet<>();
     private OptionalLong resumeAfter = OptionalLong.empty();
 
     UpstreamCallFactory(ForwardingServices services, CallerExchange caller, AdmittedRequest request) {
@@ -49,8 +49,10 @@
                 resumeAfter,
                 stage,
                 prefilledCache);
-        // The late copy of the first answer to this attempt would name it, too.
-        boolean ownConnection = !called.add(upstream.id()) || request.route().kind() == RequestKind.NON_IDEMPOTENT;
+        // The late copy of the first answer to this attempt would name it, too. Upstreams may succeed each other at an
+        // address, and connections are kept by address.
+        boolean ownConnection =
+                !called.add(upstream.address()) || request.route().kind() == RequestKind.NON_IDEMPOTENT;
         boolean mayBeUnnamed = ownConnection && stage == EngineStage.NONE;
         return new HttpCall(
                 upstream.address(),
