Take an answer as complete once all of its announced bytes are read

Callers got 502 for an answer that was whole, if the upstream had written further bytes behind it: EndlessAnswerTest.bytesAfterACompleteAnswerDoNot ReachTheNextRequest, a known failure, failed on its first request.

Cause: after the last announced byte the gateway reads on, to see the end of the response. With further bytes behind it, this read fails inside the HTTP library (an AssertionError in HttpReceiverOverHTTP.parseAndFill if assertions are on), and the failure was taken for one of the answer. Ruled out: the late bytes themselves, which no longer reach a caller.

Change: a failure after all announced bytes ends the body, and the connection is closed. Answers without a length still fail.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -205,26 +205,43 @@
     /** Reports the number of content bytes to the connection, which limits the other bytes of a response. */
     private final class CountingInputStream extends FilterInputStream {
 
+        /** Bytes of the announced length that were not read; negative without such a length. */
+        private long unreadBytes = response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
+
         CountingInputStream(InputStream content) {
             super(content);
         }
 
         @Override
         public int read() throws IOException {
-            int next = super.read();
-            if (next >= 0) {
-                endPoint.ifPresent(connected -> connected.contentRead(1));
-            }
-            return next;
+            byte[] next = new byte[1];
+            return read(next, 0, 1) < 0 ? -1 : next[0] & 0xFF;
         }
 
         @Override
         public int read(byte[] bytes, int offset, int length) throws IOException {
-            int count = super.read(bytes, offset, length);
+            int count = readOrEnd(bytes, offset, length);
             if (count > 0) {
+                unreadBytes -= count;
                 endPoint.ifPresent(connected -> connected.contentRead(count));
             }
             return count;
         }
+
+        /**
+         * Jetty may fail while it looks for the end of a response behind whose content further bytes follow; the response
+         * is complete, but its connection is not usable.
+         */
+        private int readOrEnd(byte[] bytes, int offset, int length) throws IOException {
+            try {
+                return super.read(bytes, offset, length);
+            } catch (IOException | AssertionError failure) {
+                if (unreadBytes != 0) {
+                    throw failure;
+                }
+                closeConnection();
+                return -1;
+            }
+        }
     }
 }
