Send each generation over a connection of its own

The entry daemon told callers that a generation had not run, or sent it to a second engine, although the engine was running it.

Cause: a generation went over a pooled connection, which also carries load reports and cancellations. Their responses name no exchange, so a 503 that an engine wrote once more was read as the refusal of the next generation there, and a refusal means "not run".

Ruled out: other calls of the daemon that may not run twice. Plain calls and orders have connections of their own, and chunks of a stream name their exchange.

Change: a generation has a connection of its own. One more connection is opened for each generation; its cost was not measured.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpEngine.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpEngine.java
@@ -62,7 +62,7 @@
 
     @Override
     public AnswerStream generate(GenerationRequest request) throws UpstreamException, InterruptedException {
-        HttpCall call = HttpCall.query(address, "/generate", request, streamIdleTimeout);
+        HttpCall call = HttpCall.write(address, "/generate", request, streamIdleTimeout);
         HttpExchange exchange;
         try {
             exchange = client.open(call);
