Measure the cost of notices for a decision among 500 upstreams

There was no measurement of a gateway's decision.

Change: ./banyantally measure notices compares decisions without the check, without a notice, and with a fifth of the upstreams leaving and a fifth waiting; the three take turns.

--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/MeasureCommand.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/MeasureCommand.java
@@ -13,7 +13,8 @@
             ConfigurationMeasurement.class,
             AdapterMeasurement.class,
             DecisionCostCommand.class,
-            ExchangeCostCommand.class
+            ExchangeCostCommand.class,
+            NoticeCostCommand.class
         },
         description = "Measures single parts of the system.")
 public final class MeasureCommand implements Runnable {
