Log a failure behind the last byte of a response

The read that fails behind the announced bytes of a response was turned into an end without a log line, and an interrupt of the reader as well.

Change: the failure is logged with the call (response_end_unclear, one line for each closed connection), and an interrupt is passed on.

Measured: EndlessAnswerTest, RepeatedAnswerTest and RepeatedAnswerConnectionTest, 70 of 70 pass, beside other load; the line is in their output.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -1,5 +1,7 @@
 package io.banyantally.internal.adapter;
 
+import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.timeline.EventField;
 import io.banyantally.upstream.HeaderField;
 import java.io.ByteArrayOutputStream;
 import java.io.FilterInputStream;
@@ -27,6 +29,8 @@
 
     private static final int BUFFER_BYTES = 8192;
 
+    private static final EventLog LOG = EventLog.of(HttpExchange.class);
+
     private final HttpCall call;
     private final Request request;
     private final InputStreamResponseListener listener = new InputStreamResponseListener();
@@ -235,10 +239,16 @@
         private int readOrEnd(byte[] bytes, int offset, int length) throws IOException {
             try {
                 return super.read(bytes, offset, length);
+            } catch (InterruptedIOException interrupted) {
+                throw interrupted;
             } catch (IOException | AssertionError failure) {
                 if (unreadBytes != 0) {
                     throw failure;
                 }
+                LOG.warn(
+                        "response_end_unclear",
+                        EventField.of("call", call),
+                        EventField.of("detail", String.valueOf(failure)));
                 closeConnection();
                 return -1;
             }
