Ignore entries that an upstream wrote before it left

Callers' requests reached an upstream that had said that it leaves: its write from before that, which had got no answer, was applied by the store after the entry that says draining, or after the entry's removal, and the registry took the newest revision whatever the upstream's own count says.

The registry now keeps the last entry of each upstream, also after its removal. An entry with a lower sequence of the same start, a ready one after a draining one of the same start, and one of an earlier start while the known one leaves or is gone are logged and ignored. Sequence and start are the upstream's own, so no clocks of two processes are compared.

--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/NoticeCostCommand.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/NoticeCostCommand.java
@@ -130,7 +130,8 @@
                     false,
                     EngineStage.NONE,
                     false,
-                    OptionalLong.of(1)));
+                    OptionalLong.of(1),
+                    OptionalLong.empty()));
         }
         return entries;
     }
--- a/modules/banyantally/src/main/java/io/banyantally/deployment/ReplicaEntry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/deployment/ReplicaEntry.java
@@ -14,6 +14,7 @@
  * @param cheap whether the platform may reclaim it
  * @param startedAtMillis when its process started, in wall-clock milliseconds; differs after a restart under the same
  *     id
+ * @param sequence counts the entries that the upstream writes in one lifetime; empty if it does not count them
  */
 public record ReplicaEntry(
         UpstreamId id,
@@ -24,7 +25,8 @@
         boolean draining,
         EngineStage stage,
         boolean cheap,
-        OptionalLong startedAtMillis) {
+        OptionalLong startedAtMillis,
+        OptionalLong sequence) {
 
     /** Rejects upstreams without a slot. */
     public ReplicaEntry {
@@ -35,6 +37,7 @@
 
     /** Returns the same entry with another stage. */
     public ReplicaEntry withStage(EngineStage newStage) {
-        return new ReplicaEntry(id, service, address, zone, slots, draining, newStage, cheap, startedAtMillis);
+        return new ReplicaEntry(
+                id, service, address, zone, slots, draining, newStage, cheap, startedAtMillis, sequence);
     }
 }
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/LastUpstreamEntries.java
@@ -0,0 +1,60 @@
+package io.banyantally.internal.deployment;
+
+import io.banyantally.deployment.ReplicaEntry;
+import io.banyantally.model.UpstreamId;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/**
+ * The last entry of each upstream, also of those that are gone. A write that got no answer may be applied seconds later,
+ * so the newest revision of a key is not always the upstream's newest entry.
+ */
+final class LastUpstreamEntries {
+
+    /** Far more than the upstreams that leave while one of their writes may still be applied. */
+    private static final int MAXIMUM_UPSTREAMS = 10_000;
+
+    private final Map<UpstreamId, Last> lastById = new LinkedHashMap<>();
+
+    /** Returns whether the upstream wrote an entry before the last one that is known of it. */
+    boolean isOutdated(ReplicaEntry entry) {
+        Last last = lastById.get(entry.id());
+        if (last == null) {
+            return false;
+        }
+        ReplicaEntry former = last.entry();
+        if (!former.startedAtMillis().equals(entry.startedAtMillis())) {
+            return (former.draining() || last.gone())
+                    && isBefore(entry.startedAtMillis(), former.startedAtMillis(), false);
+        }
+        return (former.draining() && !entry.draining()) || isBefore(entry.sequence(), former.sequence(), last.gone());
+    }
+
+    private static boolean isBefore(OptionalLong number, OptionalLong former, boolean orEqual) {
+        return number.isPresent()
+                && former.isPresent()
+                && (number.getAsLong() < former.getAsLong() || (orEqual && number.equals(former)));
+    }
+
+    /** Records an entry that is in the store. */
+    void present(ReplicaEntry entry) {
+        put(new Last(entry, false));
+    }
+
+    /** Records that an entry is no longer in the store; its upstream returns with a later one, if at all. */
+    void gone(ReplicaEntry entry) {
+        put(new Last(entry, true));
+    }
+
+    private void put(Last last) {
+        // Removed first, so that the entries that were recorded longest ago are dropped first.
+        lastById.remove(last.entry().id());
+        lastById.put(last.entry().id(), last);
+        if (lastById.size() > MAXIMUM_UPSTREAMS) {
+            lastById.remove(lastById.keySet().iterator().next());
+        }
+    }
+
+    private record Last(ReplicaEntry entry, boolean gone) {}
+}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
@@ -44,6 +44,7 @@
     private final MonotonicClock clock;
     private final Map<StoreKey, ReplicaEntry> entries = new HashMap<>();
     private final Map<StoreKey, Missing> missing = new HashMap<>();
+    private final LastUpstreamEntries lastEntries = new LastUpstreamEntries();
     private long caughtUpAt;
     private volatile Map<UpstreamId, Missing> missingById = Map.of();
     private volatile Map<ServiceName, List<ReplicaEntry>> byService = Map.of();
@@ -125,12 +126,22 @@
     }
 
     private void read(StoreItem item) {
-        missing.remove(item.key());
         try {
             ReplicaEntry entry = reader.replica(item.key(), item.value());
+            if (lastEntries.isOutdated(entry)) {
+                LOG.info(
+                        "upstream_entry_outdated",
+                        EventField.of("upstream", entry.id()),
+                        EventField.of("draining", entry.draining()),
+                        EventField.of("revision", item.versioned().revision()));
+                return;
+            }
+            lastEntries.present(entry);
+            missing.remove(item.key());
             ReplicaEntry previous = entries.put(item.key(), entry);
             logChange(Optional.ofNullable(previous), entry, item);
         } catch (UnreadableDocumentException unreadable) {
+            missing.remove(item.key());
             ReplicaEntry previous = entries.remove(item.key());
             LOG.warn(
                     "upstream_unreadable",
@@ -164,6 +175,7 @@
         if (!entries.containsKey(key)) {
             return;
         }
+        lastEntries.gone(entries.get(key));
         Missing absence = beginAbsence();
         if (!entries.get(key).draining() && isUsable(absence)) {
             missing.putIfAbsent(key, absence);
--- a/modules/banyantally/src/test/java/io/banyantally/internal/crash/CrashReporterTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/crash/CrashReporterTest.java
@@ -28,7 +28,8 @@
             false,
             EngineStage.NONE,
             false,
-            OptionalLong.of(7));
+            OptionalLong.of(7),
+            OptionalLong.empty());
 
     private static final PromptMetadata PROMPT =
             new PromptMetadata(200, 10, List.of(new PromptPart("first", 100), new PromptPart("request", 100)));
--- a/modules/banyantally/src/test/java/io/banyantally/internal/crash/CrashSimulation.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/crash/CrashSimulation.java
@@ -177,6 +177,7 @@
                 false,
                 EngineStage.NONE,
                 false,
+                OptionalLong.empty(),
                 OptionalLong.empty());
     }
 
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryTest.java
@@ -206,6 +206,7 @@
                     state.equals("draining"),
                     EngineStage.NONE,
                     false,
+                    OptionalLong.empty(),
                     OptionalLong.empty());
         }
     }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/FleetReconcilerTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/FleetReconcilerTest.java
@@ -162,6 +162,7 @@
                     false,
                     EngineStage.PREFILL,
                     id.contains("cheap"),
+                    OptionalLong.empty(),
                     OptionalLong.empty());
         }
     }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/UpstreamNoticesTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/UpstreamNoticesTest.java
@@ -129,6 +129,7 @@
                 false,
                 EngineStage.NONE,
                 false,
-                OptionalLong.of(startedAtMillis));
+                OptionalLong.of(startedAtMillis),
+                OptionalLong.empty());
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/testing/Deployments.java
+++ b/modules/banyantally/src/test/java/io/banyantally/testing/Deployments.java
@@ -83,6 +83,7 @@
                 false,
                 EngineStage.NONE,
                 false,
+                OptionalLong.empty(),
                 OptionalLong.empty());
     }
 
@@ -97,6 +98,7 @@
                 false,
                 stage,
                 false,
+                OptionalLong.empty(),
                 OptionalLong.empty());
     }
 }
