Wait for changes of the store without holding a carrier thread

A VM that answers the watches of others stops doing anything else for up to a second: virtual threads in a timed Object.wait were pinned to their carriers ("Native or VM frame on stack", 70 to 110 events of jdk.VirtualThreadPinned in each of three recorded runs of RelayedStoreTest), and once all carriers were taken, sleeping threads woke up to 1,285 ms late while the process used no processor time and platform threads ran on time.

ChangeHistory now uses a lock with a condition, whose waits release the carrier. Ruled out: load of the machine (0 to 10 ms of processor time in 50 ms of a stall), tests that leave threads behind (all ended when joined).

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ChangeHistory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ChangeHistory.java
@@ -10,7 +10,9 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.Lock;
+import java.util.concurrent.locks.ReentrantLock;
 
 /** The recent changes under one prefix of the store, in the batches in which this VM has read them. */
 final class ChangeHistory {
@@ -19,6 +21,10 @@
     private static final int MAXIMUM_BATCHES = 64;
 
     private final MonotonicClock clock;
+    /** Not a monitor: waiting in one may keep a virtual thread on its carrier, and other threads from running. */
+    private final Lock lock = new ReentrantLock();
+
+    private final Condition changed = lock.newCondition();
     private final Deque<StoreChanges> batches = new ArrayDeque<>();
     private boolean started;
     private long version;
@@ -33,12 +39,17 @@
     }
 
     /** Begins again after a listing. */
-    synchronized void restart(StoreRevision revision) {
-        batches.clear();
-        start = revision;
-        started = true;
-        confirmedAt = Optional.of(clock.nanoTime());
-        changed();
+    void restart(StoreRevision revision) {
+        lock.lock();
+        try {
+            batches.clear();
+            start = revision;
+            started = true;
+            confirmedAt = Optional.of(clock.nanoTime());
+            recordChange();
+        } finally {
+            lock.unlock();
+        }
     }
 
     /**
@@ -46,66 +57,96 @@
      *
      * @param fromStore whether the store itself returned them, which shows that there were no others
      */
-    synchronized void add(StoreChanges changes, boolean fromStore) {
-        if (!changes.changes().isEmpty()) {
-            batches.addLast(changes);
-            if (batches.size() > MAXIMUM_BATCHES) {
-                start = batches.removeFirst().revision();
+    void add(StoreChanges changes, boolean fromStore) {
+        lock.lock();
+        try {
+            if (!changes.changes().isEmpty()) {
+                batches.addLast(changes);
+                if (batches.size() > MAXIMUM_BATCHES) {
+                    start = batches.removeFirst().revision();
+                }
             }
+            if (fromStore) {
+                confirmedAt = Optional.of(clock.nanoTime());
+            }
+            recordChange();
+        } finally {
+            lock.unlock();
         }
-        if (fromStore) {
-            confirmedAt = Optional.of(clock.nanoTime());
-        }
-        changed();
     }
 
     /** Makes the history unconfirmed until the store responds again. */
-    synchronized void withdrawConfirmation() {
-        confirmedAt = Optional.empty();
-        changed();
+    void withdrawConfirmation() {
+        lock.lock();
+        try {
+            confirmedAt = Optional.empty();
+            recordChange();
+        } finally {
+            lock.unlock();
+        }
     }
 
     /** Returns whether the store has returned changes, or that there are none, less than {@code limit} ago. */
-    synchronized boolean isConfirmedWithin(Duration limit) {
-        return confirmedAt.isPresent() && clock.since(confirmedAt.get()).compareTo(limit) < 0;
+    boolean isConfirmedWithin(Duration limit) {
+        lock.lock();
+        try {
+            return confirmedAt.isPresent() && clock.since(confirmedAt.get()).compareTo(limit) < 0;
+        } finally {
+            lock.unlock();
+        }
     }
 
     /** Returns all changes after a revision; empty if the history does not reach back to it. */
-    synchronized Optional<StoreChanges> after(StoreRevision revision) {
-        if (!started || revision.value() < start.value()) {
-            return Optional.empty();
-        }
-        List<StoreChange> changes = new ArrayList<>();
-        StoreRevision last = revision;
-        for (StoreChanges batch : batches) {
-            if (batch.revision().value() > revision.value()) {
-                // A batch is repeated whole; applying its changes again ends in the same state.
-                changes.addAll(batch.changes());
-                last = batch.revision();
+    Optional<StoreChanges> after(StoreRevision revision) {
+        lock.lock();
+        try {
+            if (!started || revision.value() < start.value()) {
+                return Optional.empty();
             }
+            List<StoreChange> changes = new ArrayList<>();
+            StoreRevision last = revision;
+            for (StoreChanges batch : batches) {
+                if (batch.revision().value() > revision.value()) {
+                    // A batch is repeated whole; applying its changes again ends in the same state.
+                    changes.addAll(batch.changes());
+                    last = batch.revision();
+                }
+            }
+            return Optional.of(new StoreChanges(changes, last));
+        } finally {
+            lock.unlock();
         }
-        return Optional.of(new StoreChanges(changes, last));
     }
 
     /** Returns a number that changes with the history and its confirmation. */
-    synchronized long version() {
-        return version;
+    long version() {
+        lock.lock();
+        try {
+            return version;
+        } finally {
+            lock.unlock();
+        }
     }
 
     /** Waits until the version is not {@code seen}, at most for {@code limit}. */
-    synchronized void awaitChange(long seen, Duration limit) throws InterruptedException {
-        long deadline = System.nanoTime() + limit.toNanos();
-        while (version == seen) {
-            long millis = TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime());
-            if (millis <= 0) {
-                return;
+    void awaitChange(long seen, Duration limit) throws InterruptedException {
+        lock.lock();
+        try {
+            long deadline = System.nanoTime() + limit.toNanos();
+            while (version == seen) {
+                long left = deadline - System.nanoTime();
+                if (left <= 0) {
+                    return;
+                }
+                changed.awaitNanos(left);
             }
-            wait(millis);
+        } finally {
+            lock.unlock();
         }
     }
 
-    private void changed() {
+    private void recordChange() {
         version++;
-        notifyAll();
+        changed.signalAll();
     }
 }
