Ask peers for changes while the store turns this VM away

A VM whose own store calls are refused, reset or answered late went on with its copy for as long as that lasted: requests reached upstreams that the other VMs knew to leave, and withdrawn keys worked on there.

By the users' rules such a VM may be out of touch, so that this is what they saw is only suspected.

A failed watch is now repeated at up to two connected peers, in random order; after an answer they are asked first for two seconds, so that a silent store does not delay each step. A peer answers only what its own watch of the store has confirmed, and at once if it has not, so that an outage of the store for all VMs is noticed as before (outageIsNoticedWhileTheStoreRejectsAllVms). Cost: no call of the store more, one message for each watch of such a VM, at any size of the fleet. Discarded history is still listed from the store.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
@@ -10,11 +10,15 @@
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.model.VmId;
 import io.banyantally.platform.CoordinationStore;
+import io.banyantally.platform.HistoryDiscardedException;
 import io.banyantally.platform.LeaseId;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.StoreTransaction;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -24,7 +28,8 @@
  * change ends the watches of all VMs, so direct watches take a number of calls that grows with the square of the fleet
  * while it starts.
  *
- * <p>A VM that gets no answer from the delegate watches the store itself, and so does the delegate. Each prefix is
+ * <p>A VM that gets no answer from the delegate watches the store itself, and so does the delegate. In a fleet of any
+ * size, a VM whose own watch fails asks peers, since the store may turn away one VM and serve the others. Each prefix is
  * followed by one task, which lists it before the first watch.
  */
 public final class RelayedStore implements CoordinationStore {
@@ -36,11 +41,17 @@
     private static final Duration ANSWER_MARGIN = Duration.ofMillis(300);
 
     /** Added to the time of a watch; the delegate's own watch of the store must have returned within it. */
-    private static final Duration CONFIRMATION_MARGIN = Duration.ofSeconds(1);
+    static final Duration CONFIRMATION_MARGIN = Duration.ofSeconds(1);
 
-    /** How long a VM that does not watch the store yet is waited for. */
+    /** How long a VM that does not watch the store yet is waited for, if the question may wait at all. */
     private static final Duration CONFIRMATION_WAIT = Duration.ofMillis(300);
 
+    /** How long a VM whose watch failed asks peers before it tries the store again; a silent store delays each try. */
+    private static final Duration PEERS_FIRST_TIME = Duration.ofSeconds(2);
+
+    /** Peers that are asked for one watch. */
+    private static final int MAXIMUM_PEERS = 2;
+
     private static final Topic TOPIC = new Topic("gateway.watch");
     private static final MessagePackCodec<WatchQuery> QUERIES = MessagePackCodec.of(WatchQuery.class);
     private static final MessagePackCodec<WatchAnswer> ANSWERS = MessagePackCodec.of(WatchAnswer.class);
@@ -51,6 +62,7 @@
     private final MonotonicClock clock;
     private final Counter relayed;
     private final Counter direct;
+    private final Map<String, Long> peersFirstUntil = new ConcurrentHashMap<>();
     private final Map<String, ChangeHistory> histories = new ConcurrentHashMap<>();
 
     /** Creates the store and handles the watches of peers. */
@@ -74,37 +86,69 @@
 
     @Override
     public StoreChanges awaitChanges(String prefix, StoreRevision after, Duration wait) throws StoreException {
-        ChangeHistory history = history(prefix);
-        Optional<VmId> delegate = wait.isZero() ? Optional.empty() : delegates.ofOwnZone();
-        if (delegate.isPresent()) {
-            Optional<StoreChanges> changes =
-                    relay(delegate.get(), new WatchQuery(prefix, after.value(), wait.toMillis()));
-            if (changes.isPresent()) {
-                relayed.inc();
-                history.add(changes.get(), false);
-                return changes.get();
-            }
+        WatchQuery query = new WatchQuery(prefix, after.value(), wait.toMillis());
+        Optional<StoreChanges> relayedChanges = Optional.empty();
+        if (arePeersFirst(prefix)) {
+            relayedChanges = askPeers(query);
+        } else if (!wait.isZero()) {
+            relayedChanges = delegates.ofOwnZone().flatMap(delegate -> relay(delegate, query));
         }
+        return relayedChanges.isPresent() ? relayedChanges.get() : watchStore(query);
+    }
+
+    private boolean arePeersFirst(String prefix) {
+        Long until = peersFirstUntil.get(prefix);
+        return until != null && clock.nanoTime() - until < 0;
+    }
+
+    private StoreChanges watchStore(WatchQuery query) throws StoreException {
+        ChangeHistory history = history(query.prefix());
         direct.inc();
         // A VM that has just become the delegate must confirm its history at once, as others wait for its answers.
+        Duration wait = Duration.ofMillis(query.waitMillis());
         boolean confirmed = history.isConfirmedWithin(wait.plus(CONFIRMATION_MARGIN));
         try {
-            StoreChanges changes = store.awaitChanges(prefix, after, confirmed ? wait : Duration.ZERO);
+            StoreChanges changes = store.awaitChanges(
+                    query.prefix(), new StoreRevision(query.after()), confirmed ? wait : Duration.ZERO);
             history.add(changes, true);
             return changes;
+        } catch (HistoryDiscardedException discarded) {
+            history.withdrawConfirmation();
+            throw discarded;
         } catch (StoreException failure) {
             history.withdrawConfirmation();
-            throw failure;
+            Optional<StoreChanges> changes = askPeers(new WatchQuery(query.prefix(), query.after(), 0));
+            if (changes.isEmpty()) {
+                throw failure;
+            }
+            peersFirstUntil.put(query.prefix(), clock.nanoTime() + PEERS_FIRST_TIME.toNanos());
+            return changes.get();
         }
     }
 
+    /** Asks peers in random order, so that no peer answers all VMs that the store turns away. */
+    private Optional<StoreChanges> askPeers(WatchQuery query) {
+        List<Peer> asked = new ArrayList<>(peers.peers());
+        Collections.shuffle(asked);
+        return asked.stream()
+                .limit(MAXIMUM_PEERS)
+                .map(peer -> relay(peer.vm(), query))
+                .flatMap(Optional::stream)
+                .findFirst();
+    }
+
     private Optional<StoreChanges> relay(VmId delegate, WatchQuery query) {
         try {
             Duration timeout = Duration.ofMillis(query.waitMillis()).plus(ANSWER_MARGIN);
             byte[] answer = peers.request(delegate, TOPIC, QUERIES.encode(query), timeout);
-            return Optional.of(ANSWERS.decode(answer))
-                    .filter(changes -> !changes.readStore())
+            Optional<StoreChanges> changes = Optional.of(ANSWERS.decode(answer))
+                    .filter(decoded -> !decoded.readStore())
                     .map(WatchAnswer::toStoreChanges);
+            if (changes.isPresent()) {
+                relayed.inc();
+                history(query.prefix()).add(changes.get(), false);
+            }
+            return changes;
         } catch (PeerException unavailable) {
             delegates.recordFailure(delegate);
             return Optional.empty();
@@ -115,6 +159,7 @@
         ChangeHistory history = history(query.prefix());
         StoreRevision after = new StoreRevision(query.after());
         Duration wait = Duration.ofMillis(query.waitMillis());
+        Duration confirmationWait = wait.isZero() ? Duration.ZERO : CONFIRMATION_WAIT;
         long startedAt = clock.nanoTime();
         try {
             while (true) {
@@ -122,10 +167,10 @@
                 Duration waited = clock.since(startedAt);
                 if (!history.isConfirmedWithin(wait.plus(CONFIRMATION_MARGIN))) {
                     // A VM that has just become the delegate confirms its history with its next watch.
-                    if (waited.compareTo(CONFIRMATION_WAIT) >= 0) {
+                    if (waited.compareTo(confirmationWait) >= 0) {
                         throw new PeerException("this VM does not watch " + query.prefix() + " at the store");
                     }
-                    history.awaitChange(version, CONFIRMATION_WAIT.minus(waited));
+                    history.awaitChange(version, confirmationWait.minus(waited));
                     continue;
                 }
                 Optional<StoreChanges> changes = history.after(after);
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/RelayedStoreTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/RelayedStoreTest.java
@@ -125,6 +125,38 @@
         assertTrue(watches.get() >= 6 * 2, watches + " watches");
     }
 
+    /** Guards against requests to leaving upstreams and by withdrawn keys at a VM that alone is turned away. */
+    @Test
+    void changesReachAVmOfASmallFleetThatTheStoreRejects() throws Exception {
+        startFollowers(2, 3);
+        rejected.add(followers.getFirst().vm);
+        Thread.sleep(WAIT.multipliedBy(2));
+
+        for (int change = 1; change <= 3; change++) {
+            items.write(PREFIX + "new-" + change, new byte[] {1});
+
+            awaitKey(followers, PREFIX + "new-" + change);
+        }
+    }
+
+    /** Guards against a VM that takes the silence of its peers for that of the store while all are turned away. */
+    @Test
+    void outageIsNoticedWhileTheStoreRejectsAllVms() throws Exception {
+        startFollowers(2, 3);
+        followers.forEach(follower -> rejected.add(follower.vm));
+        Thread.sleep(RelayedStore.CONFIRMATION_MARGIN.plus(WAIT.multipliedBy(3)));
+        followers.forEach(follower -> follower.failures.set(0));
+
+        Thread.sleep(WAIT.multipliedBy(2));
+
+        assertEquals(
+                List.of(),
+                followers.stream()
+                        .filter(follower -> follower.failures.get() == 0)
+                        .map(follower -> follower.vm)
+                        .toList());
+    }
+
     private void startFleet(int zones) throws InterruptedException {
         startFollowers(zones, VMS_PER_ZONE);
         assertTrue(followers.size() >= ZoneDelegates.MINIMUM_VMS);
@@ -165,6 +197,7 @@
         private final VmId vm;
         private final Set<String> keys = ConcurrentHashMap.newKeySet();
         private final AtomicInteger direct = new AtomicInteger();
+        private final AtomicInteger failures = new AtomicInteger();
         private final CoordinationStore store;
         private final Thread thread = Thread.ofVirtual().unstarted(this::follow);
 
@@ -192,6 +225,7 @@
                     position = changes.revision();
                     wait = WAIT;
                 } catch (StoreException unavailable) {
+                    failures.incrementAndGet();
                     wait = Duration.ZERO;
                     sleep();
                 }
