Keep the limits that upstreams name, all VMs together

Each VM counts its sends to an upstream and hears those of the others with the exchange of work, which now also carries the limit and its age, so that VMs that get no answer from the upstream know it too. A send is taken from what the window of 4 s leaves (longer for a limit below one request in it), never more than 1.25 of the limit in one second. VMs see each other's sends 20 to 250 ms late: in each such round as many VMs as the limit allows draw the right to send, of those that have callers for it. VMs that do not hear each other use parts that add up to the limit; one that has just started waits 3 s; sends of a VM that falls silent count on until they leave the window. An answer without the header ends the limit, and an answer to a request from before the last statement neither ends nor raises it. Plain sends, repeats, prefills, overflow and decoding take from it. What exceeds it goes to another upstream, or is refused at once as not run with the time until the limit has room; a prompt is not read when no engine could generate its answer. The choice of upstreams moves from ForwardedRequest into UpstreamChooser.

Ways weighed in the model (LimitSimulation): an equal part for each VM leaves most of it unused when few VMs have callers; ownership by rendezvous hashing leaves it to VMs without callers; a call to the store for each request is priced.

UpstreamLimitTest failed on the code before in 5 of its 11 cases (178, 191 and 186 requests in 4 s where 17 are allowed, 60 prompts, 36 requests beside an idle upstream) and passes. LimitLoadTest (6 and 95 VMs, limits of 0.4, 5.3 and 40, callers at one, some and all VMs, cuts, restarts in turn and of all, a short list of VMs, changed and ended limits) passes: the bound of the users' rule, and half of the limit used.

--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/NoticeCostCommand.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/NoticeCostCommand.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
@@ -64,7 +65,15 @@
                 Optional<Duration> wait = leaving ? Optional.empty() : Optional.of(Duration.ofMinutes(1));
                 busy.record(
                         entries.get(number),
-                        new ResponseMetadata(false, false, true, Optional.empty(), Optional.empty(), leaving, wait),
+                        new ResponseMetadata(
+                                false,
+                                false,
+                                true,
+                                Optional.empty(),
+                                Optional.empty(),
+                                leaving,
+                                wait,
+                                OptionalDouble.empty()),
                         "attempt");
             }
         }
--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -26,6 +26,7 @@
 import io.banyantally.internal.duty.UsageLedger;
 import io.banyantally.internal.duty.UsagePublisher;
 import io.banyantally.internal.duty.UsageReporter;
+import io.banyantally.internal.exchange.LimitFleet;
 import io.banyantally.internal.exchange.RelayedStore;
 import io.banyantally.internal.exchange.WorkExchange;
 import io.banyantally.internal.forwarding.BufferMemory;
@@ -37,6 +38,7 @@
 import io.banyantally.internal.placement.EnginePlacement;
 import io.banyantally.internal.placement.LeastLoadedPlacement;
 import io.banyantally.internal.placement.RetryAllowance;
+import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamNotices;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.internal.time.MonotonicClock;
@@ -54,6 +56,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -109,6 +112,7 @@
     private final EnginePlacement engines = new EnginePlacement(new SplittableRandom());
     private final TcpPeerNetwork peers;
     private final WorkExchange exchange;
+    private final UpstreamLimits limits;
     private final RelayedStore watchedStore;
     private final CrashLedger crashes = new CrashLedger(MonotonicClock.SYSTEM);
     private final CrashReporter crashReporter;
@@ -140,7 +144,10 @@
         presence = new MemberPresence(platform.store(), own, health);
         Peer self = new Peer(settings.vm(), incarnation, settings.zone());
         peers = new TcpPeerNetwork(self, PEER_SITE, settings.peers(), MonotonicClock.SYSTEM);
-        exchange = new WorkExchange(self, peers, tracks, MonotonicClock.SYSTEM, metrics);
+        LimitFleet limitFleet = new LimitFleet(
+                () -> members.members().stream().map(MemberEntry::vm).toList(), MonotonicClock.SYSTEM);
+        limits = new UpstreamLimits(limitFleet::sharers, MonotonicClock.SYSTEM, new Random(), metrics);
+        exchange = new WorkExchange(self, peers, tracks, limits, limitFleet, MonotonicClock.SYSTEM, metrics);
         watchedStore = new RelayedStore(platform.store(), self, peers, MonotonicClock.SYSTEM, metrics);
         client = AdapterHttpClient.start(UPSTREAM_CLIENT_SETTINGS);
         LeastLoadedPlacement placement = new LeastLoadedPlacement(new SplittableRandom());
@@ -155,6 +162,7 @@
                 replicas,
                 tracks,
                 new UpstreamNotices(MonotonicClock.SYSTEM, new SplittableRandom(), metrics),
+                limits,
                 engines,
                 placement,
                 retries,
--- a/modules/banyantally/src/main/java/io/banyantally/deployment/ResponseMetadata.java
+++ b/modules/banyantally/src/main/java/io/banyantally/deployment/ResponseMetadata.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * What the status and headers of an upstream's response state.
@@ -12,6 +13,7 @@
  * @param attempt the attempt to which the response belongs
  * @param leaving whether the upstream is about to end
  * @param retryAfter how long the upstream wants no further request from this VM
+ * @param limitPerSecond the requests a second that the upstream takes from all VMs together; empty if it names no limit
  */
 public record ResponseMetadata(
         boolean notExecuted,
@@ -20,4 +22,5 @@
         Optional<String> attempt,
         Optional<ReportedLoad> load,
         boolean leaving,
-        Optional<Duration> retryAfter) {}
+        Optional<Duration> retryAfter,
+        OptionalDouble limitPerSecond) {}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -8,6 +8,7 @@
 import io.banyantally.internal.peer.PeerException;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.peer.Topic;
+import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.internal.time.MonotonicClock;
@@ -63,6 +64,8 @@
     private final PeerNetwork peers;
     private final ZoneDelegates delegates;
     private final UpstreamTracks tracks;
+    private final UpstreamLimits limits;
+    private final LimitFleet fleet;
     private final MonotonicClock clock;
     private final Set<VmId> pendingPeers = ConcurrentHashMap.newKeySet();
     private final Counter unanswered;
@@ -72,16 +75,24 @@
 
     /** Creates the exchange and handles the requests of peers. */
     public WorkExchange(
-            Peer self, PeerNetwork peers, UpstreamTracks tracks, MonotonicClock clock, MetricRegistry metrics) {
+            Peer self,
+            PeerNetwork peers,
+            UpstreamTracks tracks,
+            UpstreamLimits limits,
+            LimitFleet fleet,
+            MonotonicClock clock,
+            MetricRegistry metrics) {
         this.self = self;
         this.peers = peers;
         this.delegates = new ZoneDelegates(self, peers, clock, "work");
         this.tracks = tracks;
+        this.limits = limits;
+        this.fleet = fleet;
         this.clock = clock;
         this.unanswered = metrics.counter("work_exchange.unanswered");
         this.requests = metrics.counter("work_exchange.requests");
         this.handled = metrics.counter("work_exchange.handled");
-        handle(PAIR_TOPIC, sender -> message(UpstreamTrack::ownWork));
+        handle(PAIR_TOPIC, sender -> ownWork());
         handle(MEMBER_TOPIC, sender -> workOf(vm -> !vm.equals(sender) && !vm.equals(ALL_OTHERS)));
         handle(ZONE_TOPIC, sender -> workOf(ownZone()));
     }
@@ -105,15 +116,14 @@
         List<Peer> connected = peers.peers();
         if (connected.size() + 1 < ZoneDelegates.MINIMUM_VMS) {
             interval = pairInterval(connected.size());
-            byte[] message = CODEC.encode(message(UpstreamTrack::ownWork));
+            byte[] message = CODEC.encode(ownWork());
             connected.stream().map(Peer::vm).forEach(peer -> requestFromHigherId(peer, PAIR_TOPIC, message));
             return;
         }
         Optional<VmId> delegate = delegates.ofOwnZone();
         if (delegate.isPresent()) {
             interval = MEMBER_INTERVAL;
-            requestInBackground(
-                    delegate.get(), MEMBER_TOPIC, CODEC.encode(message(UpstreamTrack::ownWork)), ALL_OTHERS);
+            requestInBackground(delegate.get(), MEMBER_TOPIC, CODEC.encode(ownWork()), ALL_OTHERS);
         } else {
             interval = DELEGATE_INTERVAL;
             byte[] message = CODEC.encode(workOf(ownZone()));
@@ -163,10 +173,14 @@
     /** Returns the work of this VM and of the peers that {@code included} accepts, summed by upstream. */
     private WorkMessage workOf(Predicate<VmId> included) {
         long now = clock.nanoTime();
-        return message(track -> track.workWithPeers(included, now));
+        return message(track -> track.workWithPeers(included, now), included);
     }
 
-    private WorkMessage message(Function<UpstreamTrack, UpstreamTrack.Work> workAt) {
+    private WorkMessage ownWork() {
+        return message(UpstreamTrack::ownWork, vm -> false);
+    }
+
+    private WorkMessage message(Function<UpstreamTrack, UpstreamTrack.Work> workAt, Predicate<VmId> included) {
         List<UpstreamWork> work = new ArrayList<>();
         for (UpstreamTrack track : tracks.all()) {
             UpstreamTrack.Work atUpstream = workAt.apply(track);
@@ -174,10 +188,12 @@
                 work.add(new UpstreamWork(track.entry().id().value(), atUpstream.requests(), atUpstream.millis()));
             }
         }
-        return new WorkMessage(work);
+        return new WorkMessage(work, limits.uses(included), fleet.heardVms(included));
     }
 
     private void receive(VmId owner, WorkMessage message) {
+        fleet.recordHeard(owner, message.vms());
+        limits.receive(owner, message.limits());
         Map<String, UpstreamWork> byUpstream = new HashMap<>();
         message.work().forEach(work -> byUpstream.put(work.upstream(), work));
         long now = clock.nanoTime();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkMessage.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkMessage.java
@@ -1,12 +1,20 @@
 package io.banyantally.internal.exchange;
 
+import io.banyantally.internal.placement.LimitUse;
 import java.util.List;
 
-/** The work that one VM has at upstreams; upstreams without work are left out. */
-record WorkMessage(List<UpstreamWork> work) {
+/**
+ * The work that VMs have at upstreams; upstreams without work are left out.
+ *
+ * @param limits the use of upstreams that have named a limit
+ * @param vms the number of VMs whose work and use are added
+ */
+record WorkMessage(List<UpstreamWork> work, List<LimitUse> limits, int vms) {
 
     WorkMessage {
         work = List.copyOf(work);
+        // Absent in messages of an earlier version.
+        limits = limits == null ? List.of() : List.copyOf(limits);
     }
 
     /**
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -3,14 +3,11 @@
 import io.banyantally.deployment.AccountRule;
 import io.banyantally.deployment.MalformedRequestException;
 import io.banyantally.deployment.PrefilledCache;
-import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.RequestMetadata;
 import io.banyantally.deployment.RouteRule;
 import io.banyantally.deployment.ServiceRule;
 import io.banyantally.deployment.ServiceShare;
 import io.banyantally.internal.deployment.ActiveConfiguration;
-import io.banyantally.internal.placement.Candidate;
-import io.banyantally.internal.placement.EnginePlacement;
 import io.banyantally.internal.placement.Placement;
 import io.banyantally.model.ServiceName;
 import io.banyantally.model.UpstreamId;
@@ -40,16 +37,11 @@
 
     private static final String REASON_DRAINING = "draining";
 
-    /** Retry-After for a service without upstreams. */
-    private static final Duration RETRY_AFTER_NO_UPSTREAM = Duration.ofMillis(400);
-
     private static final String REASON_CRASHING_PROMPT = "crashing_prompt";
 
     /** Retry-After for a prompt that crashes upstreams; it stays refused for minutes. */
     private static final Duration RETRY_AFTER_CRASHING_PROMPT = Duration.ofMinutes(1);
 
-    private static final int MINIMUM_SPREAD_MILLIS = 100;
-
     /** Upstreams that may refuse a request before its caller is told to retry later. */
     private static final int MAXIMUM_REFUSALS = 2;
 
@@ -205,7 +197,8 @@
         UpstreamSender sender = new UpstreamSender(services, caller, request, calls, log);
         PrefillSender prefillSender = new PrefillSender(services, caller, calls, log);
         Set<UpstreamId> tried = new HashSet<>();
-        PrefillResult prefilled = prefill(request, prefillSender);
+        UpstreamChooser chooser = new UpstreamChooser(services, request, log);
+        PrefillResult prefilled = prefill(request, chooser, prefillSender);
         Optional<PrefilledCache> prefilledCache = prefilled.prefilledCache();
         Optional<Placement.Decision.Send> chosen = prefilled.decoder();
         int sends = 0;
@@ -222,7 +215,7 @@
                 checkPrompt(request, mayHaveRun);
                 Placement.Decision.Send choice;
                 try {
-                    choice = chosen.isPresent() ? chosen.get() : place(request, tried, prefilledCache, mayHaveRun);
+                    choice = chosen.isPresent() ? chosen.get() : chooser.choose(tried, prefilledCache, mayHaveRun);
                 } catch (RefusedException noUpstreamLeft) {
                     if (failure.isEmpty()) {
                         throw noUpstreamLeft;
@@ -266,24 +259,20 @@
      * Sends a long prompt to a prefill engine that meets its latency target, or chooses a decode engine with spare
      * capacity.
      */
-    private PrefillResult prefill(AdmittedRequest request, PrefillSender prefillSender)
+    private PrefillResult prefill(AdmittedRequest request, UpstreamChooser chooser, PrefillSender prefillSender)
             throws RefusedException, IOException, InterruptedException {
-        Placement.Demand demand = placementDemand(request);
-        if (request.service().engine().isEmpty() || !EnginePlacement.isLongPrompt(demand)) {
+        if (!chooser.needsPrefill()) {
             return PrefillResult.NONE;
         }
         checkCaller("before_prefill");
-        List<Candidate> candidates = candidates(request, Set.of());
-        return switch (services.engines().decidePrefill(demand, candidates)) {
-            case Placement.Decision.Send send -> resultOf(request, prefillSender.prefill(send));
-            case Placement.Decision.Refuse full -> {
-                if (services.engines().decideOverflow(demand, candidates) instanceof Placement.Decision.Send decoder) {
-                    yield new PrefillResult(Optional.empty(), Optional.of(decoder));
-                }
-                throw allUpstreamsFull(full);
-            }
-            case Placement.Decision.NoUpstream noUpstream -> PrefillResult.NONE;
-        };
+        Optional<UpstreamChooser.PrefillChoice> choice = chooser.choosePrefill();
+        if (choice.isEmpty()) {
+            return PrefillResult.NONE;
+        }
+        Placement.Decision.Send engine = choice.get().engine();
+        return choice.get().generates()
+                ? new PrefillResult(Optional.empty(), Optional.of(engine))
+                : resultOf(request, prefillSender.prefill(engine));
     }
 
     /** Refuses a request whose prefill failed if the retry limit leaves no send to another engine. */
@@ -363,60 +352,6 @@
         return sendsLeft && endsInTime && services.tryRetry(request.service().name());
     }
 
-    private Placement.Decision.Send place(
-            AdmittedRequest request, Set<UpstreamId> tried, Optional<PrefilledCache> prefilledCache, boolean mayHaveRun)
-            throws RefusedException {
-        List<Candidate> candidates = candidates(request, tried);
-        // After a failed send or the start of the stream, a late response is better than none.
-        Placement.Demand demand = tried.isEmpty()
-                ? placementDemand(request)
-                : placementDemand(request, request.remaining(services.clock()));
-        Placement.Decision decision = request.service().engine().isPresent()
-                ? services.engines()
-                        .decideDecode(
-                                demand,
-                                candidates,
-                                prefilledCache.map(PrefilledCache::engine).map(ReplicaEntry::zone))
-                : services.plain().decide(demand, candidates);
-        if (decision instanceof Placement.Decision.Send send) {
-            return send;
-        }
-        if (mayHaveRun) {
-            throw new RefusedException(Refusal.mayHaveRun("no_other_upstream"));
-        }
-        if (decision instanceof Placement.Decision.Refuse full) {
-            throw allUpstreamsFull(full);
-        }
-        Optional<Duration> firstReturn = services.notices().untilFirstReturn(untried(request, tried));
-        throw new RefusedException(
-                firstReturn.isPresent()
-                        ? Refusal.notRun("upstreams_waiting", spread(firstReturn.get()))
-                        : Refusal.notRun("no_upstream", jittered(RETRY_AFTER_NO_UPSTREAM)));
-    }
-
-    private RefusedException allUpstreamsFull(Placement.Decision.Refuse full) {
-        log.add("wait_ms", (long) full.waitMillis());
-        return new RefusedException(Refusal.notRun("full", full.retryAfter()));
-    }
-
-    private List<Candidate> candidates(AdmittedRequest request, Set<UpstreamId> tried) {
-        return services.tracks().candidates(services.notices().accepting(untried(request, tried)));
-    }
-
-    private List<ReplicaEntry> untried(AdmittedRequest request, Set<UpstreamId> tried) {
-        return services.replicas().accepting(request.service().name()).stream()
-                .filter(entry -> !tried.contains(entry.id()))
-                .toList();
-    }
-
-    private static Placement.Demand placementDemand(AdmittedRequest request) {
-        return placementDemand(request, request.route().latencyTarget());
-    }
-
-    private static Placement.Demand placementDemand(AdmittedRequest request, Duration latencyTarget) {
-        return new Placement.Demand(request.metadata().prompt(), latencyTarget);
-    }
-
     private void refuse(Refusal refusal, Optional<RequestMetadata> metadata) throws IOException {
         List<HeaderField> headers = new ArrayList<>();
         metadata.ifPresent(known -> headers.addAll(services.dialect().gatewayResponseHeaders(known)));
@@ -438,13 +373,8 @@
         return String.format(Locale.ROOT, "%.3f", duration.toMillis() / (double) TimeUnit.SECONDS.toMillis(1));
     }
 
-    /** Adds up to a quarter, so that callers come after an upstream's wait and not all at its end. */
-    private static Duration spread(Duration minimum) {
-        return minimum.plusMillis(ThreadLocalRandom.current().nextLong(minimum.toMillis() / 4 + MINIMUM_SPREAD_MILLIS));
-    }
-
     /** Adds up to 100% jitter, so that callers which are refused together do not retry together. */
-    private static Duration jittered(Duration minimum) {
+    static Duration jittered(Duration minimum) {
         return minimum.plusMillis(ThreadLocalRandom.current().nextLong(minimum.toMillis() + 1));
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
@@ -11,6 +11,7 @@
 import io.banyantally.internal.placement.EnginePlacement;
 import io.banyantally.internal.placement.Placement;
 import io.banyantally.internal.placement.RetryAllowance;
+import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamNotices;
 import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.internal.placement.UpstreamTracks;
@@ -21,6 +22,7 @@
  * Components of the gateway that request forwarding depends on.
  *
  * @param notices knows which upstreams leave or want no request for some time
+ * @param limits knows how many requests a second upstreams take
  * @param engines chooses among engines
  * @param plain chooses among upstreams of plain services
  * @param crashes knows the prompts that crash upstreams
@@ -32,6 +34,7 @@
         ReplicaRegistry replicas,
         UpstreamTracks tracks,
         UpstreamNotices notices,
+        UpstreamLimits limits,
         EnginePlacement engines,
         Placement plain,
         RetryAllowance retries,
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
@@ -62,6 +62,7 @@
                             .ifPresent(load ->
                                     track.recordLoad(load, services.clock().nanoTime()));
                     services.notices().record(engine, metadata, caller.attemptId());
+                    services.limits().record(engine, metadata, caller.attemptId(), startedAt);
                     result = "upstream_" + reply.status();
                     if (reply.status() == OK) {
                         PrefillResponse response = services.dialect().readPrefillResponse(reply.body());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -191,6 +191,7 @@
         metadata.load()
                 .ifPresent(load -> track.recordLoad(load, services.clock().nanoTime()));
         services.notices().record(upstream, metadata, request.metadata().attempt());
+        services.limits().record(upstream, metadata, request.metadata().attempt(), sentAt);
         switch (ResponseStatement.of(status, metadata)) {
             case ResponseStatement.NotRun notRun -> {
                 drainRefusal(exchange);
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/SendWindow.java
@@ -0,0 +1,49 @@
+package io.banyantally.internal.placement;
+
+import java.time.Duration;
+import java.util.Arrays;
+
+/** Counts sends in a sliding window of up to 20 s, in steps of 100 ms. */
+final class SendWindow {
+
+    static final Duration MAXIMUM = Duration.ofSeconds(20);
+
+    private static final long STEP_NANOS = Duration.ofMillis(100).toNanos();
+    private static final int STEPS = (int) (MAXIMUM.toNanos() / STEP_NANOS) + 1;
+
+    private final int[] counts = new int[STEPS];
+    private long newestStep;
+
+    /** Counts a send. */
+    void add(long now) {
+        advance(now);
+        counts[index(newestStep)]++;
+    }
+
+    /** Returns the sends of the last {@code window}; those of a step count until all of it is older. */
+    int count(long now, Duration window) {
+        advance(now);
+        long steps = Math.min(STEPS, window.toNanos() / STEP_NANOS + 1);
+        int total = 0;
+        for (long step = newestStep - steps + 1; step <= newestStep; step++) {
+            total += counts[index(step)];
+        }
+        return total;
+    }
+
+    private void advance(long now) {
+        long step = Math.floorDiv(now, STEP_NANOS);
+        if (step - newestStep >= STEPS) {
+            Arrays.fill(counts, 0);
+            newestStep = step;
+        }
+        while (newestStep < step) {
+            newestStep++;
+            counts[index(newestStep)] = 0;
+        }
+    }
+
+    private static int index(long step) {
+        return Math.floorMod(step, STEPS);
+    }
+}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamNotices.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamNotices.java
@@ -6,7 +6,6 @@
 import io.banyantally.internal.logging.EventLog;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.timeline.EventField;
-import io.banyantally.model.UpstreamId;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -38,7 +37,7 @@
     private final MonotonicClock clock;
     private final RandomGenerator random;
     private final MetricRegistry metrics;
-    private final Map<Lifetime, Notice> notices = new LinkedHashMap<>();
+    private final Map<UpstreamLifetime, Notice> notices = new LinkedHashMap<>();
 
     /** Creates an empty set of notices; {@code random} spreads the returns after a wait. */
     public UpstreamNotices(MonotonicClock clock, RandomGenerator random, MetricRegistry metrics) {
@@ -57,7 +56,7 @@
                 || (!response.leaving() && response.retryAfter().isEmpty())) {
             return;
         }
-        Lifetime lifetime = Lifetime.of(upstream);
+        UpstreamLifetime lifetime = UpstreamLifetime.of(upstream);
         Notice former = notices.getOrDefault(lifetime, Notice.NONE);
         boolean leaving = former.leaving() || response.leaving();
         if (leaving && !former.leaving()) {
@@ -103,7 +102,7 @@
         long now = clock.nanoTime();
         return upstreams.stream()
                 .filter(upstream -> {
-                    Notice notice = notices.getOrDefault(Lifetime.of(upstream), Notice.NONE);
+                    Notice notice = notices.getOrDefault(UpstreamLifetime.of(upstream), Notice.NONE);
                     return !notice.leaving() && !notice.isWaiting(now);
                 })
                 .toList();
@@ -113,20 +112,12 @@
     public synchronized Optional<Duration> untilFirstReturn(List<ReplicaEntry> upstreams) {
         long now = clock.nanoTime();
         return upstreams.stream()
-                .map(upstream -> notices.getOrDefault(Lifetime.of(upstream), Notice.NONE))
+                .map(upstream -> notices.getOrDefault(UpstreamLifetime.of(upstream), Notice.NONE))
                 .filter(notice -> !notice.leaving() && notice.isWaiting(now))
                 .map(notice -> Duration.ofNanos(notice.waitUntil().getAsLong() - now))
                 .min(Duration::compareTo);
     }
 
-    /** One start of an upstream. */
-    private record Lifetime(UpstreamId upstream, OptionalLong startedAtMillis) {
-
-        static Lifetime of(ReplicaEntry entry) {
-            return new Lifetime(entry.id(), entry.startedAtMillis());
-        }
-    }
-
     /**
      * What an upstream has said.
      *
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
@@ -8,6 +8,7 @@
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.placement.Candidate;
+import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.Incarnation;
@@ -19,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -30,6 +32,7 @@
     private static final ReplicaEntry ENGINE = Deployments.engine("e1", "zone-a", EngineStage.PREFILL);
 
     private final ManualClock clock = new ManualClock();
+    private final List<VmId> vms = new ArrayList<>();
     private final FakePeerHub hub = new FakePeerHub();
     private final Vm first = new Vm("vm-1", "zone-a");
     private final Vm second = new Vm("vm-2", "zone-a");
@@ -149,6 +152,8 @@
 
     private final class Vm {
         private final UpstreamTracks tracks = new UpstreamTracks(clock);
+        private final LimitFleet fleet;
+        private final UpstreamLimits limits;
         private final WorkExchange exchange;
 
         private final MetricRegistry metrics = new MetricRegistry();
@@ -157,7 +162,9 @@
 
         Vm(String name, String zone) {
             self = new Peer(new VmId(name), Incarnation.draw(), new AvailabilityZone(zone));
-            exchange = new WorkExchange(self, hub.join(self), tracks, clock, metrics);
+            fleet = new LimitFleet(() -> vms, clock);
+            limits = new UpstreamLimits(fleet::sharers, clock, new SplittableRandom(1), metrics);
+            exchange = new WorkExchange(self, hub.join(self), tracks, limits, fleet, clock, metrics);
         }
 
         void exchangeIfDue() {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/forwarding/ResponseStatementTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/forwarding/ResponseStatementTest.java
@@ -6,6 +6,7 @@
 
 import io.banyantally.deployment.ResponseMetadata;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -82,6 +83,7 @@
                 named ? Optional.of("attempt") : Optional.empty(),
                 Optional.empty(),
                 false,
-                Optional.empty());
+                Optional.empty(),
+                OptionalDouble.empty());
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/UpstreamNoticesTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/UpstreamNoticesTest.java
@@ -17,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -55,8 +56,15 @@
     /** Guards against marking the expected upstream for what another process at its address says. */
     @Test
     void answerOfAnotherInstanceCountsForNothing() {
-        ResponseMetadata other =
-                new ResponseMetadata(true, true, false, Optional.empty(), Optional.empty(), true, Optional.of(SECOND));
+        ResponseMetadata other = new ResponseMetadata(
+                true,
+                true,
+                false,
+                Optional.empty(),
+                Optional.empty(),
+                true,
+                Optional.of(SECOND),
+                OptionalDouble.empty());
         notices.record(entry("a", 1, 6), other, "attempt");
 
         assertEquals(List.of(entry("a", 1, 6)), notices.accepting(List.of(entry("a", 1, 6))));
@@ -116,7 +124,15 @@
     }
 
     private static ResponseMetadata response(boolean leaving, Optional<Duration> retryAfter) {
-        return new ResponseMetadata(true, false, false, Optional.of("attempt"), Optional.empty(), leaving, retryAfter);
+        return new ResponseMetadata(
+                true,
+                false,
+                false,
+                Optional.of("attempt"),
+                Optional.empty(),
+                leaving,
+                retryAfter,
+                OptionalDouble.empty());
     }
 
     private static ReplicaEntry entry(String id, long startedAtMillis, int slots) {
