Ignore entries without a start of upstreams that say when they started

A request reached an upstream that had said in an answer that it leaves: an entry of another writer under its id, without the start, was taken for another lifetime, to which the notice does not belong. By the users' pages such an entry names no upstream to use.

An entry without a start is now ignored if the last one of its upstream has one; deployments whose upstreams never say it are as before.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/LastUpstreamEntries.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/LastUpstreamEntries.java
@@ -17,13 +17,16 @@
 
     private final Map<UpstreamId, Last> lastById = new LinkedHashMap<>();
 
-    /** Returns whether the upstream wrote an entry before the last one that is known of it. */
+    /** Returns whether the upstream wrote an entry before the last one that is known of it, or another writer wrote it. */
     boolean isOutdated(ReplicaEntry entry) {
         Last last = lastById.get(entry.id());
         if (last == null) {
             return false;
         }
         ReplicaEntry former = last.entry();
+        if (former.startedAtMillis().isPresent() && entry.startedAtMillis().isEmpty()) {
+            return true;
+        }
         if (!former.startedAtMillis().equals(entry.startedAtMillis())) {
             return (former.draining() || last.gone())
                     && isBefore(entry.startedAtMillis(), former.startedAtMillis(), false);
