Tell of limits that peers report, and test which statements hold

A VM that learns a limit from another VM now logs it (upstream_limited with peer) and counts it, and explain says why a request was refused for limits; before, such a refusal could not be traced to its cause in the VM's own log. Windows begin at the clock's time, which may be negative.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamChooser.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamChooser.java
@@ -88,6 +88,7 @@
         if (decision instanceof Placement.Decision.Refuse full) {
             throw allUpstreamsFull(full);
         }
+        // Others than limited ones would have been chosen.
         if (known.stream().anyMatch(UpstreamChooser::generates)) {
             throw limitReached(known, UpstreamChooser::generates);
         }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/logging/RequestExplanation.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/logging/RequestExplanation.java
@@ -135,6 +135,8 @@
             case "cut" -> "The answer was cut because it could not be completed" + detail + "; " + sends(request);
             case "upstreams_waiting" ->
                 "Refused without having run: all upstreams had asked for no requests for some time.";
+            case "upstreams_limited" ->
+                "Refused without having run: the limits that all upstreams had named left no request for it.";
             case "no_memory" ->
                 "Refused without having run: bodies of other requests left no memory for this one" + detail + ".";
             case "no_upstream" -> "Refused without having run: no listed upstream took work.";
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/SendWindow.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/SendWindow.java
@@ -14,6 +14,11 @@
     private final int[] counts = new int[STEPS];
     private long newestStep;
 
+    /** Creates an empty window; times are monotonic, in nanoseconds, and may be negative. */
+    SendWindow(long now) {
+        newestStep = Math.floorDiv(now, STEP_NANOS);
+    }
+
     /** Counts a send. */
     void add(long now) {
         advance(now);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamLimit.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamLimit.java
@@ -48,7 +48,7 @@
     private static final double ROUNDING = 1e-6;
 
     private final RandomGenerator random;
-    private final SendWindow sends = new SendWindow();
+    private final SendWindow sends;
     private final Map<VmId, PeerSends> peerSendsByVm = new HashMap<>();
     private Optional<Statement> statement = Optional.empty();
     private long roundBeganAt;
@@ -57,8 +57,10 @@
     private long wantedAt;
     private boolean everWanted;
 
-    UpstreamLimit(RandomGenerator random) {
+    UpstreamLimit(RandomGenerator random, long now) {
         this.random = random;
+        this.sends = new SendWindow(now);
+        this.roundBeganAt = now;
     }
 
     /**
@@ -80,15 +82,17 @@
         return news && !former.equals(limit);
     }
 
-    /** Records what another VM was told; the latest statement holds. */
-    synchronized void recordPeerStatement(OptionalDouble limit, Duration age, long now) {
+    /** Records what another VM was told; the latest statement holds. Returns whether the limit has changed. */
+    synchronized boolean recordPeerStatement(OptionalDouble limit, Duration age, long now) {
         long statedAt = now - age.toNanos();
         boolean later = statement
                 .map(own -> statedAt - own.statedAt() > (own.limit().equals(limit) ? REFRESH_STEP.toNanos() : 0))
                 .orElse(true);
+        OptionalDouble former = limitPerSecond();
         if (later) {
             statement = Optional.of(new Statement(limit, statedAt));
         }
+        return later && !former.equals(limit);
     }
 
     /** Records the sends of another VM; they count until they are older than the window, also if it falls silent. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamLimits.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamLimits.java
@@ -72,16 +72,20 @@
         anyNamed = true;
         OptionalDouble limit = response.limitPerSecond();
         if (limit(UpstreamLifetime.of(upstream)).recordStatement(limit, sentAt, clock.nanoTime())) {
-            metrics.counter(limit.isPresent() ? "upstreams.limited" : "upstreams.limit_ended")
-                    .inc();
-            LOG.info(
-                    limit.isPresent() ? "upstream_limited" : "upstream_limit_ended",
-                    EventField.of("upstream", upstream.id()),
-                    EventField.of("request", attempt),
-                    EventField.of("limit", limit.isPresent() ? limit.getAsDouble() : "none"));
+            recordChange(upstream.id(), limit, EventField.of("request", attempt));
         }
     }
 
+    private void recordChange(UpstreamId upstream, OptionalDouble limit, EventField source) {
+        metrics.counter(limit.isPresent() ? "upstreams.limited" : "upstreams.limit_ended")
+                .inc();
+        LOG.info(
+                limit.isPresent() ? "upstream_limited" : "upstream_limit_ended",
+                EventField.of("upstream", upstream),
+                source,
+                EventField.of("limit", limit.isPresent() ? limit.getAsDouble() : "none"));
+    }
+
     /** Returns the upstreams to which this VM may send a request now. */
     public List<ReplicaEntry> accepting(List<ReplicaEntry> upstreams) {
         if (!anyNamed) {
@@ -148,20 +152,22 @@
         long now = clock.nanoTime();
         for (LimitUse use : uses) {
             anyNamed = true;
+            UpstreamId upstream = new UpstreamId(use.upstream());
             UpstreamLimit limit = limit(new UpstreamLifetime(
-                    new UpstreamId(use.upstream()),
+                    upstream,
                     use.startedAtMillis() < 0 ? OptionalLong.empty() : OptionalLong.of(use.startedAtMillis())));
-            limit.recordPeerStatement(
-                    use.limitPerSecond() < 0 ? OptionalDouble.empty() : OptionalDouble.of(use.limitPerSecond()),
-                    Duration.ofMillis(use.ageMillis()),
-                    now);
+            OptionalDouble perSecond =
+                    use.limitPerSecond() < 0 ? OptionalDouble.empty() : OptionalDouble.of(use.limitPerSecond());
+            if (limit.recordPeerStatement(perSecond, Duration.ofMillis(use.ageMillis()), now)) {
+                recordChange(upstream, perSecond, EventField.of("peer", peer));
+            }
             limit.recordPeerSends(
                     peer, new UpstreamLimit.Sends(use.windowSends(), use.secondSends(), use.wantingVms()), now);
         }
     }
 
     private UpstreamLimit limit(UpstreamLifetime lifetime) {
-        UpstreamLimit limit = limits.computeIfAbsent(lifetime, key -> new UpstreamLimit(random));
+        UpstreamLimit limit = limits.computeIfAbsent(lifetime, key -> new UpstreamLimit(random, clock.nanoTime()));
         if (limits.size() > MAXIMUM_LIFETIMES) {
             limits.values()
                     .removeIf(other -> other != limit
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
@@ -6,8 +6,10 @@
 import com.codahale.metrics.MetricRegistry;
 import io.banyantally.deployment.EngineStage;
 import io.banyantally.deployment.ReplicaEntry;
+import io.banyantally.deployment.ResponseMetadata;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.placement.Candidate;
+import io.banyantally.internal.placement.LimitUse;
 import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.model.AvailabilityZone;
@@ -20,6 +22,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -143,6 +147,39 @@
         }
     }
 
+    /** Guards against VMs that send to a limited upstream because only another VM has heard of its limit. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 40})
+    void limitAndItsUseReachAllVms(int count) throws InterruptedException {
+        List<Vm> fleet = startFleet(count);
+        long sentAt = clock.nanoTime();
+        assertTrue(fleet.getFirst().limits.tryTake(ENGINE));
+        fleet.getFirst()
+                .limits
+                .record(
+                        ENGINE,
+                        new ResponseMetadata(
+                                false,
+                                false,
+                                true,
+                                Optional.empty(),
+                                Optional.empty(),
+                                false,
+                                Optional.empty(),
+                                OptionalDouble.of(5.3)),
+                        "a",
+                        sentAt);
+
+        runFor(Duration.ofMillis(300), fleet);
+
+        for (Vm vm : fleet) {
+            LimitUse use = vm.limits.uses(peer -> true).getFirst();
+            assertEquals(5.3, use.limitPerSecond(), vm.self.toString());
+            assertEquals(1, use.windowSends(), vm.self.toString());
+            assertEquals(count, vm.fleet.heardVms(peer -> true), vm.self.toString());
+        }
+    }
+
     private void exchange() throws InterruptedException {
         clock.advance(Duration.ofMillis(50));
         first.exchange.exchange();
