--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamLimits.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamLimits.java
@@ -48,7 +48,7 @@
      * Creates an empty set.
      *
      * @param sharers returns the VMs that share the limits now
-     * @param random draws the VMs that may send to an upstream
+     * @param random draws the VMs that may send to an upstream; several threads use it
      */
     public UpstreamLimits(
             Supplier<LimitSharers> sharers, MonotonicClock clock, RandomGenerator random, MetricRegistry metrics) {
