Name the era of the store in revisions and leases, and log it

Change: StoreEra, from the header Store-Era, is part of StoreRevision and LeaseId; a store that names none has the era 0. EraCheckedStore logs store_era at the first answer and at each newer era. No decision depends on it yet. A listing whose pages are of different eras fails, as its items do not belong together.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -12,6 +12,7 @@
 import io.banyantally.internal.deployment.ActiveConfiguration;
 import io.banyantally.internal.deployment.CallerAddresses;
 import io.banyantally.internal.deployment.ConfigurationHolder;
+import io.banyantally.internal.deployment.EraCheckedStore;
 import io.banyantally.internal.deployment.GatewayStoreKeys;
 import io.banyantally.internal.deployment.MemberEntry;
 import io.banyantally.internal.deployment.MemberList;
@@ -103,6 +104,7 @@
     private final ConfigurationHolder configuration;
     private final ReplicaRegistry replicas;
     private final UpstreamTracks tracks = new UpstreamTracks(MonotonicClock.SYSTEM);
+    private final EraCheckedStore store;
     private final UsageLedger usage;
     private final DutyLease duties;
     private final MemberPresence presence;
@@ -127,35 +129,30 @@
         WallClock wallClock = WallClock.system();
         DocumentReader documents = platform.documents();
         RequestDialect dialect = platform.dialect();
+        store = new EraCheckedStore(platform.store(), MonotonicClock.SYSTEM);
         configuration = new ConfigurationHolder(platform.keys().configuration(), documents);
         replicas = new ReplicaRegistry(documents, health, MonotonicClock.SYSTEM);
         usage = new UsageLedger(wallClock, settings.usageWindow());
-        usagePublisher = new UsagePublisher(
-                platform.store(), usage, health, MonotonicClock.SYSTEM, settings.vm(), incarnationText);
+        usagePublisher =
+                new UsagePublisher(store, usage, health, MonotonicClock.SYSTEM, settings.vm(), incarnationText);
         duties = new DutyLease(
-                platform.store(),
-                members,
-                health,
-                wallClock,
-                settings.vm(),
-                incarnationText,
-                settings.dutyTimeToLive());
+                store, members, health, wallClock, settings.vm(), incarnationText, settings.dutyTimeToLive());
         MemberEntry own = new MemberEntry(settings.vm(), settings.zone(), settings.callersText(), settings.peersText());
-        presence = new MemberPresence(platform.store(), own, health);
+        presence = new MemberPresence(store, own, health);
         Peer self = new Peer(settings.vm(), incarnation, settings.zone());
         peers = new TcpPeerNetwork(self, PEER_SITE, settings.peers(), MonotonicClock.SYSTEM);
         LimitFleet limitFleet = new LimitFleet(
                 () -> members.members().stream().map(MemberEntry::vm).toList(), MonotonicClock.SYSTEM);
         limits = new UpstreamLimits(limitFleet::sharers, MonotonicClock.SYSTEM, new Random(), metrics);
         exchange = new WorkExchange(self, peers, tracks, limits, limitFleet, MonotonicClock.SYSTEM, metrics);
-        watchedStore = new RelayedStore(platform.store(), self, peers, MonotonicClock.SYSTEM, metrics);
+        watchedStore = new RelayedStore(store, self, peers, MonotonicClock.SYSTEM, metrics);
         client = AdapterHttpClient.start(UPSTREAM_CLIENT_SETTINGS);
         LeastLoadedPlacement placement = new LeastLoadedPlacement(new SplittableRandom());
         RetryAllowance retries = new RetryAllowance(
                 MonotonicClock.SYSTEM,
                 settings.retryLimit(),
                 () -> members.members().size());
-        crashReporter = CrashReporter.create(platform.store(), crashes, this::isInService, settings.vm());
+        crashReporter = CrashReporter.create(store, crashes, this::isInService, settings.vm());
         long bufferBytes = Runtime.getRuntime().maxMemory() / BUFFER_HEAP_PARTS;
         ForwardingServices services = new ForwardingServices(
                 configuration,
@@ -217,8 +214,7 @@
     }
 
     private void startDuties() {
-        UsageReporter reporter =
-                new UsageReporter(platform.store(), usage, platform.usage(), health, settings.usageDueTime());
+        UsageReporter reporter = new UsageReporter(store, usage, platform.usage(), health, settings.usageDueTime());
         FleetReconciler fleet =
                 new FleetReconciler(replicas, platform.replicaOrdering(), engines::refusedShare, MonotonicClock.SYSTEM);
         StageReconciler stages = new StageReconciler(replicas, platform.stageOrdering(), MonotonicClock.SYSTEM);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
@@ -12,6 +12,7 @@
 import io.banyantally.platform.CoordinationStore;
 import io.banyantally.platform.HistoryDiscardedException;
 import io.banyantally.platform.LeaseId;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.StoreTransaction;
@@ -205,7 +206,7 @@
     }
 
     @Override
-    public void renewLease(LeaseId lease) throws StoreException {
-        store.renewLease(lease);
+    public StoreEra renewLease(LeaseId lease) throws StoreException {
+        return store.renewLease(lease);
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/platform/CoordinationStore.java
+++ b/modules/banyantally/src/main/java/io/banyantally/platform/CoordinationStore.java
@@ -35,9 +35,10 @@
     /**
      * Renews the lease for its time to live.
      *
+     * @return the era of the store that renewed it; another one than that of the lease may have renewed another lease
      * @throws LeaseLapsedException if the lease no longer exists
      */
-    void renewLease(LeaseId lease) throws StoreException;
+    StoreEra renewLease(LeaseId lease) throws StoreException;
 
     /** A key and its value, with the revisions of its last change and of its creation. */
     record StoreItem(StoreKey key, VersionedValue versioned, StoreRevision created) {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/MemberPresenceTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/MemberPresenceTest.java
@@ -7,6 +7,7 @@
 import io.banyantally.platform.CoordinationStore;
 import io.banyantally.platform.LeaseId;
 import io.banyantally.platform.OutcomeUnknownException;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.StoreTransaction;
@@ -100,8 +101,8 @@
         }
 
         @Override
-        public void renewLease(LeaseId lease) throws StoreException {
-            store.renewLease(lease);
+        public StoreEra renewLease(LeaseId lease) throws StoreException {
+            return store.renewLease(lease);
         }
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/LateUsageWriteTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/LateUsageWriteTest.java
@@ -11,6 +11,7 @@
 import io.banyantally.model.VmId;
 import io.banyantally.platform.CoordinationStore;
 import io.banyantally.platform.LeaseId;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.StoreTransaction;
@@ -107,8 +108,8 @@
         }
 
         @Override
-        public void renewLease(LeaseId lease) throws StoreException {
-            store.renewLease(lease);
+        public StoreEra renewLease(LeaseId lease) throws StoreException {
+            return store.renewLease(lease);
         }
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/RelayedStoreTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/RelayedStoreTest.java
@@ -11,6 +11,7 @@
 import io.banyantally.model.VmId;
 import io.banyantally.platform.CoordinationStore;
 import io.banyantally.platform.LeaseId;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.StoreTransaction;
@@ -284,8 +285,8 @@
         }
 
         @Override
-        public void renewLease(LeaseId lease) throws StoreException {
-            items.renewLease(lease);
+        public StoreEra renewLease(LeaseId lease) throws StoreException {
+            return items.renewLease(lease);
         }
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/testing/FakeCoordinationStore.java
+++ b/modules/banyantally/src/test/java/io/banyantally/testing/FakeCoordinationStore.java
@@ -6,6 +6,7 @@
 import io.banyantally.platform.LeaseLapsedException;
 import io.banyantally.platform.OutcomeUnknownException;
 import io.banyantally.platform.RevisionConflictException;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreKey;
 import io.banyantally.platform.StoreRevision;
@@ -28,6 +29,7 @@
     private final Map<StoreKey, LeaseId> leaseOf = new HashMap<>();
     private final Map<LeaseId, Lease> leases = new HashMap<>();
     private final List<RevisedChange> history = new ArrayList<>();
+    private StoreEra era = StoreEra.UNKNOWN;
     private long revision;
     private long nextLease;
     private long discardedUpTo;
@@ -54,6 +56,36 @@
         discardedUpTo = revision;
     }
 
+    /** Returns a copy of the items, leases and counters, for {@link #returnOlder}. */
+    public synchronized Copy copy() {
+        removeExpired();
+        return new Copy(
+                new TreeMap<>(items),
+                Map.copyOf(leaseOf),
+                Map.copyOf(leases),
+                List.copyOf(history),
+                revision,
+                nextLease);
+    }
+
+    /**
+     * Comes back from a copy in the next era. Revisions and leases since are gone and are assigned again; the leases of
+     * the copy end when they would have ended without a renewal since.
+     */
+    public synchronized void returnOlder(Copy copy) {
+        era = new StoreEra(era.value() + 1);
+        items.clear();
+        items.putAll(copy.items());
+        leaseOf.clear();
+        leaseOf.putAll(copy.leaseOf());
+        leases.clear();
+        leases.putAll(copy.leases());
+        history.clear();
+        history.addAll(copy.history());
+        revision = copy.revision();
+        nextLease = copy.nextLease();
+    }
+
     /** Writes a key without a lease, like an operator or an upstream. */
     public synchronized void write(String key, byte[] value) {
         put(new StoreKey(key), value, Optional.empty());
@@ -89,23 +121,24 @@
         return new StoreListing(
                 items.values().stream()
                         .filter(item -> item.key().path().startsWith(prefix))
+                        .map(this::inCurrentEra)
                         .toList(),
-                new StoreRevision(revision));
+                currentRevision());
     }
 
     @Override
     public synchronized StoreChanges awaitChanges(String prefix, StoreRevision after, Duration wait)
             throws StoreException {
         requireAvailable();
-        if (after.value() < discardedUpTo) {
-            throw new HistoryDiscardedException("discarded the history after revision " + after);
+        if (after.value() < discardedUpTo || after.value() > revision) {
+            throw new HistoryDiscardedException("no history after revision " + after);
         }
         List<StoreChange> changes = history.stream()
                 .filter(entry -> entry.revision() > after.value()
                         && entry.change().key().path().startsWith(prefix))
-                .map(RevisedChange::change)
+                .map(entry -> inCurrentEra(entry.change()))
                 .toList();
-        return new StoreChanges(changes, new StoreRevision(revision));
+        return new StoreChanges(changes, currentRevision());
     }
 
     @Override
@@ -115,19 +148,21 @@
             StoreItem item = items.get(expectation.key());
             StoreRevision current =
                     item == null ? StoreRevision.ABSENT : item.versioned().revision();
-            if (!current.equals(expectation.revision())) {
-                throw new RevisionConflictException(expectation.key(), expectation.revision(), current);
+            if (current.value() != expectation.revision().value()) {
+                throw new RevisionConflictException(
+                        expectation.key(), expectation.revision(), new StoreRevision(era, current.value()));
             }
         }
         for (StoreTransaction.Put put : transaction.puts()) {
-            if (put.lease().isPresent() && !leases.containsKey(put.lease().get())) {
+            if (put.lease().isPresent()
+                    && !leases.containsKey(withoutEra(put.lease().get()))) {
                 throw new LeaseLapsedException("no lease " + put.lease().get());
             }
         }
         transaction.puts().forEach(put -> put(put.key(), put.value(), put.lease()));
         transaction.deletes().forEach(this::remove);
         loseResponseIfPlanned();
-        return new StoreRevision(revision);
+        return currentRevision();
     }
 
     @Override
@@ -135,12 +170,13 @@
         requireAvailable();
         LeaseId lease = new LeaseId(++nextLease);
         leases.put(lease, new Lease(timeToLive, clock.nanoTime() + timeToLive.toNanos()));
-        return lease;
+        return new LeaseId(era, lease.value());
     }
 
     @Override
-    public synchronized void renewLease(LeaseId lease) throws StoreException {
+    public synchronized StoreEra renewLease(LeaseId renewed) throws StoreException {
         requireAvailable();
+        LeaseId lease = withoutEra(renewed);
         Lease known = leases.get(lease);
         if (known == null) {
             throw new LeaseLapsedException("no lease " + lease);
@@ -150,6 +186,28 @@
                 new Lease(
                         known.timeToLive(),
                         clock.nanoTime() + known.timeToLive().toNanos()));
+        return era;
+    }
+
+    private StoreRevision currentRevision() {
+        return new StoreRevision(era, revision);
+    }
+
+    private StoreItem inCurrentEra(StoreItem item) {
+        VersionedValue versioned = new VersionedValue(
+                item.value(), new StoreRevision(era, item.versioned().revision().value()));
+        return new StoreItem(
+                item.key(), versioned, new StoreRevision(era, item.created().value()));
+    }
+
+    private StoreChange inCurrentEra(StoreChange change) {
+        return change instanceof StoreChange.Written written
+                ? new StoreChange.Written(inCurrentEra(written.item()))
+                : change;
+    }
+
+    private static LeaseId withoutEra(LeaseId lease) {
+        return new LeaseId(lease.value());
     }
 
     private void requireAvailable() throws StoreUnavailableException {
@@ -187,7 +245,7 @@
         StoreItem item = new StoreItem(key, new VersionedValue(value, new StoreRevision(revision)), created);
         items.put(key, item);
         leaseOf.remove(key);
-        lease.ifPresent(held -> leaseOf.put(key, held));
+        lease.ifPresent(held -> leaseOf.put(key, withoutEra(held)));
         history.add(new RevisedChange(revision, new StoreChange.Written(item)));
     }
 
@@ -199,7 +257,18 @@
         }
     }
 
-    private record Lease(Duration timeToLive, long expiresAt) {}
+    /** A copy of the store, which does not know of anything that happens later. */
+    public record Copy(
+            TreeMap<StoreKey, StoreItem> items,
+            Map<StoreKey, LeaseId> leaseOf,
+            Map<LeaseId, Lease> leases,
+            List<RevisedChange> history,
+            long revision,
+            long nextLease) {}
+
+    /** A lease and when it ends, in nanoseconds of the store's clock. */
+    public record Lease(Duration timeToLive, long expiresAt) {}
 
-    private record RevisedChange(long revision, StoreChange change) {}
+    /** A change and its revision. */
+    public record RevisedChange(long revision, StoreChange change) {}
 }
