Keep leases, watches and answers of different store eras apart

What callers saw: after the store came back older, two VMs could act as holder of the duties, and a VM could go on with items that the store had lost.

Cause: revisions and leases are given out again. A watch whose revision the store has passed again goes on and misses the difference, a renewal keeps the lease of another VM, and an answer of before may arrive after one of the new era.

Change: EraCheckedStore knows the newest era and when it first heard of it. A watch from an earlier era is refused, so the prefix is listed again; a lease of an earlier era counts as lapsed; an answer of an earlier era is discarded; a transaction or renewal that another era answered is not taken for done.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/EraCheckedStore.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/EraCheckedStore.java
@@ -4,15 +4,23 @@
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.timeline.EventField;
 import io.banyantally.platform.CoordinationStore;
+import io.banyantally.platform.HistoryDiscardedException;
 import io.banyantally.platform.LeaseId;
+import io.banyantally.platform.LeaseLapsedException;
+import io.banyantally.platform.OutcomeUnknownException;
 import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.StoreTransaction;
+import io.banyantally.platform.StoreUnavailableException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
-/** Keeps the newest era that the store has named in an answer to this process. */
+/**
+ * Keeps what belongs to different eras of the store apart: a watch does not go on in a later era, a lease is not renewed
+ * there, and answers that arrive after one of a later era are discarded.
+ */
 public final class EraCheckedStore implements CoordinationStore {
 
     private static final EventLog LOG = EventLog.of(EraCheckedStore.class);
@@ -38,7 +46,8 @@
         return era.isEmpty() ? Duration.ZERO : clock.since(eraKnownSince);
     }
 
-    private synchronized void observe(StoreEra answered) {
+    /** Records the era of an answer, and returns whether no answer of a later era was received before. */
+    private synchronized boolean observe(StoreEra answered) {
         if (era.isEmpty() || answered.isAfter(era.get())) {
             LOG.info(
                     "store_era",
@@ -47,40 +56,82 @@
             era = Optional.of(answered);
             eraKnownSince = clock.nanoTime();
         }
+        return era.get().equals(answered);
     }
 
     @Override
     public StoreListing list(String prefix) throws StoreException {
         StoreListing listing = store.list(prefix);
-        observe(listing.revision().era());
+        if (!observe(listing.revision().era())) {
+            throw new StoreUnavailableException("the listing of " + prefix + " is of an earlier era of the store");
+        }
         return listing;
     }
 
     @Override
     public StoreChanges awaitChanges(String prefix, StoreRevision after, Duration wait) throws StoreException {
+        requireCurrent(after);
         StoreChanges changes = store.awaitChanges(prefix, after, wait);
-        observe(changes.revision().era());
+        StoreEra answered = changes.revision().era();
+        if (!observe(answered) || !answered.equals(after.era())) {
+            throw new HistoryDiscardedException("the store has changed its era since revision " + after);
+        }
         return changes;
     }
 
+    /** Throws if the store has answered in a later era than that of a revision. */
+    public void requireCurrent(StoreRevision revision) throws HistoryDiscardedException {
+        if (!isCurrent(revision.era())) {
+            throw new HistoryDiscardedException("revision " + revision + " is of an earlier era of the store");
+        }
+    }
+
+    private synchronized boolean isCurrent(StoreEra known) {
+        return era.isEmpty() || era.get().equals(known);
+    }
+
     @Override
     public StoreRevision apply(StoreTransaction transaction) throws StoreException {
+        List<LeaseId> leases = transaction.puts().stream()
+                .map(StoreTransaction.Put::lease)
+                .flatMap(Optional::stream)
+                .toList();
+        for (LeaseId lease : leases) {
+            requireCurrent(lease);
+        }
         StoreRevision revision = store.apply(transaction);
-        observe(revision.era());
+        if (!observe(revision.era())
+                || leases.stream().anyMatch(lease -> !lease.era().equals(revision.era()))) {
+            throw new OutcomeUnknownException("the era of the store changed during a transaction");
+        }
         return revision;
     }
 
     @Override
     public LeaseId grantLease(Duration timeToLive) throws StoreException {
         LeaseId lease = store.grantLease(timeToLive);
-        observe(lease.era());
+        if (!observe(lease.era())) {
+            throw new OutcomeUnknownException("lease " + lease + " is of an earlier era of the store");
+        }
         return lease;
     }
 
     @Override
     public StoreEra renewLease(LeaseId lease) throws StoreException {
+        requireCurrent(lease);
         StoreEra renewedIn = store.renewLease(lease);
-        observe(renewedIn);
+        if (!observe(renewedIn)) {
+            throw new OutcomeUnknownException("the renewal of lease " + lease + " was answered in an earlier era");
+        }
+        if (!renewedIn.equals(lease.era())) {
+            throw new LeaseLapsedException("lease " + lease + " ended with its era of the store");
+        }
         return renewedIn;
     }
+
+    private void requireCurrent(LeaseId lease) throws LeaseLapsedException {
+        if (!isCurrent(lease.era())) {
+            throw new LeaseLapsedException("lease " + lease + " is of an earlier era of the store");
+        }
+    }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/PrefixWatcherTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/PrefixWatcherTest.java
@@ -27,7 +27,8 @@
     private final Recorder recorder = new Recorder();
     private final Sleeper shortSleeps = duration -> Thread.sleep(STEP);
     private final Thread thread = Thread.ofVirtual()
-            .unstarted(new PrefixWatcher(store, "a/", PrefixWatcher.SHORT_WATCH, recorder, health, shortSleeps));
+            .unstarted(new PrefixWatcher(
+                    new EraCheckedStore(store, clock), "a/", PrefixWatcher.SHORT_WATCH, recorder, health, shortSleeps));
 
     @AfterEach
     void stop() {
@@ -67,6 +68,23 @@
         assertEquals(1, recorder.listings());
     }
 
+    /** Guards against lost items that stay in use: the store has passed the watch's revision again. */
+    @Test
+    void listsAgainWhenTheStoreReturnsOlder() throws InterruptedException {
+        store.write("a/1", new byte[] {1});
+        FakeCoordinationStore.Copy copy = store.copy();
+        store.write("a/lost", new byte[] {2});
+        thread.start();
+        await(() -> recorder.listings() == 1);
+
+        store.returnOlder(copy);
+        store.write("a/2", new byte[] {2});
+        store.write("a/3", new byte[] {2});
+        await(() -> recorder.listings() == 2);
+
+        assertEquals(List.of("a/1", "a/2", "a/3"), recorder.lastListing());
+    }
+
     /** Guards against a task that still runs after the shutdown, and against logging a false outage of the store. */
     @Test
     void interruptEndsTheTask() throws InterruptedException {
