Do not relay changes of one store era to a VM of another

Cause: the history that a VM keeps for its peers compares revisions without their era. After the store came back older, a delegate with lower revisions told the others that nothing had changed until the count had passed their revisions, and the changes until then were missed.

Change: queries and answers name the era; a history of another era is not used, so the asker watches the store itself and lists again. The VM checks the era once more when the relayed answer is there.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ChangeHistory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ChangeHistory.java
@@ -96,17 +96,17 @@
         }
     }
 
-    /** Returns all changes after a revision; empty if the history does not reach back to it. */
+    /** Returns all changes after a revision; empty if it is of another era, or older than the history. */
     Optional<StoreChanges> after(StoreRevision revision) {
         lock.lock();
         try {
-            if (!started || revision.value() < start.value()) {
+            if (!started || !revision.era().equals(start.era()) || start.isAfter(revision)) {
                 return Optional.empty();
             }
             List<StoreChange> changes = new ArrayList<>();
             StoreRevision last = revision;
             for (StoreChanges batch : batches) {
-                if (batch.revision().value() > revision.value()) {
+                if (batch.revision().isAfter(revision)) {
                     // A batch is repeated whole; applying its changes again ends in the same state.
                     changes.addAll(batch.changes());
                     last = batch.revision();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import io.banyantally.internal.deployment.EraCheckedStore;
 import io.banyantally.internal.peer.MessagePackCodec;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.PeerException;
@@ -57,7 +58,7 @@
     private static final MessagePackCodec<WatchQuery> QUERIES = MessagePackCodec.of(WatchQuery.class);
     private static final MessagePackCodec<WatchAnswer> ANSWERS = MessagePackCodec.of(WatchAnswer.class);
 
-    private final CoordinationStore store;
+    private final EraCheckedStore store;
     private final PeerNetwork peers;
     private final ZoneDelegates delegates;
     private final MonotonicClock clock;
@@ -68,7 +69,7 @@
 
     /** Creates the store and handles the watches of peers. */
     public RelayedStore(
-            CoordinationStore store, Peer self, PeerNetwork peers, MonotonicClock clock, MetricRegistry metrics) {
+            EraCheckedStore store, Peer self, PeerNetwork peers, MonotonicClock clock, MetricRegistry metrics) {
         this.store = store;
         this.peers = peers;
         this.delegates = new ZoneDelegates(self, peers, clock, "watch");
@@ -87,14 +88,19 @@
 
     @Override
     public StoreChanges awaitChanges(String prefix, StoreRevision after, Duration wait) throws StoreException {
-        WatchQuery query = new WatchQuery(prefix, after.value(), wait.toMillis());
+        store.requireCurrent(after);
+        WatchQuery query = WatchQuery.of(prefix, after, wait);
         Optional<StoreChanges> relayedChanges = Optional.empty();
         if (arePeersFirst(prefix)) {
             relayedChanges = askPeers(query);
         } else if (!wait.isZero()) {
             relayedChanges = delegates.ofOwnZone().flatMap(delegate -> relay(delegate, query));
         }
-        return relayedChanges.isPresent() ? relayedChanges.get() : watchStore(query);
+        if (relayedChanges.isEmpty()) {
+            return watchStore(query);
+        }
+        store.requireCurrent(relayedChanges.get().revision());
+        return relayedChanges.get();
     }
 
     private boolean arePeersFirst(String prefix) {
@@ -109,8 +115,8 @@
         Duration wait = Duration.ofMillis(query.waitMillis());
         boolean confirmed = history.isConfirmedWithin(wait.plus(CONFIRMATION_MARGIN));
         try {
-            StoreChanges changes = store.awaitChanges(
-                    query.prefix(), new StoreRevision(query.after()), confirmed ? wait : Duration.ZERO);
+            StoreChanges changes =
+                    store.awaitChanges(query.prefix(), query.afterRevision(), confirmed ? wait : Duration.ZERO);
             history.add(changes, true);
             return changes;
         } catch (HistoryDiscardedException discarded) {
@@ -118,7 +124,8 @@
             throw discarded;
         } catch (StoreException failure) {
             history.withdrawConfirmation();
-            Optional<StoreChanges> changes = askPeers(new WatchQuery(query.prefix(), query.after(), 0));
+            Optional<StoreChanges> changes =
+                    askPeers(WatchQuery.of(query.prefix(), query.afterRevision(), Duration.ZERO));
             if (changes.isEmpty()) {
                 throw failure;
             }
@@ -158,7 +165,7 @@
 
     private WatchAnswer answer(WatchQuery query) throws PeerException {
         ChangeHistory history = history(query.prefix());
-        StoreRevision after = new StoreRevision(query.after());
+        StoreRevision after = query.afterRevision();
         Duration wait = Duration.ofMillis(query.waitMillis());
         Duration confirmationWait = wait.isZero() ? Duration.ZERO : CONFIRMATION_WAIT;
         long startedAt = clock.nanoTime();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WatchAnswer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WatchAnswer.java
@@ -3,6 +3,7 @@
 import io.banyantally.platform.CoordinationStore.StoreChange;
 import io.banyantally.platform.CoordinationStore.StoreChanges;
 import io.banyantally.platform.CoordinationStore.StoreItem;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreKey;
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.VersionedValue;
@@ -11,13 +12,14 @@
 /**
  * The changes under a prefix of the store, as a peer has read them.
  *
+ * @param era the era of the store to which the revisions belong
  * @param revision the revision from which to continue
  * @param readStore whether the peer has changes that it does not relay, so that the asker must read the store
  */
-record WatchAnswer(List<Change> changes, long revision, boolean readStore) {
+record WatchAnswer(List<Change> changes, long era, long revision, boolean readStore) {
 
     /** Tells the asker to read the store itself. */
-    static final WatchAnswer READ_STORE = new WatchAnswer(List.of(), 0, true);
+    static final WatchAnswer READ_STORE = new WatchAnswer(List.of(), 0, 0, true);
 
     private static final byte[] NO_VALUE = {};
 
@@ -28,12 +30,16 @@
     static WatchAnswer of(StoreChanges read) {
         return new WatchAnswer(
                 read.changes().stream().map(Change::of).toList(),
+                read.revision().era().value(),
                 read.revision().value(),
                 false);
     }
 
     StoreChanges toStoreChanges() {
-        return new StoreChanges(changes.stream().map(Change::toStoreChange).toList(), new StoreRevision(revision));
+        StoreEra storeEra = new StoreEra(era);
+        return new StoreChanges(
+                changes.stream().map(change -> change.toStoreChange(storeEra)).toList(),
+                new StoreRevision(storeEra, revision));
     }
 
     /** Returns roughly how many bytes the values take. */
@@ -57,13 +63,13 @@
             };
         }
 
-        private StoreChange toStoreChange() {
+        private StoreChange toStoreChange(StoreEra storeEra) {
             StoreKey storeKey = new StoreKey(key);
             if (removed) {
                 return new StoreChange.Removed(storeKey);
             }
-            VersionedValue versioned = new VersionedValue(value, new StoreRevision(revision));
-            return new StoreChange.Written(new StoreItem(storeKey, versioned, new StoreRevision(created)));
+            VersionedValue versioned = new VersionedValue(value, new StoreRevision(storeEra, revision));
+            return new StoreChange.Written(new StoreItem(storeKey, versioned, new StoreRevision(storeEra, created)));
         }
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/ChangeHistoryTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/ChangeHistoryTest.java
@@ -4,6 +4,7 @@
 
 import io.banyantally.platform.CoordinationStore.StoreChange;
 import io.banyantally.platform.CoordinationStore.StoreChanges;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreKey;
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.testing.ManualClock;
@@ -49,6 +50,15 @@
         assertEquals(new StoreRevision(9), after.revision());
     }
 
+    /** Guards against changes of the new era that are missed, as its revisions are lower than those of the asker. */
+    @Test
+    void historyOfAnotherEraIsNotUsed() {
+        history.restart(new StoreRevision(new StoreEra(2), 5));
+
+        assertEquals(Optional.empty(), history.after(new StoreRevision(new StoreEra(1), 12)));
+        assertEquals(Optional.empty(), history.after(new StoreRevision(new StoreEra(3), 12)));
+    }
+
     private static StoreChanges changes(String key, long revision) {
         return new StoreChanges(List.of(new StoreChange.Removed(new StoreKey(key))), new StoreRevision(revision));
     }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/RelayedStoreTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/RelayedStoreTest.java
@@ -4,12 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
+import io.banyantally.internal.deployment.EraCheckedStore;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.Incarnation;
 import io.banyantally.model.VmId;
 import io.banyantally.platform.CoordinationStore;
+import io.banyantally.platform.HistoryDiscardedException;
 import io.banyantally.platform.LeaseId;
 import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreException;
@@ -52,6 +54,30 @@
         followers.forEach(follower -> follower.thread.interrupt());
     }
 
+    /** Guards against a key that stays in use: the removal is in the part of the history that the store has lost. */
+    @Test
+    void itemsThatTheStoreLostAreGoneFromAllVmsAfterItReturnsOlder() throws Exception {
+        startFleet(2);
+        FakeCoordinationStore.Copy copy = items.copy();
+        items.write(PREFIX + "lost", new byte[] {1});
+        awaitKey(followers, PREFIX + "lost");
+
+        items.returnOlder(copy);
+        for (int change = 1; change <= 3; change++) {
+            items.write(PREFIX + "again-" + change, new byte[] {1});
+        }
+
+        for (int change = 1; change <= 3; change++) {
+            awaitKey(followers, PREFIX + "again-" + change);
+        }
+        assertEquals(
+                List.of(),
+                followers.stream()
+                        .filter(follower -> follower.keys.contains(PREFIX + "lost"))
+                        .map(follower -> follower.vm)
+                        .toList());
+    }
+
     /** Guards against watches of the store whose number grows with the fleet. */
     @Test
     void onlyTheDelegatesWatchTheStore() throws Exception {
@@ -206,7 +232,11 @@
             this.vm = vm;
             Peer self = new Peer(vm, Incarnation.draw(), zone);
             store = new RelayedStore(
-                    new WaitingStore(this), self, hub.join(self), MonotonicClock.SYSTEM, new MetricRegistry());
+                    new EraCheckedStore(new WaitingStore(this), MonotonicClock.SYSTEM),
+                    self,
+                    hub.join(self),
+                    MonotonicClock.SYSTEM,
+                    new MetricRegistry());
         }
 
         private void follow() {
@@ -217,6 +247,7 @@
                 try {
                     if (!listed) {
                         CoordinationStore.StoreListing listing = store.list(PREFIX);
+                        keys.clear();
                         listing.items().forEach(item -> keys.add(item.key().path()));
                         position = listing.revision();
                         listed = true;
@@ -225,6 +256,8 @@
                     changes.changes().forEach(change -> keys.add(change.key().path()));
                     position = changes.revision();
                     wait = WAIT;
+                } catch (HistoryDiscardedException discarded) {
+                    listed = false;
                 } catch (StoreException unavailable) {
                     failures.incrementAndGet();
                     wait = Duration.ZERO;
