Recognise an entry of the duties by its lease

Cause: DutyLease took any entry of its VM and process for its own write. A VM whose election had lost kept the lease of that attempt; when a repeated batch showed the entry of its former term, it took that term up again with the older number, beside the VM elected since. The entry was also read twice, so a batch in between could hand the check one entry and the term another.

Change: the entry names the lease under which it was created, and only an entry under the present lease is an own write; its renewal shows that the key never went away. The entry is read once in each refresh.

Measured: DutyLeaseTest.formerEntryShownAgainByARepeatedBatchStartsNoTerm failed before (two holders at once) and passes; a write of any attempt under the present lease is still recognised.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -80,13 +80,14 @@
         if (stopped) {
             return;
         }
+        Optional<StoreItem> entry = members.dutyHolder();
         try {
             if (term.isPresent()) {
                 renew();
-            } else if (members.dutyHolder().isEmpty()) {
+            } else if (entry.isEmpty()) {
                 acquire();
-            } else if (isOwnWrite(members.dutyHolder().get())) {
-                startTerm(members.dutyHolder().get().created(), clock.reading());
+            } else if (isOwnWrite(entry.get())) {
+                startTerm(entry.get().created(), clock.reading());
             }
         } catch (StoreException failure) {
             health.failed("duty lease", failure);
@@ -138,7 +139,8 @@
             lease = Optional.of(store.grantLease(timeToLive));
         }
         attempts++;
-        byte[] value = WireFormat.encode(new HolderRecord(vm, incarnation, attempts));
+        byte[] value = WireFormat.encode(
+                new HolderRecord(vm, incarnation, attempts, lease.get().value()));
         try {
             StoreRevision revision = store.apply(StoreTransaction.create(GatewayStoreKeys.DUTY_HOLDER, value, lease));
             health.answered();
@@ -154,12 +156,14 @@
         }
     }
 
+    /** An entry under an earlier lease is of a term that has ended, even if a repeated batch shows it again. */
     private boolean isOwnWrite(StoreItem item) {
         try {
             HolderRecord holder = WireFormat.decode(item.value(), HolderRecord.class);
             return lease.isPresent()
                     && holder.vm().equals(vm)
-                    && holder.lifetime().equals(incarnation);
+                    && holder.lifetime().equals(incarnation)
+                    && holder.lease() == lease.get().value();
         } catch (IOException unreadable) {
             LOG.error("duty_holder_unreadable", unreadable, EventField.of("key", item.key()));
             return false;
@@ -191,6 +195,7 @@
      *
      * @param lifetime the incarnation of the process
      * @param attempt distinguishes the writes of one process
+     * @param lease the lease that holds the key
      */
-    record HolderRecord(VmId vm, String lifetime, int attempt) {}
+    record HolderRecord(VmId vm, String lifetime, int attempt, long lease) {}
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
@@ -9,12 +9,16 @@
 import io.banyantally.internal.deployment.StoreHealth;
 import io.banyantally.internal.time.WallClock;
 import io.banyantally.model.VmId;
+import io.banyantally.platform.CoordinationStore.StoreChange;
+import io.banyantally.platform.CoordinationStore.StoreChanges;
+import io.banyantally.platform.CoordinationStore.StoreItem;
 import io.banyantally.platform.DutyHolder;
 import io.banyantally.platform.StoreException;
 import io.banyantally.testing.FakeCoordinationStore;
 import io.banyantally.testing.ManualClock;
 import io.banyantally.testing.StoreFeed;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 
@@ -115,6 +119,39 @@
         assertEquals(0, store.keys(GatewayStoreKeys.DUTY_HOLDER.path()).size());
     }
 
+    /** Guards against a VM that takes up its former term, with its lower number, beside the VM elected since. */
+    @Test
+    void formerEntryShownAgainByARepeatedBatchStartsNoTerm() throws StoreException {
+        first.round();
+        StoreItem formerEntry = first.members.dutyHolder().orElseThrow();
+        clock.advance(TIME_TO_LIVE);
+        first.round();
+        assertTrue(first.lease.held().isEmpty(), "the term ended with its lease");
+        first.members.changed(new StoreChanges(
+                List.of(new StoreChange.Removed(GatewayStoreKeys.DUTY_HOLDER)), formerEntry.created()));
+        second.round();
+        first.lease.refresh();
+        first.members.changed(new StoreChanges(List.of(new StoreChange.Written(formerEntry)), formerEntry.created()));
+
+        first.lease.refresh();
+
+        assertTrue(second.lease.held().isPresent());
+        assertFalse(first.lease.held().isPresent());
+    }
+
+    /** Guards against a write that takes effect under a lease whose later attempts were refused. */
+    @Test
+    void recognisesAWriteOfAnyAttemptUnderItsLease() throws StoreException {
+        store.loseAnswers(1);
+        first.lease.refresh();
+        first.lease.refresh();
+        assertFalse(first.lease.held().isPresent(), "the watch has not shown the entry");
+
+        first.round();
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
     private final class Vm {
         private final AtomicLong timeOfDay = new AtomicLong();
         private final MemberList members = new MemberList();
