Ask for the permission of the duties without the lock of the lease

Cause: held(), the permission of each call and stop() waited for the lock that refresh() holds while a call to the store is open. With a slow store (1 s until a call times out) duties stood still although the lease was valid, and a stopped VM kept its permission until the call returned.

Change: the term and whether the lease is stopped are read without the lock; stop() denies permission before it waits.

Measured: DutyLeaseTest.slowRenewalDelaysNeitherPermissionNorStop failed before (no answer within 5 s) and passes.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -48,9 +48,11 @@
     private final String incarnation;
     private final Duration timeToLive;
     private int attempts;
-    private boolean stopped;
     private Optional<LeaseId> lease = Optional.empty();
-    private Optional<Term> term = Optional.empty();
+
+    // Read without the lock, which a call to a slow store holds.
+    private volatile boolean stopped;
+    private volatile Optional<Term> term = Optional.empty();
 
     /**
      * Creates a lease that is not held.
@@ -95,28 +97,33 @@
     }
 
     /** Stops using the lease, which then expires. */
-    public synchronized void stop() {
+    public void stop() {
         stopped = true;
-        endTerm("stopped");
+        synchronized (this) {
+            endTerm("stopped");
+        }
     }
 
     /** Returns this VM as the holder of the duties; empty if it does not hold a valid lease. */
-    public synchronized Optional<DutyHolder> held() {
-        if (!isTermValid()) {
-            return Optional.empty();
-        }
-        long revision = term.get().revision().value();
-        return Optional.of(new DutyHolder(vm, new FencingNumber(revision), () -> isCurrentTerm(revision)));
+    public Optional<DutyHolder> held() {
+        return validTerm().map(Term::revision).map(this::holder);
+    }
+
+    private DutyHolder holder(StoreRevision revision) {
+        return new DutyHolder(
+                vm,
+                new FencingNumber(revision.value()),
+                () -> validTerm()
+                        .filter(current -> current.revision().equals(revision))
+                        .isPresent());
     }
 
-    private synchronized boolean isCurrentTerm(long revision) {
-        return isTermValid() && term.get().revision().value() == revision;
+    private Optional<Term> validTerm() {
+        return stopped ? Optional.empty() : term.filter(this::isValid);
     }
 
-    private boolean isTermValid() {
-        return !stopped
-                && term.isPresent()
-                && clock.maximumElapsedSince(term.get().renewedAt()).compareTo(timeToLive.minus(SAFETY_MARGIN)) < 0;
+    private boolean isValid(Term current) {
+        return clock.maximumElapsedSince(current.renewedAt()).compareTo(timeToLive.minus(SAFETY_MARGIN)) < 0;
     }
 
     private void renew() throws StoreException {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
@@ -18,8 +18,12 @@
 import io.banyantally.testing.ManualClock;
 import io.banyantally.testing.StoreFeed;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 
 final class DutyLeaseTest {
@@ -152,15 +156,46 @@
         assertTrue(first.lease.held().isPresent());
     }
 
+    /** Guards against duties that wait for their permission while the store is slow, or a stop that waits for it. */
+    @Test
+    void slowRenewalDelaysNeitherPermissionNorStop() throws StoreException {
+        first.round();
+        DutyHolder holder = first.lease.held().orElseThrow();
+        List<Boolean> permissions = new ArrayList<>();
+        first.link.setBeforeRenewal(() -> {
+            permissions.add(inOtherThread(() -> holder.permission().isGranted()));
+            CompletableFuture<Void> _ = CompletableFuture.runAsync(first.lease::stop);
+            awaitUntil(() -> !inOtherThread(() -> holder.permission().isGranted()));
+        });
+
+        first.lease.refresh();
+
+        assertEquals(List.of(true), permissions);
+    }
+
+    private static boolean inOtherThread(BooleanSupplier question) {
+        return CompletableFuture.supplyAsync(question::getAsBoolean)
+                .orTimeout(5, TimeUnit.SECONDS)
+                .join();
+    }
+
+    private static void awaitUntil(BooleanSupplier condition) {
+        long startedAt = System.nanoTime();
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() - startedAt < TimeUnit.SECONDS.toNanos(5), "waited for too long");
+        }
+    }
+
     private final class Vm {
         private final AtomicLong timeOfDay = new AtomicLong();
         private final MemberList members = new MemberList();
-        private final StoreFeed feed = new StoreFeed(store, GatewayStoreKeys.LIVE_PREFIX, members);
+        private final StoreLink link = new StoreLink(store);
+        private final StoreFeed feed = new StoreFeed(link, GatewayStoreKeys.LIVE_PREFIX, members);
         private final DutyLease lease;
 
         Vm(String name) {
             lease = new DutyLease(
-                    store,
+                    link,
                     members,
                     new StoreHealth(clock),
                     new WallClock(clock, timeOfDay::get),
