Drop a lease that ends before the first renewal of a term

Cause: a VM that recognised its own write and found its lease ended kept that lease. It renewed it in vain until its watch showed the removal and lost one more round with it: up to two seconds without a holder.

Change: whichever call says that the lease has ended, it is dropped.

Measured: DutyLeaseTest.leaseThatEndsDuringTheElectionIsDropped failed before and passes.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -91,6 +91,9 @@
             } else if (isOwnWrite(entry.get())) {
                 startTerm(entry.get().created(), clock.reading());
             }
+        } catch (LeaseLapsedException lapsed) {
+            health.answered();
+            endTerm("lapsed");
         } catch (StoreException failure) {
             health.failed("duty lease", failure);
         }
@@ -128,16 +131,11 @@
 
     private void renew() throws StoreException {
         WallClock.Reading requestedAt = clock.reading();
-        try {
-            store.renewLease(lease.get());
-            health.answered();
-            // A successful renewal shows that the lease never expired, so its key remained and no other VM has held the
-            // duties.
-            term = Optional.of(new Term(term.get().revision(), requestedAt));
-        } catch (LeaseLapsedException lapsed) {
-            health.answered();
-            endTerm("lapsed");
-        }
+        store.renewLease(lease.get());
+        health.answered();
+        // A successful renewal shows that the lease never expired, so its key remained and no other VM has held the
+        // duties.
+        term = Optional.of(new Term(term.get().revision(), requestedAt));
     }
 
     private void acquire() throws StoreException {
@@ -154,9 +152,6 @@
             startTerm(revision, requestedAt);
         } catch (RevisionConflictException taken) {
             health.answered();
-        } catch (LeaseLapsedException lapsed) {
-            health.answered();
-            lease = Optional.empty();
         } catch (OutcomeUnknownException unknown) {
             // The watch of the key shows whether the write took effect.
             health.failed("take duties", unknown);
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
@@ -186,6 +186,23 @@
         }
     }
 
+    /** Guards against duties without a holder: the lease ends between the election and its first renewal. */
+    @Test
+    void leaseThatEndsDuringTheElectionIsDropped() throws StoreException {
+        store.loseAnswers(1);
+        first.round();
+        first.link.setBeforeRenewal(() -> {
+            first.link.setBeforeRenewal(() -> {});
+            store.lapseAllLeases();
+        });
+        first.round();
+        assertFalse(first.lease.held().isPresent());
+
+        first.round();
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
     private final class Vm {
         private final AtomicLong timeOfDay = new AtomicLong();
         private final MemberList members = new MemberList();
