Elect a former holder again without its watch showing the removal

Cause: a VM whose lease had ended waited until its watch showed that its own key was gone, and for ever if the watch missed that change.

Change: an entry of this process under a lease that it no longer uses does not stop an election; the store refuses the key if it still exists.

Measured: DutyLeaseTest.formerHolderDoesNotWaitForItsOwnEntryToBeRemoved failed before and passes.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -88,8 +88,8 @@
                 renew();
             } else if (entry.isEmpty()) {
                 acquire();
-            } else if (isOwnWrite(entry.get())) {
-                startTerm(entry.get().created(), clock.reading());
+            } else {
+                elect(entry.get());
             }
         } catch (LeaseLapsedException lapsed) {
             health.answered();
@@ -158,17 +158,25 @@
         }
     }
 
-    /** An entry under an earlier lease is of a term that has ended, even if a repeated batch shows it again. */
-    private boolean isOwnWrite(StoreItem item) {
+    private void elect(StoreItem entry) throws StoreException {
+        Optional<HolderRecord> holder = decode(entry);
+        if (holder.isEmpty() || !holder.get().isOf(vm, incarnation)) {
+            return;
+        }
+        if (lease.isPresent() && holder.get().lease() == lease.get().value()) {
+            startTerm(entry.created(), clock.reading());
+        } else {
+            // The term under that lease has ended, so the entry is old or will be removed; the store decides which.
+            acquire();
+        }
+    }
+
+    private static Optional<HolderRecord> decode(StoreItem entry) {
         try {
-            HolderRecord holder = WireFormat.decode(item.value(), HolderRecord.class);
-            return lease.isPresent()
-                    && holder.vm().equals(vm)
-                    && holder.lifetime().equals(incarnation)
-                    && holder.lease() == lease.get().value();
+            return Optional.of(WireFormat.decode(entry.value(), HolderRecord.class));
         } catch (IOException unreadable) {
-            LOG.error("duty_holder_unreadable", unreadable, EventField.of("key", item.key()));
-            return false;
+            LOG.error("duty_holder_unreadable", unreadable, EventField.of("key", entry.key()));
+            return Optional.empty();
         }
     }
 
@@ -199,5 +207,10 @@
      * @param attempt distinguishes the writes of one process
      * @param lease the lease that holds the key
      */
-    record HolderRecord(VmId vm, String lifetime, int attempt, long lease) {}
+    record HolderRecord(VmId vm, String lifetime, int attempt, long lease) {
+
+        private boolean isOf(VmId otherVm, String otherLifetime) {
+            return vm.equals(otherVm) && lifetime.equals(otherLifetime);
+        }
+    }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
@@ -203,6 +203,19 @@
         assertTrue(first.lease.held().isPresent());
     }
 
+    /** Guards against duties without a holder: the watch of the VM that lost its lease does not show the removal. */
+    @Test
+    void formerHolderDoesNotWaitForItsOwnEntryToBeRemoved() throws StoreException {
+        first.round();
+        store.lapseAllLeases();
+        first.lease.refresh();
+        assertFalse(first.lease.held().isPresent());
+
+        first.lease.refresh();
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
     private final class Vm {
         private final AtomicLong timeOfDay = new AtomicLong();
         private final MemberList members = new MemberList();
