Take a new lease for an election after a time to live

Cause: a VM that lost an election kept the lease of that attempt. At the next election, mostly much later, it had ended, and the VM lost a round of a second with it; every VM but the former holder was in this state.

Change: a lease that nothing renewed for its time to live is replaced before the attempt.

Measured: DutyLeaseTest.leaseOfAnElectionLongAgoIsNotUsed failed before and passes.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -49,6 +49,7 @@
     private final Duration timeToLive;
     private int attempts;
     private Optional<LeaseId> lease = Optional.empty();
+    private WallClock.Reading leaseRequestedAt;
 
     // Read without the lock, which a call to a slow store holds.
     private volatile boolean stopped;
@@ -75,6 +76,7 @@
         this.vm = vm;
         this.incarnation = incarnation;
         this.timeToLive = timeToLive;
+        this.leaseRequestedAt = clock.reading();
     }
 
     /** Renews the lease if this VM holds it, and otherwise tries to acquire it. */
@@ -140,8 +142,9 @@
 
     private void acquire() throws StoreException {
         WallClock.Reading requestedAt = clock.reading();
-        if (lease.isEmpty()) {
+        if (lease.isEmpty() || clock.maximumElapsedSince(leaseRequestedAt).compareTo(timeToLive) >= 0) {
             lease = Optional.of(store.grantLease(timeToLive));
+            leaseRequestedAt = requestedAt;
         }
         attempts++;
         byte[] value = WireFormat.encode(
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
@@ -186,6 +186,19 @@
         }
     }
 
+    /** Guards against an election that loses a round, a second, with a lease of an election long ago. */
+    @Test
+    void leaseOfAnElectionLongAgoIsNotUsed() throws StoreException {
+        second.lease.refresh();
+        first.lease.refresh();
+        second.lease.stop();
+        clock.advance(TIME_TO_LIVE);
+
+        first.round();
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
     /** Guards against duties without a holder: the lease ends between the election and its first renewal. */
     @Test
     void leaseThatEndsDuringTheElectionIsDropped() throws StoreException {
