--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -48,9 +48,12 @@
     private final String incarnation;
     private final Duration timeToLive;
     private int attempts;
-    private boolean stopped;
     private Optional<LeaseId> lease = Optional.empty();
-    private Optional<Term> term = Optional.empty();
+    private WallClock.Reading leaseRequestedAt;
+
+    // Read without the lock, which a call to a slow store holds.
+    private volatile boolean stopped;
+    private volatile Optional<Term> term = Optional.empty();
 
     /**
      * Creates a lease that is not held.
@@ -73,6 +76,7 @@
         this.vm = vm;
         this.incarnation = incarnation;
         this.timeToLive = timeToLive;
+        this.leaseRequestedAt = clock.reading();
     }
 
     /** Renews the lease if this VM holds it, and otherwise tries to acquire it. */
@@ -80,89 +84,102 @@
         if (stopped) {
             return;
         }
+        Optional<StoreItem> entry = members.dutyHolder();
         try {
             if (term.isPresent()) {
                 renew();
-            } else if (members.dutyHolder().isEmpty()) {
+            } else if (entry.isEmpty()) {
                 acquire();
-            } else if (isOwnWrite(members.dutyHolder().get())) {
-                startTerm(members.dutyHolder().get().created(), clock.reading());
+            } else {
+                elect(entry.get());
             }
+        } catch (LeaseLapsedException lapsed) {
+            health.answered();
+            endTerm("lapsed");
         } catch (StoreException failure) {
             health.failed("duty lease", failure);
         }
     }
 
     /** Stops using the lease, which then expires. */
-    public synchronized void stop() {
+    public void stop() {
         stopped = true;
-        endTerm("stopped");
+        synchronized (this) {
+            endTerm("stopped");
+        }
     }
 
     /** Returns this VM as the holder of the duties; empty if it does not hold a valid lease. */
-    public synchronized Optional<DutyHolder> held() {
-        if (!isTermValid()) {
-            return Optional.empty();
-        }
-        long revision = term.get().revision().value();
-        return Optional.of(new DutyHolder(vm, new FencingNumber(revision), () -> isCurrentTerm(revision)));
+    public Optional<DutyHolder> held() {
+        return validTerm().map(Term::revision).map(this::holder);
     }
 
-    private synchronized boolean isCurrentTerm(long revision) {
-        return isTermValid() && term.get().revision().value() == revision;
+    private DutyHolder holder(StoreRevision revision) {
+        return new DutyHolder(
+                vm,
+                new FencingNumber(revision.value()),
+                () -> validTerm()
+                        .filter(current -> current.revision().equals(revision))
+                        .isPresent());
     }
 
-    private boolean isTermValid() {
-        return !stopped
-                && term.isPresent()
-                && clock.maximumElapsedSince(term.get().renewedAt()).compareTo(timeToLive.minus(SAFETY_MARGIN)) < 0;
+    private Optional<Term> validTerm() {
+        return stopped ? Optional.empty() : term.filter(this::isValid);
+    }
+
+    private boolean isValid(Term current) {
+        return clock.maximumElapsedSince(current.renewedAt()).compareTo(timeToLive.minus(SAFETY_MARGIN)) < 0;
     }
 
     private void renew() throws StoreException {
         WallClock.Reading requestedAt = clock.reading();
-        try {
-            store.renewLease(lease.get());
-            health.answered();
-            // A successful renewal shows that the lease never expired, so its key remained and no other VM has held the
-            // duties.
-            term = Optional.of(new Term(term.get().revision(), requestedAt));
-        } catch (LeaseLapsedException lapsed) {
-            health.answered();
-            endTerm("lapsed");
-        }
+        store.renewLease(lease.get());
+        health.answered();
+        // A successful renewal shows that the lease never expired, so its key remained and no other VM has held the
+        // duties.
+        term = Optional.of(new Term(term.get().revision(), requestedAt));
     }
 
     private void acquire() throws StoreException {
         WallClock.Reading requestedAt = clock.reading();
-        if (lease.isEmpty()) {
+        if (lease.isEmpty() || clock.maximumElapsedSince(leaseRequestedAt).compareTo(timeToLive) >= 0) {
             lease = Optional.of(store.grantLease(timeToLive));
+            leaseRequestedAt = requestedAt;
         }
         attempts++;
-        byte[] value = WireFormat.encode(new HolderRecord(vm, incarnation, attempts));
+        byte[] value = WireFormat.encode(
+                new HolderRecord(vm, incarnation, attempts, lease.get().value()));
         try {
             StoreRevision revision = store.apply(StoreTransaction.create(GatewayStoreKeys.DUTY_HOLDER, value, lease));
             health.answered();
             startTerm(revision, requestedAt);
         } catch (RevisionConflictException taken) {
             health.answered();
-        } catch (LeaseLapsedException lapsed) {
-            health.answered();
-            lease = Optional.empty();
         } catch (OutcomeUnknownException unknown) {
             // The watch of the key shows whether the write took effect.
             health.failed("take duties", unknown);
         }
     }
 
-    private boolean isOwnWrite(StoreItem item) {
+    private void elect(StoreItem entry) throws StoreException {
+        Optional<HolderRecord> holder = decode(entry);
+        if (holder.isEmpty() || !holder.get().isOf(vm, incarnation)) {
+            return;
+        }
+        if (lease.isPresent() && holder.get().lease() == lease.get().value()) {
+            startTerm(entry.created(), clock.reading());
+        } else {
+            // The term under that lease has ended, so the entry is old or will be removed; the store decides which.
+            acquire();
+        }
+    }
+
+    private static Optional<HolderRecord> decode(StoreItem entry) {
         try {
-            HolderRecord holder = WireFormat.decode(item.value(), HolderRecord.class);
-            return lease.isPresent()
-                    && holder.vm().equals(vm)
-                    && holder.lifetime().equals(incarnation);
+            return Optional.of(WireFormat.decode(entry.value(), HolderRecord.class));
         } catch (IOException unreadable) {
-            LOG.error("duty_holder_unreadable", unreadable, EventField.of("key", item.key()));
-            return false;
+            LOG.error("duty_holder_unreadable", unreadable, EventField.of("key", entry.key()));
+            return Optional.empty();
         }
     }
 
@@ -191,6 +208,12 @@
      *
      * @param lifetime the incarnation of the process
      * @param attempt distinguishes the writes of one process
+     * @param lease the lease that holds the key
      */
-    record HolderRecord(VmId vm, String lifetime, int attempt) {}
+    record HolderRecord(VmId vm, String lifetime, int attempt, long lease) {
+
+        private boolean isOf(VmId otherVm, String otherLifetime) {
+            return vm.equals(otherVm) && lifetime.equals(otherLifetime);
+        }
+    }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
@@ -9,13 +9,21 @@
 import io.banyantally.internal.deployment.StoreHealth;
 import io.banyantally.internal.time.WallClock;
 import io.banyantally.model.VmId;
+import io.banyantally.platform.CoordinationStore.StoreChange;
+import io.banyantally.platform.CoordinationStore.StoreChanges;
+import io.banyantally.platform.CoordinationStore.StoreItem;
 import io.banyantally.platform.DutyHolder;
 import io.banyantally.platform.StoreException;
 import io.banyantally.testing.FakeCoordinationStore;
 import io.banyantally.testing.ManualClock;
 import io.banyantally.testing.StoreFeed;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 
 final class DutyLeaseTest {
@@ -115,15 +123,122 @@
         assertEquals(0, store.keys(GatewayStoreKeys.DUTY_HOLDER.path()).size());
     }
 
+    /** Guards against a VM that takes up its former term, with its lower number, beside the VM elected since. */
+    @Test
+    void formerEntryShownAgainByARepeatedBatchStartsNoTerm() throws StoreException {
+        first.round();
+        StoreItem formerEntry = first.members.dutyHolder().orElseThrow();
+        clock.advance(TIME_TO_LIVE);
+        first.round();
+        assertTrue(first.lease.held().isEmpty(), "the term ended with its lease");
+        first.members.changed(new StoreChanges(
+                List.of(new StoreChange.Removed(GatewayStoreKeys.DUTY_HOLDER)), formerEntry.created()));
+        second.round();
+        first.lease.refresh();
+        first.members.changed(new StoreChanges(List.of(new StoreChange.Written(formerEntry)), formerEntry.created()));
+
+        first.lease.refresh();
+
+        assertTrue(second.lease.held().isPresent());
+        assertFalse(first.lease.held().isPresent());
+    }
+
+    /** Guards against a write that takes effect under a lease whose later attempts were refused. */
+    @Test
+    void recognisesAWriteOfAnyAttemptUnderItsLease() throws StoreException {
+        store.loseAnswers(1);
+        first.lease.refresh();
+        first.lease.refresh();
+        assertFalse(first.lease.held().isPresent(), "the watch has not shown the entry");
+
+        first.round();
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
+    /** Guards against duties that wait for their permission while the store is slow, or a stop that waits for it. */
+    @Test
+    void slowRenewalDelaysNeitherPermissionNorStop() throws StoreException {
+        first.round();
+        DutyHolder holder = first.lease.held().orElseThrow();
+        List<Boolean> permissions = new ArrayList<>();
+        first.link.setBeforeRenewal(() -> {
+            permissions.add(inOtherThread(() -> holder.permission().isGranted()));
+            CompletableFuture<Void> _ = CompletableFuture.runAsync(first.lease::stop);
+            awaitUntil(() -> !inOtherThread(() -> holder.permission().isGranted()));
+        });
+
+        first.lease.refresh();
+
+        assertEquals(List.of(true), permissions);
+    }
+
+    private static boolean inOtherThread(BooleanSupplier question) {
+        return CompletableFuture.supplyAsync(question::getAsBoolean)
+                .orTimeout(5, TimeUnit.SECONDS)
+                .join();
+    }
+
+    private static void awaitUntil(BooleanSupplier condition) {
+        long startedAt = System.nanoTime();
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() - startedAt < TimeUnit.SECONDS.toNanos(5), "waited for too long");
+        }
+    }
+
+    /** Guards against an election that loses a round, a second, with a lease of an election long ago. */
+    @Test
+    void leaseOfAnElectionLongAgoIsNotUsed() throws StoreException {
+        second.lease.refresh();
+        first.lease.refresh();
+        second.lease.stop();
+        clock.advance(TIME_TO_LIVE);
+
+        first.round();
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
+    /** Guards against duties without a holder: the lease ends between the election and its first renewal. */
+    @Test
+    void leaseThatEndsDuringTheElectionIsDropped() throws StoreException {
+        store.loseAnswers(1);
+        first.round();
+        first.link.setBeforeRenewal(() -> {
+            first.link.setBeforeRenewal(() -> {});
+            store.lapseAllLeases();
+        });
+        first.round();
+        assertFalse(first.lease.held().isPresent());
+
+        first.round();
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
+    /** Guards against duties without a holder: the watch of the VM that lost its lease does not show the removal. */
+    @Test
+    void formerHolderDoesNotWaitForItsOwnEntryToBeRemoved() throws StoreException {
+        first.round();
+        store.lapseAllLeases();
+        first.lease.refresh();
+        assertFalse(first.lease.held().isPresent());
+
+        first.lease.refresh();
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
     private final class Vm {
         private final AtomicLong timeOfDay = new AtomicLong();
         private final MemberList members = new MemberList();
-        private final StoreFeed feed = new StoreFeed(store, GatewayStoreKeys.LIVE_PREFIX, members);
+        private final StoreLink link = new StoreLink(store);
+        private final StoreFeed feed = new StoreFeed(link, GatewayStoreKeys.LIVE_PREFIX, members);
         private final DutyLease lease;
 
         Vm(String name) {
             lease = new DutyLease(
-                    store,
+                    link,
                     members,
                     new StoreHealth(clock),
                     new WallClock(clock, timeOfDay::get),
