Await an upstream until the request's time limit, not before

Cause: the time of a call was cut to whole milliseconds up to three times (UpstreamCallFactory.remaining, AdapterHttpClient before and after connecting, HttpExchange), so a call ended up to two milliseconds before its request's time limit and the request failed with time left.

Change: the time that a request has left is kept in nanoseconds, and timeouts that the HTTP client and sockets take in milliseconds are rounded up (TimeoutMillis). Upstreams are still told the time in whole milliseconds, cut. A limit below 1 ms is no longer a socket timeout of zero, which is none.

Ejection: requests without any answer at the deadline are meant to be inconclusive by UpstreamSender.recordOutcome, but the early end made most of them failures (86 of 120 ended below 300 of 300 ms), which is what ejects a silent upstream. No answer until the deadline is a failure now, so that silent upstreams are still ejected; answers and streams that the deadline cuts are inconclusive, as are reports of crashing prompts.

Tests: CallTimeLimitTest failed in 6 of 8 cases before, and SilentUpstreamTest in 1 of 4 (order: 502 beside 504 among 320 requests; the other cases depend on how fast the process is); both pass. silentUpstreamIsEjected passed before too and guards against the loss of the ejection. Run with EndlessAnswerTest, ForwardingTest and the adapter's tests: 253 run, 1 failed, which is listed as known (bytesAfterACompleteAnswerDoNotReachTheNextRequest).

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -134,7 +134,7 @@
     /** Sends a request without waiting and discards the response. A long response closes the connection. */
     public void sendWithoutAnswer(HttpCall call) {
         request(call)
-                .timeout(call.timeLimit().toMillis(), TimeUnit.MILLISECONDS)
+                .timeout(TimeoutMillis.of(call.timeLimit()), TimeUnit.MILLISECONDS)
                 .onRequestBegin(started ->
                         ResetAwareEndPoint.of(started.getConnection()).ifPresent(ResetAwareEndPoint::beginRequest))
                 .send(AdapterHttpClient::closeAfterInterimResponse);
@@ -173,9 +173,9 @@
 
     private static void setTimeouts(Request request, HttpCall call, Duration totalTimeout) {
         if (totalTimeout.isZero()) {
-            request.idleTimeout(call.timeLimit().toMillis(), TimeUnit.MILLISECONDS);
+            request.idleTimeout(TimeoutMillis.of(call.timeLimit()), TimeUnit.MILLISECONDS);
         } else {
-            long millis = Math.max(1, totalTimeout.toMillis());
+            long millis = TimeoutMillis.of(totalTimeout);
             request.timeout(millis, TimeUnit.MILLISECONDS).idleTimeout(millis * 2, TimeUnit.MILLISECONDS);
         }
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -82,7 +82,7 @@
     /** Waits for the response headers, at most for the time limit of the request. */
     public void awaitHeaders() throws ExchangeException, InterruptedException {
         try {
-            response = listener.get(call.timeLimit().toMillis(), TimeUnit.MILLISECONDS);
+            response = listener.get(call.timeLimit().toNanos(), TimeUnit.NANOSECONDS);
         } catch (ExecutionException failure) {
             throw failed("failed", failure.getCause());
         } catch (TimeoutException failure) {
@@ -134,7 +134,7 @@
      */
     public void finish(Duration limit) throws InterruptedException {
         try {
-            listener.await(limit.toMillis(), TimeUnit.MILLISECONDS);
+            listener.await(limit.toNanos(), TimeUnit.NANOSECONDS);
             complete = true;
         } catch (TimeoutException failure) {
             abort(failure);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/OrderConnection.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/OrderConnection.java
@@ -60,7 +60,7 @@
         Socket socket = new Socket();
         try {
             socket.setTcpNoDelay(true);
-            socket.connect(receiver, Math.toIntExact(limit.toMillis()));
+            socket.connect(receiver, Math.toIntExact(TimeoutMillis.of(limit)));
             return new OrderConnection(socket, receiver, clock, openedAt, limit);
         } catch (IOException failure) {
             closeQuietly(socket);
@@ -157,11 +157,11 @@
     }
 
     private void setReadTimeout() throws IOException {
-        long remaining = limit.minus(clock.since(openedAt)).toMillis();
-        if (remaining <= 0) {
+        Duration remaining = limit.minus(clock.since(openedAt));
+        if (!remaining.isPositive()) {
             throw new SocketTimeoutException("the time limit " + limit + " of an order was exceeded");
         }
-        socket.setSoTimeout(Math.toIntExact(remaining));
+        socket.setSoTimeout(Math.toIntExact(TimeoutMillis.of(remaining)));
     }
 
     private byte[] head(String method, String path, List<HeaderField> headers, int length, boolean interim) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
@@ -16,6 +16,9 @@
 /** Creates the HTTP calls that send one request to upstreams. */
 final class UpstreamCallFactory {
 
+    /** Upstreams are told the remaining time in whole milliseconds. */
+    private static final Duration MINIMUM_TIME = Duration.ofMillis(1);
+
     private final ForwardingServices services;
     private final CallerExchange caller;
     private final AdmittedRequest request;
@@ -33,9 +36,10 @@
         resumeAfter = eventId;
     }
 
-    /** Returns the time until the deadline, in whole milliseconds; zero after it. */
+    /** Returns the time until the deadline; zero if it is less than upstreams can be told. */
     Duration remaining() {
-        return Duration.ofMillis(Math.max(0, request.remaining(services.clock()).toMillis()));
+        Duration remaining = request.remaining(services.clock());
+        return remaining.compareTo(MINIMUM_TIME) < 0 ? Duration.ZERO : remaining;
     }
 
     /** Returns a call that sends the request to an upstream. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -33,6 +33,7 @@
     private static final int SUCCESS_FIRST = 200;
     private static final int SUCCESS_LAST = 299;
     private static final int BUFFER_BYTES = 16 * 1024;
+    private static final String NO_ANSWER = "no_answer";
 
     /** Responses of plain services are buffered before they are forwarded, so that the caller gets no truncated one. */
     private static final int MAXIMUM_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024;
@@ -119,7 +120,8 @@
                 }
             }
             case SendOutcome.Unknown unknown -> {
-                if (services.clock().nanoTime() < request.deadlineNanos()) {
+                // An upstream that is silent until the deadline may be down.
+                if (unknown.reason().equals(NO_ANSWER) || services.clock().nanoTime() < request.deadlineNanos()) {
                     services.recordFailure(track, unknown.reason());
                 } else {
                     track.health().recordInconclusive();
@@ -179,7 +181,7 @@
         } catch (ExchangeException failure) {
             return caller.isDisconnected()
                     ? new SendOutcome.CallerDisconnected("during_run")
-                    : new SendOutcome.Unknown("no_answer");
+                    : new SendOutcome.Unknown(NO_ANSWER);
         }
     }
 
