Let a term of the duties belong to one era of the store

Cause: after the store had come back from an older copy, the next holder had a lower number, since revisions are given out again; a holder of before renewed its lease, or another VM's with the same number, and acted on beside the VM elected since; an entry in the copy held up elections.

Change: the number of a term is era * 2^40 + revision, exact as a double; larger ones are logged and the duties not taken. A term is valid only in its own era and ends with reason store_era. A new term acts after its first renewal that was sent when the VM had known the era for a time to live: by then every holder of the era before has stopped by its own clock. This holds for a process that has just started too, and not for a store without eras. An entry under a lease of an earlier era is replaced by its revision; entries that were read in an earlier era are not used.

Measured: of DutyLeaseTest failed before: numbersRiseOverEras (lower), newerEraEndsTheTermAtOnce, processThatHasJustStartedWaitsLikeInANewEra, entryOfAFormerEraIsReplacedAtOnce, renewalOfAnotherLeaseWithTheSameNumberKeepsNoTerm.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -1,6 +1,7 @@
 package io.banyantally.internal.duty;
 
 import io.banyantally.internal.adapter.WireFormat;
+import io.banyantally.internal.deployment.EraCheckedStore;
 import io.banyantally.internal.deployment.GatewayStoreKeys;
 import io.banyantally.internal.deployment.MemberList;
 import io.banyantally.internal.deployment.StoreHealth;
@@ -9,13 +10,13 @@
 import io.banyantally.internal.timeline.EventField;
 import io.banyantally.model.FencingNumber;
 import io.banyantally.model.VmId;
-import io.banyantally.platform.CoordinationStore;
 import io.banyantally.platform.CoordinationStore.StoreItem;
 import io.banyantally.platform.DutyHolder;
 import io.banyantally.platform.LeaseId;
 import io.banyantally.platform.LeaseLapsedException;
 import io.banyantally.platform.OutcomeUnknownException;
 import io.banyantally.platform.RevisionConflictException;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.StoreTransaction;
@@ -24,9 +25,12 @@
 import java.util.Optional;
 
 /**
- * Elects the VM that carries out the duties, by a key in the store that the lease of the elected VM holds. The revision
- * that created the key is the fencing number, which rises with every holder. A holder never revokes its lease, so two
- * terms begin at least one time to live apart and holders cannot alternate faster than that.
+ * Elects the VM that carries out the duties, by a key in the store that the lease of the elected VM holds. The era of
+ * the store and the revision of the key give the fencing number, which rises with every holder. A holder never revokes
+ * its lease, so two terms begin at least one time to live apart and holders cannot alternate faster than that.
+ *
+ * <p>A term belongs to one era of the store. When the store has come back from an older copy, leases and entries of
+ * before count no more, and nobody acts until the holder of before must have stopped.
  */
 public final class DutyLease {
 
@@ -40,7 +44,7 @@
 
     private static final EventLog LOG = EventLog.of(DutyLease.class);
 
-    private final CoordinationStore store;
+    private final EraCheckedStore store;
     private final MemberList members;
     private final StoreHealth health;
     private final WallClock clock;
@@ -62,7 +66,7 @@
      * @param timeToLive how long the lease lasts after its last renewal
      */
     public DutyLease(
-            CoordinationStore store,
+            EraCheckedStore store,
             MemberList members,
             StoreHealth health,
             WallClock clock,
@@ -85,17 +89,18 @@
             return;
         }
         Optional<StoreItem> entry = members.dutyHolder();
+        dropOutdatedLease();
         try {
             if (term.isPresent()) {
-                renew();
+                renew(term.get());
             } else if (entry.isEmpty()) {
-                acquire();
+                acquire(StoreRevision.ABSENT);
             } else {
                 elect(entry.get());
             }
         } catch (LeaseLapsedException lapsed) {
             health.answered();
-            endTerm("lapsed");
+            endTerm(isLeaseOfCurrentEra() ? "lapsed" : "store_era");
         } catch (StoreException failure) {
             health.failed("duty lease", failure);
         }
@@ -111,15 +116,15 @@
 
     /** Returns this VM as the holder of the duties; empty if it does not hold a valid lease. */
     public Optional<DutyHolder> held() {
-        return validTerm().map(Term::revision).map(this::holder);
+        return validTerm().map(Term::number).map(this::holder);
     }
 
-    private DutyHolder holder(StoreRevision revision) {
+    private DutyHolder holder(FencingNumber number) {
         return new DutyHolder(
                 vm,
-                new FencingNumber(revision.value()),
+                number,
                 () -> validTerm()
-                        .filter(current -> current.revision().equals(revision))
+                        .filter(current -> current.number().equals(number))
                         .isPresent());
     }
 
@@ -128,49 +133,64 @@
     }
 
     private boolean isValid(Term current) {
-        return clock.maximumElapsedSince(current.renewedAt()).compareTo(timeToLive.minus(SAFETY_MARGIN)) < 0;
+        return current.formerEraEnded()
+                && isCurrent(current.revision().era())
+                && clock.maximumElapsedSince(current.renewedAt()).compareTo(timeToLive.minus(SAFETY_MARGIN)) < 0;
     }
 
-    private void renew() throws StoreException {
+    private boolean isCurrent(StoreEra era) {
+        return store.era().filter(era::equals).isPresent();
+    }
+
+    private boolean isLeaseOfCurrentEra() {
+        return lease.isEmpty() || isCurrent(lease.get().era());
+    }
+
+    /**
+     * Returns whether the holder of the former era has stopped. It may not know of the present era, and then acts for
+     * its time to live after a renewal that was before the store came back.
+     */
+    private boolean hasFormerEraEnded() {
+        return isCurrent(StoreEra.UNKNOWN) || store.eraKnownFor().compareTo(timeToLive) >= 0;
+    }
+
+    private void dropOutdatedLease() {
+        if (!isLeaseOfCurrentEra()) {
+            endTerm("store_era");
+        }
+    }
+
+    private void renew(Term current) throws StoreException {
+        boolean formerEraEnded = current.formerEraEnded() || hasFormerEraEnded();
         WallClock.Reading requestedAt = clock.reading();
-        store.renewLease(lease.get());
-        health.answered();
+        renewLease();
         // A successful renewal shows that the lease never expired, so its key remained and no other VM has held the
         // duties.
-        term = Optional.of(new Term(term.get().revision(), requestedAt));
+        term = Optional.of(new Term(current.number(), current.revision(), requestedAt, formerEraEnded));
     }
 
-    private void acquire() throws StoreException {
-        WallClock.Reading requestedAt = clock.reading();
-        if (lease.isEmpty() || clock.maximumElapsedSince(leaseRequestedAt).compareTo(timeToLive) >= 0) {
-            lease = Optional.of(store.grantLease(timeToLive));
-            leaseRequestedAt = requestedAt;
-        }
-        attempts++;
-        byte[] value = WireFormat.encode(
-                new HolderRecord(vm, incarnation, attempts, lease.get().value()));
-        try {
-            StoreRevision revision = store.apply(StoreTransaction.create(GatewayStoreKeys.DUTY_HOLDER, value, lease));
-            health.answered();
-            startTerm(revision, requestedAt);
-        } catch (RevisionConflictException taken) {
-            health.answered();
-        } catch (OutcomeUnknownException unknown) {
-            // The watch of the key shows whether the write took effect.
-            health.failed("take duties", unknown);
+    private void renewLease() throws StoreException {
+        StoreEra renewedIn = store.renewLease(lease.get());
+        health.answered();
+        if (!renewedIn.equals(lease.get().era())) {
+            throw new LeaseLapsedException("the store renewed lease " + lease.get() + " in era " + renewedIn);
         }
     }
 
     private void elect(StoreItem entry) throws StoreException {
+        StoreRevision revision = entry.versioned().revision();
         Optional<HolderRecord> holder = decode(entry);
-        if (holder.isEmpty() || !holder.get().isOf(vm, incarnation)) {
+        if (holder.isEmpty() || !isCurrent(revision.era())) {
+            // After a change of the era the watch lists the key again.
             return;
         }
-        if (lease.isPresent() && holder.get().lease() == lease.get().value()) {
-            startTerm(entry.created(), clock.reading());
-        } else {
+        if (lease.isPresent() && holder.get().isUnder(lease.get())) {
+            startTerm(revision);
+        } else if (holder.get().isBefore(revision.era())) {
+            acquire(revision);
+        } else if (holder.get().isOf(vm, incarnation)) {
             // The term under that lease has ended, so the entry is old or will be removed; the store decides which.
-            acquire();
+            acquire(StoreRevision.ABSENT);
         }
     }
 
@@ -183,10 +203,45 @@
         }
     }
 
-    private void startTerm(StoreRevision revision, WallClock.Reading since) throws StoreException {
-        store.renewLease(lease.get());
-        term = Optional.of(new Term(revision, since));
-        LOG.info("duties_taken", EventField.of("vm", vm), EventField.of("fencing", revision));
+    private void acquire(StoreRevision expected) throws StoreException {
+        WallClock.Reading requestedAt = clock.reading();
+        if (lease.isEmpty() || clock.maximumElapsedSince(leaseRequestedAt).compareTo(timeToLive) >= 0) {
+            lease = Optional.of(store.grantLease(timeToLive));
+            leaseRequestedAt = requestedAt;
+        }
+        attempts++;
+        byte[] value = WireFormat.encode(HolderRecord.of(vm, incarnation, attempts, lease.get()));
+        try {
+            StoreRevision revision =
+                    store.apply(StoreTransaction.replace(GatewayStoreKeys.DUTY_HOLDER, expected, value, lease));
+            health.answered();
+            startTerm(revision);
+        } catch (RevisionConflictException taken) {
+            health.answered();
+        } catch (OutcomeUnknownException unknown) {
+            // The watch of the key shows whether the write took effect.
+            health.failed("take duties", unknown);
+        }
+    }
+
+    private void startTerm(StoreRevision revision) throws StoreException {
+        Optional<FencingNumber> number = TermNumbers.of(revision);
+        if (number.isEmpty()) {
+            LOG.warn("fencing_number_too_large", EventField.of("vm", vm), EventField.of("revision", revision));
+            return;
+        }
+        boolean formerEraEnded = hasFormerEraEnded();
+        WallClock.Reading requestedAt = clock.reading();
+        renewLease();
+        if (!revision.era().equals(lease.get().era())) {
+            throw new LeaseLapsedException("revision " + revision + " is not of the era of lease " + lease.get());
+        }
+        term = Optional.of(new Term(number.get(), revision, requestedAt, formerEraEnded));
+        LOG.info(
+                "duties_taken",
+                EventField.of("vm", vm),
+                EventField.of("fencing", number.get()),
+                EventField.of("revision", revision));
     }
 
     private void endTerm(String reason) {
@@ -194,26 +249,19 @@
             LOG.warn(
                     "duties_lost",
                     EventField.of("vm", vm),
-                    EventField.of("fencing", term.get().revision()),
+                    EventField.of("fencing", term.get().number()),
                     EventField.of("reason", reason));
         }
         term = Optional.empty();
         lease = Optional.empty();
     }
 
-    private record Term(StoreRevision revision, WallClock.Reading renewedAt) {}
-
     /**
-     * The value of the key in the store.
+     * A time as holder.
      *
-     * @param lifetime the incarnation of the process
-     * @param attempt distinguishes the writes of one process
-     * @param lease the lease that holds the key
+     * @param revision the revision of the entry
+     * @param formerEraEnded whether the term may act because the holders of the former era have stopped
      */
-    record HolderRecord(VmId vm, String lifetime, int attempt, long lease) {
-
-        private boolean isOf(VmId otherVm, String otherLifetime) {
-            return vm.equals(otherVm) && lifetime.equals(otherLifetime);
-        }
-    }
+    private record Term(
+            FencingNumber number, StoreRevision revision, WallClock.Reading renewedAt, boolean formerEraEnded) {}
 }
--- a/modules/banyantally/src/main/java/io/banyantally/platform/StoreTransaction.java
+++ b/modules/banyantally/src/main/java/io/banyantally/platform/StoreTransaction.java
@@ -21,8 +21,14 @@
 
     /** Writes a key if it does not exist. */
     public static StoreTransaction create(StoreKey key, byte[] value, Optional<LeaseId> lease) {
+        return replace(key, StoreRevision.ABSENT, value, lease);
+    }
+
+    /** Writes a key if it has the given revision. */
+    public static StoreTransaction replace(
+            StoreKey key, StoreRevision expected, byte[] value, Optional<LeaseId> lease) {
         return new StoreTransaction(
-                List.of(new Expectation(key, StoreRevision.ABSENT)), List.of(new Put(key, value, lease)), List.of());
+                List.of(new Expectation(key, expected)), List.of(new Put(key, value, lease)), List.of());
     }
 
     /** Deletes keys unconditionally. */
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.banyantally.internal.deployment.EraCheckedStore;
 import io.banyantally.internal.deployment.GatewayStoreKeys;
 import io.banyantally.internal.deployment.MemberList;
 import io.banyantally.internal.deployment.StoreHealth;
@@ -12,11 +13,14 @@
 import io.banyantally.platform.CoordinationStore.StoreChange;
 import io.banyantally.platform.CoordinationStore.StoreChanges;
 import io.banyantally.platform.CoordinationStore.StoreItem;
+import io.banyantally.platform.CoordinationStore.StoreListing;
 import io.banyantally.platform.DutyHolder;
+import io.banyantally.platform.HistoryDiscardedException;
 import io.banyantally.platform.StoreException;
 import io.banyantally.testing.FakeCoordinationStore;
 import io.banyantally.testing.ManualClock;
 import io.banyantally.testing.StoreFeed;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -30,6 +34,9 @@
 
     private static final Duration TIME_TO_LIVE = Duration.ofMillis(3500);
 
+    /** Until a lease that was elected at once may act in a new era. */
+    private static final int ROUNDS_TO_ACT = 4;
+
     private final ManualClock clock = new ManualClock();
     private final FakeCoordinationStore store = new FakeCoordinationStore(clock);
     private final Vm first = new Vm("vm-1");
@@ -229,16 +236,129 @@
         assertTrue(first.lease.held().isPresent());
     }
 
+    /** Guards against lower numbers after the store came back from a copy whose revisions are lower. */
+    @Test
+    void numbersRiseOverEras() throws StoreException {
+        FakeCoordinationStore.Copy copy = store.copy();
+        store.write("servers/1", new byte[0]);
+        first.round();
+        long formerNumber = first.lease.held().orElseThrow().fencing().value();
+        store.returnOlder(copy);
+
+        second.round();
+        second.rounds(ROUNDS_TO_ACT);
+
+        assertTrue(second.lease.held().orElseThrow().fencing().value() > formerNumber);
+    }
+
+    /** Guards against a holder of the former era beside one of the present era that the store has elected since. */
+    @Test
+    void newerEraEndsTheTermAtOnce() throws StoreException {
+        first.round();
+        DutyHolder holder = first.lease.held().orElseThrow();
+        store.returnOlder(store.copy());
+        assertTrue(holder.permission().isGranted(), "the VM does not know of the new era");
+
+        first.feed.listAgain();
+
+        assertFalse(holder.permission().isGranted());
+        assertFalse(first.lease.held().isPresent());
+    }
+
+    /** Guards against acting beside the former era's holder, which may not know of the new era yet. */
+    @Test
+    void termOfANewEraActsOnlyWhenThoseOfTheFormerEraHaveEnded() throws StoreException {
+        first.round();
+        DutyHolder former = first.lease.held().orElseThrow();
+        store.returnOlder(store.copy());
+        second.round();
+        while (former.permission().isGranted()) {
+            assertFalse(second.lease.held().isPresent());
+            clock.advance(Duration.ofMillis(100));
+            second.round();
+        }
+
+        second.rounds(ROUNDS_TO_ACT);
+
+        assertTrue(second.lease.held().isPresent());
+    }
+
+    /** Guards against a process that takes the first era that it sees for an old one. */
+    @Test
+    void processThatHasJustStartedWaitsLikeInANewEra() throws StoreException {
+        store.returnOlder(store.copy());
+        first.round();
+        assertFalse(first.lease.held().isPresent());
+
+        first.rounds(ROUNDS_TO_ACT);
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
+    /** Guards against a wait for the lease of an entry that the copy has brought back. */
+    @Test
+    void entryOfAFormerEraIsReplacedAtOnce() throws StoreException {
+        first.round();
+        store.returnOlder(store.copy());
+
+        second.round();
+
+        assertEquals(
+                2,
+                second.members.dutyHolder().orElseThrow().versioned().revision().value());
+        second.rounds(ROUNDS_TO_ACT);
+        assertTrue(second.lease.held().isPresent());
+        assertFalse(first.lease.held().isPresent());
+    }
+
+    /** Guards against a term that is renewed by a lease of another VM with the same number. */
+    @Test
+    void renewalOfAnotherLeaseWithTheSameNumberKeepsNoTerm() throws StoreException {
+        FakeCoordinationStore.Copy copy = store.copy();
+        first.round();
+        store.returnOlder(copy);
+        second.round();
+
+        first.lease.refresh();
+
+        assertFalse(first.lease.held().isPresent());
+        for (int round = 0; round < ROUNDS_TO_ACT; round++) {
+            second.rounds(1);
+            first.round();
+            assertFalse(first.lease.held().isPresent());
+        }
+        assertTrue(second.lease.held().isPresent());
+    }
+
+    /** Guards against replacing the holder of an era by the revision of an entry of the era before. */
+    @Test
+    void viewOfAFormerEraReplacesNoHolder() throws StoreException {
+        FakeCoordinationStore.Copy empty = store.copy();
+        first.round();
+        store.returnOlder(store.copy());
+        second.feed.listAgain();
+        store.returnOlder(empty);
+        first.round();
+        StoreItem entry = first.members.dutyHolder().orElseThrow();
+        StoreListing _ = second.eras.list("servers/");
+
+        second.lease.refresh();
+
+        first.feed.deliver();
+        assertEquals(entry, first.members.dutyHolder().orElseThrow());
+    }
+
     private final class Vm {
         private final AtomicLong timeOfDay = new AtomicLong();
         private final MemberList members = new MemberList();
         private final StoreLink link = new StoreLink(store);
-        private final StoreFeed feed = new StoreFeed(link, GatewayStoreKeys.LIVE_PREFIX, members);
+        private final EraCheckedStore eras = new EraCheckedStore(link, clock);
+        private final StoreFeed feed = new StoreFeed(eras, GatewayStoreKeys.LIVE_PREFIX, members);
         private final DutyLease lease;
 
         Vm(String name) {
             lease = new DutyLease(
-                    link,
+                    eras,
                     members,
                     new StoreHealth(clock),
                     new WallClock(clock, timeOfDay::get),
@@ -247,10 +367,26 @@
                     TIME_TO_LIVE);
         }
 
+        /** Refreshes the lease every second. */
+        void rounds(int count) throws StoreException {
+            for (int round = 0; round < count; round++) {
+                clock.advance(DutyLease.INTERVAL);
+                round();
+            }
+        }
+
         void round() throws StoreException {
-            feed.deliver();
+            deliver();
             lease.refresh();
-            feed.deliver();
+            deliver();
+        }
+
+        private void deliver() throws StoreException {
+            try {
+                feed.deliver();
+            } catch (HistoryDiscardedException newEra) {
+                feed.listAgain();
+            }
         }
     }
 }
