End a term whose key another write has replaced

Cause: a replacement of an old entry whose response was lost may take effect seconds later, in a later era, and meet the revision that it expects by chance. The holder renewed its lease and acted on.

Change: a term ends when the watch shows a later revision of its key.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -89,7 +89,7 @@
             return;
         }
         Optional<StoreItem> entry = members.dutyHolder();
-        dropOutdatedLease();
+        dropOutdatedLease(entry);
         try {
             if (term.isPresent()) {
                 renew(term.get());
@@ -154,12 +154,18 @@
         return isCurrent(StoreEra.UNKNOWN) || store.eraKnownFor().compareTo(timeToLive) >= 0;
     }
 
-    private void dropOutdatedLease() {
+    private void dropOutdatedLease(Optional<StoreItem> entry) {
         if (!isLeaseOfCurrentEra()) {
             endTerm("store_era");
+        } else if (term.isPresent() && entry.filter(this::isAfterTerm).isPresent()) {
+            endTerm("replaced");
         }
     }
 
+    private boolean isAfterTerm(StoreItem entry) {
+        return entry.versioned().revision().isAfter(term.get().revision());
+    }
+
     private void renew(Term current) throws StoreException {
         boolean formerEraEnded = current.formerEraEnded() || hasFormerEraEnded();
         WallClock.Reading requestedAt = clock.reading();
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
@@ -348,6 +348,17 @@
         assertEquals(entry, first.members.dutyHolder().orElseThrow());
     }
 
+    /** Guards against a holder whose key was overwritten, by a write from before an older copy, and that acts on. */
+    @Test
+    void holderWhoseKeyWasReplacedStops() throws StoreException {
+        first.round();
+        store.write(GatewayStoreKeys.DUTY_HOLDER.path(), "{}".getBytes(StandardCharsets.UTF_8));
+
+        first.round();
+
+        assertFalse(first.lease.held().isPresent());
+    }
+
     private final class Vm {
         private final AtomicLong timeOfDay = new AtomicLong();
         private final MemberList members = new MemberList();
