Seal no window twice when the store comes back older

Cause: a window is reported once its sum is sealed in the store. If the store comes back from a copy without the seal, the holder sums the window again.

Change: a seal names the era of the store in which it was written, and counts in that era only: one from a former era may also be a write that the store applied late, while another one was reported. The first VM that finds no start of sealing of the current era writes one; windows before it are not summed again. A VM keeps the seals that it wrote or read and writes them again in a newer era, also when it is no longer the holder. Counts that differ from the known ones are logged and not reported. The start is the current window of this VM's clock, or of most VMs' if it is behind.

It is safe if the start of sealing is lost or overwritten by a late write: another one of the same era is never earlier than the time at which it was written, and seals are still created only where none is.

Price: a window that ended before the return and was not sealed is not reported, nor one that was sealed by a VM that has ended since. The first holder of a new store reports no window from before its election.

UsageReporterTest elects a holder first, as the gateway does: without one the windows end before sealing starts. Its assertions are unchanged.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -50,6 +50,7 @@
 import io.banyantally.model.Incarnation;
 import io.banyantally.model.VmId;
 import io.banyantally.platform.DutyHolder;
+import io.banyantally.platform.StoreEra;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -214,11 +215,15 @@
     }
 
     private void startDuties() {
-        UsageReporter reporter = new UsageReporter(store, usage, platform.usage(), health, settings.usageDueTime());
+        UsageReporter reporter =
+                new UsageReporter(store, this::storeEra, usage, platform.usage(), health, settings.usageDueTime());
         FleetReconciler fleet =
                 new FleetReconciler(replicas, platform.replicaOrdering(), engines::refusedShare, MonotonicClock.SYSTEM);
         StageReconciler stages = new StageReconciler(replicas, platform.stageOrdering(), MonotonicClock.SYSTEM);
-        tasks.start("usage-reports", UsageReporter.INTERVAL, () -> runIfHolder(reporter::run));
+        tasks.start("usage-reports", UsageReporter.INTERVAL, () -> {
+            reporter.restoreSealed();
+            runIfHolder(reporter::run);
+        });
         tasks.start(
                 "fleet",
                 FleetReconciler.INTERVAL,
@@ -229,6 +234,10 @@
                 () -> runIfHolder(holder -> runIfConfigured(active -> stages.run(holder, active))));
     }
 
+    private StoreEra storeEra() {
+        return store.era().orElse(StoreEra.UNKNOWN);
+    }
+
     private void runIfHolder(InterruptibleConsumer<DutyHolder> duty) {
         Optional<DutyHolder> holder = duties.held();
         if (holder.isPresent()) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/GatewayStoreKeys.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/GatewayStoreKeys.java
@@ -18,6 +18,9 @@
     /** Prefix of the keys of usage counts and sealed windows; read by the holder of the duties only. */
     public static final String USAGE_PREFIX = "banyantally/usage/";
 
+    /** Key of the first window that may be sealed anew in an era of the store. */
+    public static final StoreKey SEALING_START = new StoreKey(USAGE_PREFIX + "sealing-start");
+
     private static final String COUNTS_PREFIX = USAGE_PREFIX + "counts/";
     private static final String SEALED_PREFIX = USAGE_PREFIX + "sealed/";
 
@@ -48,6 +51,11 @@
         return key.path().startsWith(SEALED_PREFIX);
     }
 
+    /** Returns the window whose sealed counts a key holds. */
+    public static long windowOfSealed(StoreKey key) {
+        return Long.parseLong(key.path().substring(SEALED_PREFIX.length()));
+    }
+
     /** Returns the name of the VM whose counts a key holds. */
     public static String vmOfUsageCounts(StoreKey key) {
         String path = key.path().substring(COUNTS_PREFIX.length());
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsageReporterTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsageReporterTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.banyantally.internal.deployment.EraCheckedStore;
 import io.banyantally.internal.deployment.StoreHealth;
 import io.banyantally.internal.time.WallClock;
 import io.banyantally.model.ClientAccountId;
@@ -11,6 +12,7 @@
 import io.banyantally.platform.DutyHolder;
 import io.banyantally.platform.InterfaceOutcomeUnknownException;
 import io.banyantally.platform.PlatformException;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.UsageWindowSink;
 import io.banyantally.testing.FakeCoordinationStore;
 import io.banyantally.testing.ManualClock;
@@ -18,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 final class UsageReporterTest {
@@ -37,6 +40,12 @@
     private final Vm first = new Vm("vm-1");
     private final Vm second = new Vm("vm-2");
 
+    /** The first holder since the store exists seals no window that ended before its election. */
+    @BeforeEach
+    void electFirst() throws InterruptedException {
+        first.reporter.run(HOLDER);
+    }
+
     /** Guards against a report that leaves out the usage of other VMs. */
     @Test
     void reportsTheSumOfAllVms() throws InterruptedException {
@@ -151,7 +160,9 @@
         Vm(String name) {
             ledger = new UsageLedger(new WallClock(clock, () -> clock.nanoTime() / 1_000_000), WINDOW);
             publisher = new UsagePublisher(store, ledger, health, clock, new VmId(name), "lifetime-of-" + name);
-            reporter = new UsageReporter(store, ledger, sink, health, REPORT_DEADLINE);
+            EraCheckedStore checked = new EraCheckedStore(store, clock);
+            reporter = new UsageReporter(
+                    checked, () -> checked.era().orElse(StoreEra.UNKNOWN), ledger, sink, health, REPORT_DEADLINE);
         }
 
         void serve(int requests) {
