Publish usage counts again when the store comes back older

Cause: the counts of a VM are written when they change or a window ends. If the store comes back from a copy without the last write, they are missing until then, and a window that is summed meanwhile is too low.

Change: the counts are also written when the known era of the store is newer than that of the last write. The revision of a former era is not expected in that write, since another write may have been given it.

Open: the counts of a process that has ended between copy and return.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -134,8 +134,8 @@
         configuration = new ConfigurationHolder(platform.keys().configuration(), documents);
         replicas = new ReplicaRegistry(documents, health, MonotonicClock.SYSTEM);
         usage = new UsageLedger(wallClock, settings.usageWindow());
-        usagePublisher =
-                new UsagePublisher(store, usage, health, MonotonicClock.SYSTEM, settings.vm(), incarnationText);
+        usagePublisher = new UsagePublisher(
+                store, this::storeEra, usage, health, MonotonicClock.SYSTEM, settings.vm(), incarnationText);
         duties = new DutyLease(
                 store, members, health, wallClock, settings.vm(), incarnationText, settings.dutyTimeToLive());
         MemberEntry own = new MemberEntry(settings.vm(), settings.zone(), settings.callersText(), settings.peersText());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsagePublisher.java
@@ -7,6 +7,7 @@
 import io.banyantally.model.VmId;
 import io.banyantally.platform.CoordinationStore;
 import io.banyantally.platform.RevisionConflictException;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreKey;
 import io.banyantally.platform.StoreRevision;
@@ -16,6 +17,7 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /** Writes the usage counts of this process to the store, so that they survive the process. */
 public final class UsagePublisher {
@@ -42,25 +44,34 @@
     private static final int FINAL_WRITE_ATTEMPTS = 2;
 
     private final CoordinationStore store;
+    private final Supplier<StoreEra> era;
     private final UsageLedger ledger;
     private final StoreHealth health;
     private final MonotonicClock clock;
     private final StoreKey key;
     private StoreRevision ownRevision = StoreRevision.ABSENT;
+    private StoreEra publishedEra = StoreEra.UNKNOWN;
     private long publishedChanges;
     private long publishedWindow;
     private long publishedAt;
     private volatile boolean closed;
 
-    /** Creates a publisher; {@code incarnation} identifies this process among all that ever run on the VM. */
+    /**
+     * Creates a publisher.
+     *
+     * @param era returns the newest era of the store that is known
+     * @param incarnation identifies this process among all that ever run on the VM
+     */
     public UsagePublisher(
             CoordinationStore store,
+            Supplier<StoreEra> era,
             UsageLedger ledger,
             StoreHealth health,
             MonotonicClock clock,
             VmId vm,
             String incarnation) {
         this.store = store;
+        this.era = era;
         this.ledger = ledger;
         this.health = health;
         this.clock = clock;
@@ -76,14 +87,18 @@
         return proportional.compareTo(MAXIMUM_INTERVAL) > 0 ? MAXIMUM_INTERVAL : proportional;
     }
 
-    /** Writes the counts if there are new ones, or if a window has ended since; {@code vms} are running. */
+    /**
+     * Writes the counts if there are new ones, if a window has ended since, or if the store may have lost the last
+     * write with its era; {@code vms} are running.
+     */
     public synchronized void publish(int vms) {
         if (closed) {
             return;
         }
         boolean windowEnded = ledger.currentWindow() != publishedWindow;
         boolean changed = ledger.changes() != publishedChanges;
-        if (windowEnded || (changed && clock.since(publishedAt).compareTo(pause(vms)) >= 0)) {
+        boolean eraEnded = era.get().isAfter(publishedEra);
+        if (windowEnded || eraEnded || (changed && clock.since(publishedAt).compareTo(pause(vms)) >= 0)) {
             write();
         }
     }
@@ -131,7 +146,11 @@
         long changes = ledger.changes();
         long window = ledger.currentWindow();
         try {
+            if (era.get().isAfter(publishedEra)) {
+                ownRevision = StoreRevision.ABSENT;
+            }
             ownRevision = overwriteOwnCounts(WireFormat.encode(ledger.snapshot(false)));
+            publishedEra = ownRevision.era();
             publishedChanges = changes;
             publishedWindow = window;
             publishedAt = clock.nanoTime();
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/LateUsageWriteTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/LateUsageWriteTest.java
@@ -40,8 +40,8 @@
      */
     @Test
     void delayedOlderWriteDoesNotReplaceTheFinalCounts() throws Exception {
-        UsagePublisher publisher =
-                new UsagePublisher(delayed, ledger, new StoreHealth(clock), clock, new VmId("vm-1"), "lifetime");
+        UsagePublisher publisher = new UsagePublisher(
+                delayed, () -> StoreEra.UNKNOWN, ledger, new StoreHealth(clock), clock, new VmId("vm-1"), "lifetime");
         ledger.countStarted(ACCOUNT);
         Thread older = Thread.ofVirtual().start(() -> publisher.publish(1));
         delayed.awaitCall();
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsagePublisherTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsagePublisherTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.banyantally.internal.adapter.WireFormat;
+import io.banyantally.internal.deployment.EraCheckedStore;
 import io.banyantally.internal.deployment.GatewayStoreKeys;
 import io.banyantally.internal.deployment.StoreHealth;
 import io.banyantally.internal.time.WallClock;
@@ -73,8 +74,8 @@
         ManualClock clock = new ManualClock();
         FakeCoordinationStore store = new FakeCoordinationStore(clock);
         UsageLedger ledger = new UsageLedger(new WallClock(clock, () -> clock.nanoTime() / 1_000_000), WINDOW);
-        UsagePublisher publisher =
-                new UsagePublisher(store, ledger, new StoreHealth(clock), clock, new VmId("vm-1"), "lifetime");
+        UsagePublisher publisher = new UsagePublisher(
+                store, () -> StoreEra.UNKNOWN, ledger, new StoreHealth(clock), clock, new VmId("vm-1"), "lifetime");
         StoreKey key = GatewayStoreKeys.usageCounts(new VmId("vm-1"), "lifetime");
         Set<StoreRevision> writes = new HashSet<>();
         int windows = 12;
@@ -102,8 +103,8 @@
         HangingOnceStore hanging = new HangingOnceStore(store);
         UsageLedger ledger = new UsageLedger(new WallClock(clock, () -> clock.nanoTime() / 1_000_000), WINDOW);
         ledger.countStarted(new ClientAccountId("account-1"));
-        UsagePublisher publisher =
-                new UsagePublisher(hanging, ledger, new StoreHealth(clock), clock, new VmId("vm-1"), "lifetime");
+        UsagePublisher publisher = new UsagePublisher(
+                hanging, () -> StoreEra.UNKNOWN, ledger, new StoreHealth(clock), clock, new VmId("vm-1"), "lifetime");
 
         assertTrue(publisher.close(Duration.ofSeconds(2)));
 
@@ -117,8 +118,8 @@
         ManualClock clock = new ManualClock();
         FakeCoordinationStore store = new FakeCoordinationStore(clock);
         UsageLedger ledger = new UsageLedger(new WallClock(clock, () -> clock.nanoTime() / 1_000_000), WINDOW);
-        UsagePublisher publisher =
-                new UsagePublisher(store, ledger, new StoreHealth(clock), clock, new VmId("vm-1"), "lifetime");
+        UsagePublisher publisher = new UsagePublisher(
+                store, () -> StoreEra.UNKNOWN, ledger, new StoreHealth(clock), clock, new VmId("vm-1"), "lifetime");
         ledger.countStarted(new ClientAccountId("account-1"));
         store.loseAnswers(1);
         publisher.publish(1);
@@ -133,6 +134,37 @@
         assertEquals(2, written.of(ledger.currentWindow()).get(new ClientAccountId("account-1")));
     }
 
+    /** Guards against a report without the counts that a VM has published, when the store comes back older. */
+    @Test
+    void publishedCountsAreWrittenAgainInANewEraOfTheStore() throws Exception {
+        ManualClock clock = new ManualClock();
+        FakeCoordinationStore store = new FakeCoordinationStore(clock);
+        EraCheckedStore checked = new EraCheckedStore(store, clock);
+        UsageLedger ledger = new UsageLedger(new WallClock(clock, () -> clock.nanoTime() / 1_000_000), WINDOW);
+        UsagePublisher publisher = new UsagePublisher(
+                checked,
+                () -> checked.era().orElse(StoreEra.UNKNOWN),
+                ledger,
+                new StoreHealth(clock),
+                clock,
+                new VmId("vm-1"),
+                "lifetime");
+        publisher.publish(1);
+        FakeCoordinationStore.Copy copy = store.copy();
+        ledger.countStarted(new ClientAccountId("account-1"));
+        publisher.publish(1);
+        store.returnOlder(copy);
+        checked.list("any prefix");
+
+        publisher.publish(1);
+
+        WindowCounts written = WireFormat.decode(
+                store.value(GatewayStoreKeys.usageCounts(new VmId("vm-1"), "lifetime"))
+                        .orElseThrow(),
+                WindowCounts.class);
+        assertEquals(1, written.of(ledger.currentWindow()).get(new ClientAccountId("account-1")));
+    }
+
     /** A store whose first write hangs until it is released. */
     private static final class HangingOnceStore implements CoordinationStore {
         private final CoordinationStore store;
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsageReportEraTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsageReportEraTest.java
@@ -22,6 +22,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -182,9 +183,9 @@
             vm = new VmId(name);
             EraCheckedStore checked = new EraCheckedStore(store, clock);
             StoreHealth health = new StoreHealth(clock);
-            publisher = new UsagePublisher(checked, ledger, health, clock, vm, "lifetime " + System.nanoTime());
-            reporter = new UsageReporter(
-                    checked, () -> checked.era().orElse(StoreEra.UNKNOWN), ledger, sink, health, REPORT_DEADLINE);
+            Supplier<StoreEra> era = () -> checked.era().orElse(StoreEra.UNKNOWN);
+            publisher = new UsagePublisher(checked, era, ledger, health, clock, vm, "lifetime " + System.nanoTime());
+            reporter = new UsageReporter(checked, era, ledger, sink, health, REPORT_DEADLINE);
         }
 
         void serve(int requests) {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsageReporterTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsageReporterTest.java
@@ -20,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -159,10 +160,10 @@
 
         Vm(String name) {
             ledger = new UsageLedger(new WallClock(clock, () -> clock.nanoTime() / 1_000_000), WINDOW);
-            publisher = new UsagePublisher(store, ledger, health, clock, new VmId(name), "lifetime-of-" + name);
             EraCheckedStore checked = new EraCheckedStore(store, clock);
-            reporter = new UsageReporter(
-                    checked, () -> checked.era().orElse(StoreEra.UNKNOWN), ledger, sink, health, REPORT_DEADLINE);
+            Supplier<StoreEra> era = () -> checked.era().orElse(StoreEra.UNKNOWN);
+            publisher = new UsagePublisher(checked, era, ledger, health, clock, new VmId(name), "lifetime-of-" + name);
+            reporter = new UsageReporter(checked, era, ledger, sink, health, REPORT_DEADLINE);
         }
 
         void serve(int requests) {
