Withdraw a VM again when the store comes back with its entry

Cause: a VM that shuts down deletes its entry once. If the store comes back from a copy that has the entry, callers are sent to that VM until its lease in the copy ends.

Change: after a withdrawal, the refresh that follows every second deletes the entry again once the known era of the store is newer than that of the deletion. It expects the revision of its own write, which the copy keeps; a later process of the VM has written another one.

Measured: mvn package -Dtest='MemberPresence*': 4 tests pass.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -139,7 +139,7 @@
         duties = new DutyLease(
                 store, members, health, wallClock, settings.vm(), incarnationText, settings.dutyTimeToLive());
         MemberEntry own = new MemberEntry(settings.vm(), settings.zone(), settings.callersText(), settings.peersText());
-        presence = new MemberPresence(store, own, health);
+        presence = new MemberPresence(store, this::storeEra, own, health);
         Peer self = new Peer(settings.vm(), incarnation, settings.zone());
         peers = new TcpPeerNetwork(self, PEER_SITE, settings.peers(), MonotonicClock.SYSTEM);
         LimitFleet limitFleet = new LimitFleet(
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberPresence.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberPresence.java
@@ -7,11 +7,13 @@
 import io.banyantally.platform.LeaseId;
 import io.banyantally.platform.LeaseLapsedException;
 import io.banyantally.platform.RevisionConflictException;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.StoreTransaction;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 /** Keeps the entry of this VM in the store, under a lease, while it accepts callers. */
 public final class MemberPresence {
@@ -25,20 +27,30 @@
     private static final EventLog LOG = EventLog.of(MemberPresence.class);
 
     private final CoordinationStore store;
+    private final Supplier<StoreEra> era;
     private final MemberEntry entry;
     private final StoreHealth health;
     private Optional<LeaseId> lease = Optional.empty();
     private Optional<StoreRevision> published = Optional.empty();
+    private Optional<StoreEra> removedIn = Optional.empty();
     private boolean withdrawn;
 
-    /** Creates the presence; nothing is published before {@link #refresh}. */
-    public MemberPresence(CoordinationStore store, MemberEntry entry, StoreHealth health) {
+    /**
+     * Creates the presence; nothing is published before {@link #refresh}.
+     *
+     * @param era returns the newest era of the store that is known
+     */
+    public MemberPresence(CoordinationStore store, Supplier<StoreEra> era, MemberEntry entry, StoreHealth health) {
         this.store = store;
+        this.era = era;
         this.entry = entry;
         this.health = health;
     }
 
-    /** Publishes the entry or renews its lease; after {@link #withdraw}, repeats a withdrawal that has failed. */
+    /**
+     * Publishes the entry or renews its lease; after {@link #withdraw}, repeats a withdrawal that has failed, or that
+     * the store has lost with its era.
+     */
     public synchronized void refresh() {
         if (withdrawn) {
             remove();
@@ -72,18 +84,24 @@
     }
 
     private void remove() {
-        if (published.isEmpty()) {
+        if (published.isEmpty() || isRemoved()) {
             return;
         }
         try {
-            store.apply(StoreTransaction.delete(GatewayStoreKeys.member(entry.vm()), published.get()));
+            StoreRevision removal =
+                    store.apply(StoreTransaction.delete(GatewayStoreKeys.member(entry.vm()), published.get()));
+            removedIn = Optional.of(removal.era());
             LOG.info("presence_withdrawn", EventField.of("vm", entry.vm()));
-            published = Optional.empty();
         } catch (RevisionConflictException replaced) {
+            removedIn = Optional.of(replaced.currentRevision().era());
             LOG.info("presence_replaced", EventField.of("vm", entry.vm()), EventField.of("revision", published.get()));
-            published = Optional.empty();
         } catch (StoreException failure) {
             LOG.warn("presence_not_withdrawn", EventField.of("reason", failure.getMessage()));
         }
     }
+
+    /** Returns whether the entry is removed; a store that comes back from an older copy may have it again. */
+    private boolean isRemoved() {
+        return removedIn.isPresent() && !era.get().isAfter(removedIn.get());
+    }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/MemberPresenceTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/MemberPresenceTest.java
@@ -61,8 +61,26 @@
         assertEquals(1, store.keys(GatewayStoreKeys.LIVE_PREFIX).size());
     }
 
+    /** Guards against sending callers to a VM that shuts down, as the store came back with its entry. */
+    @Test
+    void withdrawnEntryIsRemovedAgainAfterTheStoreReturnedWithIt() throws StoreException {
+        EraCheckedStore checked = new EraCheckedStore(store, clock);
+        MemberPresence presence = new MemberPresence(
+                checked, () -> checked.era().orElse(StoreEra.UNKNOWN), entry, new StoreHealth(clock));
+        presence.refresh();
+        FakeCoordinationStore.Copy copy = store.copy();
+        presence.withdraw();
+        store.returnOlder(copy);
+        checked.list("any prefix");
+
+        presence.refresh();
+
+        assertEquals(0, store.keys(GatewayStoreKeys.LIVE_PREFIX).size());
+    }
+
     private MemberPresence presence(CoordinationStore usedStore) {
-        return new MemberPresence(usedStore, entry, new StoreHealth(clock));
+        EraCheckedStore checked = new EraCheckedStore(usedStore, clock);
+        return new MemberPresence(checked, () -> checked.era().orElse(StoreEra.UNKNOWN), entry, new StoreHealth(clock));
     }
 
     /** A store that loses the first deletions. */
