Send a request once more after another response on its connection

Cause: an upstream's additional bytes on a kept connection can arrive after the connection was taken from the pool, and then precede the response to its next request. The response is recognised as another one's (unnamed_answer, crossed_answer) and not passed on, but the request was repeated only at upstreams that it had not been sent to, so with one upstream the caller of a repeatable request got 502.

PROTOCOL.md says that such bytes belong to no request; the request may have run. So it is sent once more only where that is allowed: idempotent requests and streams that may be resumed, within the route's attempts, the shared budget of repeats and the time limit, on a new connection, if no other upstream is left. Other streams still get 502 and run once (TWICE), and nothing is called not run (REFUSED). Non-idempotent requests have connections of their own and are not concerned.

Tests: RepeatedAnswerTest failed in 4 of 11 cases before, passes now, with EndlessAnswerTest (62) and ForwardingTest (22).

Not changed: late bytes that are no response, and a connection that the upstream closes, still fail a request at the only upstream.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -197,6 +197,7 @@
         UpstreamSender sender = new UpstreamSender(services, caller, request, calls, log);
         PrefillSender prefillSender = new PrefillSender(services, caller, calls, log);
         Set<UpstreamId> tried = new HashSet<>();
+        Optional<UpstreamId> usableOnNewConnection = Optional.empty();
         UpstreamChooser chooser = new UpstreamChooser(services, request, log);
         PrefillResult prefilled = prefill(request, chooser, prefillSender);
         Optional<PrefilledCache> prefilledCache = prefilled.prefilledCache();
@@ -217,6 +218,11 @@
                 try {
                     choice = chosen.isPresent() ? chosen.get() : chooser.choose(tried, prefilledCache, mayHaveRun);
                 } catch (RefusedException noUpstreamLeft) {
+                    if (usableOnNewConnection.isPresent()) {
+                        tried.remove(usableOnNewConnection.get());
+                        usableOnNewConnection = Optional.empty();
+                        continue;
+                    }
                     if (failure.isEmpty()) {
                         throw noUpstreamLeft;
                     }
@@ -239,7 +245,13 @@
                 } else {
                     prefilledCache = Optional.empty();
                 }
-                mayHaveRun |= outcome instanceof SendOutcome.Unknown;
+                if (outcome instanceof SendOutcome.Unknown unknown) {
+                    mayHaveRun = true;
+                    if (unknown.staleConnection()) {
+                        usableOnNewConnection =
+                                Optional.of(choice.candidate().entry().id());
+                    }
+                }
                 if (outcome instanceof SendOutcome.CompleteResponse response) {
                     mayHaveRun = true;
                     failure = Optional.of(response);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/SendOutcome.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/SendOutcome.java
@@ -18,8 +18,18 @@
     /** The request has certainly not run. */
     record NotRun(String reason) implements SendOutcome {}
 
-    /** The request may have run, and no complete response arrived. */
-    record Unknown(String reason) implements SendOutcome {}
+    /**
+     * The request may have run, and no complete response arrived.
+     *
+     * @param staleConnection whether a kept connection had the response to another request, so that the upstream may
+     *     serve the request on a new one
+     */
+    record Unknown(String reason, boolean staleConnection) implements SendOutcome {
+
+        Unknown(String reason) {
+            this(reason, false);
+        }
+    }
 
     record CallerDisconnected(String reason) implements SendOutcome {}
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -167,6 +167,10 @@
             try {
                 exchange.awaitHeaders();
                 return receive(exchange, upstream, track, sentAt);
+            } catch (ForeignResponseException foreign) {
+                return caller.isDisconnected()
+                        ? new SendOutcome.CallerDisconnected("during_run")
+                        : new SendOutcome.Unknown(foreign.reason(), exchange.usesKeptConnection());
             } finally {
                 log.add("connection" + sends, exchange.usesKeptConnection() ? "kept" : "new");
             }
@@ -174,10 +178,6 @@
             return caller.isDisconnected()
                     ? new SendOutcome.CallerDisconnected("before_send")
                     : new SendOutcome.NotRun("not_connected");
-        } catch (ForeignResponseException foreign) {
-            return caller.isDisconnected()
-                    ? new SendOutcome.CallerDisconnected("during_run")
-                    : new SendOutcome.Unknown(foreign.reason());
         } catch (ExchangeException failure) {
             return caller.isDisconnected()
                     ? new SendOutcome.CallerDisconnected("during_run")
