Publish the entry of a VM in the refresh that finds it lapsed

Cause: a VM whose lease has ended, as it does with the era of the store, notes that in one refresh and publishes its entry in the next, one second later. It gets no callers meanwhile.

Change: the refresh that finds the lease lapsed publishes at once. With the lease of a former era it does so even if the store renewed a lease with that number, since EraCheckedStore reports it as lapsed.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberPresence.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberPresence.java
@@ -57,26 +57,36 @@
             return;
         }
         try {
-            if (lease.isPresent()) {
-                store.renewLease(lease.get());
-            } else {
-                LeaseId granted = store.grantLease(TIME_TO_LIVE);
-                published = Optional.of(store.apply(StoreTransaction.put(
-                        GatewayStoreKeys.member(entry.vm()), WireFormat.encode(entry), Optional.of(granted))));
-                lease = Optional.of(granted);
-                LOG.info("presence_published", EventField.of("vm", entry.vm()), EventField.of("lease", granted));
+            if (lease.isEmpty() || !renew(lease.get())) {
+                publish();
             }
             health.answered();
         } catch (LeaseLapsedException lapsed) {
-            LOG.warn(
-                    "presence_lapsed",
-                    EventField.of("lease", lease.map(LeaseId::toString).orElse("none")));
-            lease = Optional.empty();
+            health.answered();
         } catch (StoreException failure) {
             health.failed("renew presence", failure);
         }
     }
 
+    private boolean renew(LeaseId held) throws StoreException {
+        try {
+            store.renewLease(held);
+            return true;
+        } catch (LeaseLapsedException lapsed) {
+            LOG.warn("presence_lapsed", EventField.of("lease", held));
+            lease = Optional.empty();
+            return false;
+        }
+    }
+
+    private void publish() throws StoreException {
+        LeaseId granted = store.grantLease(TIME_TO_LIVE);
+        published = Optional.of(store.apply(StoreTransaction.put(
+                GatewayStoreKeys.member(entry.vm()), WireFormat.encode(entry), Optional.of(granted))));
+        lease = Optional.of(granted);
+        LOG.info("presence_published", EventField.of("vm", entry.vm()), EventField.of("lease", granted));
+    }
+
     /** Removes the entry permanently, unless another process of the VM has overwritten it. */
     public synchronized void withdraw() {
         withdrawn = true;
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/MemberPresenceTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/MemberPresenceTest.java
@@ -61,6 +61,35 @@
         assertEquals(1, store.keys(GatewayStoreKeys.LIVE_PREFIX).size());
     }
 
+    /** Guards against a live VM that gets no callers, as the store came back from a copy without its entry. */
+    @Test
+    void entryIsPublishedWithinOneRefreshAfterTheStoreLostIt() throws StoreException {
+        FakeCoordinationStore.Copy copy = store.copy();
+        MemberPresence presence = presence(store);
+        presence.refresh();
+        store.returnOlder(copy);
+        store.grantLease(MemberPresence.TIME_TO_LIVE);
+
+        presence.refresh();
+
+        assertEquals(1, store.keys(GatewayStoreKeys.LIVE_PREFIX).size());
+    }
+
+    /** Guards against an entry that expires although its VM serves, as the store came back from an older copy. */
+    @Test
+    void entryOfAnOlderCopyIsHeldByALeaseOfItsOwnAgain() {
+        MemberPresence presence = presence(store);
+        presence.refresh();
+        FakeCoordinationStore.Copy copy = store.copy();
+        clock.advance(MemberPresence.RENEWAL_INTERVAL);
+        store.returnOlder(copy);
+
+        presence.refresh();
+        clock.advance(MemberPresence.TIME_TO_LIVE.minusMillis(1));
+
+        assertEquals(1, store.keys(GatewayStoreKeys.LIVE_PREFIX).size());
+    }
+
     /** Guards against sending callers to a VM that shuts down, as the store came back with its entry. */
     @Test
     void withdrawnEntryIsRemovedAgainAfterTheStoreReturnedWithIt() throws StoreException {
