Measure a whole plain decision, its spread and its memory

`measure notices` left out the registry's filter, the check of limits and the send that is taken from them, and gave means only. It now plays the whole decision in four states: without a notice, with two fifths leaving or waiting, with one upstream open of all, and with all slots occupied; `--peers` adds requests of other VMs. It prints median, minimum and maximum of the turns and the bytes allocated.

--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/NoticeCostCommand.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/NoticeCostCommand.java
@@ -1,47 +1,66 @@
 package io.banyantally.standins.measure;
 
 import com.codahale.metrics.MetricRegistry;
+import com.sun.management.ThreadMXBean;
+import io.banyantally.deployment.DeploymentConfiguration;
+import io.banyantally.deployment.DocumentReader;
 import io.banyantally.deployment.EngineStage;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.ResponseMetadata;
+import io.banyantally.deployment.UnreadableDocumentException;
+import io.banyantally.internal.deployment.ReplicaRegistry;
+import io.banyantally.internal.deployment.StoreHealth;
 import io.banyantally.internal.placement.Candidate;
 import io.banyantally.internal.placement.LeastLoadedPlacement;
+import io.banyantally.internal.placement.LimitSharers;
 import io.banyantally.internal.placement.Placement;
+import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamNotices;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.ServiceName;
 import io.banyantally.model.UpstreamId;
+import io.banyantally.model.VmId;
+import io.banyantally.platform.CoordinationStore.StoreItem;
+import io.banyantally.platform.CoordinationStore.StoreListing;
+import io.banyantally.platform.StoreKey;
+import io.banyantally.platform.StoreRevision;
+import io.banyantally.platform.VersionedValue;
+import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
-import java.util.function.UnaryOperator;
+import java.util.function.IntPredicate;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
 /**
- * Measures a gateway's decision for a plain request, and how much of it the notices of upstreams take: without the
- * check, without a notice, and with a fifth leaving and a fifth waiting. The three take turns, so that they share the
- * machine's other load.
+ * Measures a gateway's decision for a plain request, from the known upstreams to the send that the limit of the chosen
+ * one leaves: without a notice, with a fifth of the upstreams leaving and a fifth waiting, with all but one waiting, and
+ * with all slots occupied. The kinds take turns, so that they share the machine's other load.
  */
 @Command(
         name = "notices",
         mixinStandardHelpOptions = true,
-        description = "Measures the cost of upstreams that leave or wait for a decision.")
+        description = "Measures the decision for a plain request while upstreams leave, wait or are busy.")
 public final class NoticeCostCommand implements Callable<Integer> {
 
     private static final int DECISIONS_OF_A_TURN = 2_000;
     private static final int WARM_UP_TURNS = 5;
+    private static final int SLOTS = 8;
     private static final double NANOS_PER_MICRO = 1e3;
+    private static final ServiceName SERVICE = new ServiceName("service");
 
     @Option(names = "--upstreams", defaultValue = "500", description = "upstreams (default: ${DEFAULT-VALUE})")
     private int upstreams;
@@ -49,99 +68,147 @@
     @Option(names = "--turns", defaultValue = "50", description = "turns of each kind (default: ${DEFAULT-VALUE})")
     private int turns;
 
+    @Option(
+            names = "--peers",
+            defaultValue = "0",
+            description = "other VMs with a request at each upstream (default: ${DEFAULT-VALUE})")
+    private int peers;
+
     private final MonotonicClock clock = MonotonicClock.SYSTEM;
-    private final UpstreamTracks tracks = new UpstreamTracks(clock);
     private final LeastLoadedPlacement placement = new LeastLoadedPlacement(new SplittableRandom(1));
     private final Placement.Demand demand = new Placement.Demand(Optional.empty(), Duration.ofMillis(100));
+    private final ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
 
     @Override
     public Integer call() {
-        List<ReplicaEntry> entries = entries();
-        UpstreamNotices quiet = notices();
-        UpstreamNotices busy = notices();
-        for (int number = 0; number < upstreams; number++) {
-            if (number % 5 < 2) {
-                boolean leaving = number % 5 == 0;
-                Optional<Duration> wait = leaving ? Optional.empty() : Optional.of(Duration.ofMinutes(1));
-                busy.record(
-                        entries.get(number),
-                        new ResponseMetadata(
-                                false,
-                                false,
-                                true,
-                                Optional.empty(),
-                                Optional.empty(),
-                                leaving,
-                                wait,
-                                OptionalDouble.empty()),
-                        "attempt");
+        ReplicaRegistry replicas = registry();
+        List<Kind> kinds = List.of(
+                new Kind("no_notice", replicas, number -> false, number -> false, 0),
+                new Kind("two_fifths", replicas, number -> number % 5 == 0, number -> number % 5 == 1, 0),
+                new Kind("one_open", replicas, number -> false, number -> number > 0, 0),
+                new Kind("all_busy", replicas, number -> false, number -> false, SLOTS));
+        for (int turn = -WARM_UP_TURNS; turn < turns; turn++) {
+            for (Kind kind : kinds) {
+                kind.play(Math.max(0, turn));
             }
         }
-        List<UnaryOperator<List<ReplicaEntry>>> kinds =
-                List.of(UnaryOperator.identity(), quiet::accepting, busy::accepting);
-        long[] nanos = new long[kinds.size()];
-        long[] noticeNanos = new long[kinds.size()];
-        for (int turn = -WARM_UP_TURNS; turn < turns; turn++) {
-            for (int kind = 0; kind < kinds.size(); kind++) {
-                UnaryOperator<List<ReplicaEntry>> accepting = kinds.get(kind);
-                long start = System.nanoTime();
-                for (int count = 0; count < DECISIONS_OF_A_TURN; count++) {
-                    decide(accepting.apply(entries));
+        kinds.forEach(Kind::print);
+        return 0;
+    }
+
+    private ReplicaRegistry registry() {
+        ReplicaRegistry replicas = new ReplicaRegistry(new NumberedUpstreams(), new StoreHealth(clock), clock);
+        List<StoreItem> items = new ArrayList<>();
+        for (int number = 0; number < upstreams; number++) {
+            items.add(new StoreItem(
+                    new StoreKey("u" + number),
+                    new VersionedValue(new byte[0], new StoreRevision(1)),
+                    new StoreRevision(1)));
+        }
+        replicas.listed(new StoreListing(items, new StoreRevision(1)));
+        return replicas;
+    }
+
+    private static ReplicaEntry entry(int number) {
+        return new ReplicaEntry(
+                new UpstreamId("u" + number),
+                SERVICE,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 10_000 + number),
+                new AvailabilityZone("zone-a"),
+                SLOTS,
+                false,
+                EngineStage.NONE,
+                false,
+                OptionalLong.of(1),
+                OptionalLong.empty());
+    }
+
+    /** A state of the upstreams, and the cost of decisions in it. */
+    private final class Kind {
+        private final String name;
+        private final ReplicaRegistry replicas;
+        private final UpstreamTracks tracks = new UpstreamTracks(clock);
+        private final UpstreamNotices notices =
+                new UpstreamNotices(clock, new SplittableRandom(1), new MetricRegistry());
+        private final UpstreamLimits limits = new UpstreamLimits(
+                () -> new LimitSharers(1, 1, Duration.ofMillis(100)), clock, new Random(1), new MetricRegistry());
+        private final double[] micros = new double[turns];
+        private final double[] bytes = new double[turns];
+
+        Kind(String name, ReplicaRegistry replicas, IntPredicate leaving, IntPredicate waiting, int requestsAtEach) {
+            this.name = name;
+            this.replicas = replicas;
+            for (int number = 0; number < upstreams; number++) {
+                ReplicaEntry entry = entry(number);
+                if (leaving.test(number) || waiting.test(number)) {
+                    notices.record(entry, statement(leaving.test(number)), "attempt");
                 }
-                long afterDecisions = System.nanoTime();
-                for (int count = 0; count < DECISIONS_OF_A_TURN; count++) {
-                    List<ReplicaEntry> _ = accepting.apply(entries);
+                for (int request = 0; request < requestsAtEach; request++) {
+                    tracks.of(entry).recordSent(0, clock.nanoTime());
                 }
-                if (turn >= 0) {
-                    nanos[kind] += afterDecisions - start;
-                    noticeNanos[kind] += System.nanoTime() - afterDecisions;
+                for (int peer = 0; peer < peers; peer++) {
+                    tracks.of(entry).setPeerWork(new VmId("vm-" + peer), 1, 1, clock.nanoTime());
                 }
             }
         }
-        List<String> names = List.of("unchecked", "no_notice", "two_fifths");
-        for (int kind = 0; kind < kinds.size(); kind++) {
+
+        private static ResponseMetadata statement(boolean leaving) {
+            return new ResponseMetadata(
+                    false,
+                    false,
+                    true,
+                    Optional.empty(),
+                    Optional.empty(),
+                    leaving,
+                    leaving ? Optional.empty() : Optional.of(Duration.ofMinutes(1)),
+                    OptionalDouble.empty());
+        }
+
+        void play(int turn) {
+            long allocated = threads.getCurrentThreadAllocatedBytes();
+            long start = System.nanoTime();
+            for (int count = 0; count < DECISIONS_OF_A_TURN; count++) {
+                decide();
+            }
+            micros[turn] = (System.nanoTime() - start) / NANOS_PER_MICRO / DECISIONS_OF_A_TURN;
+            bytes[turn] = (double) (threads.getCurrentThreadAllocatedBytes() - allocated) / DECISIONS_OF_A_TURN;
+        }
+
+        private void decide() {
+            List<ReplicaEntry> open = limits.accepting(notices.accepting(replicas.accepting(SERVICE)));
+            List<Candidate> candidates = tracks.candidates(open);
+            if (!(placement.decide(demand, candidates) instanceof Placement.Decision.Send send)
+                    || !limits.tryTake(send.candidate().entry())) {
+                throw new IllegalStateException("no upstream was chosen among " + candidates.size());
+            }
+        }
+
+        void print() {
+            Arrays.sort(micros);
+            Arrays.sort(bytes);
             System.out.printf(
                     Locale.ROOT,
-                    "upstreams=%d notices=%s decisionMicros=%.2f ratio=%.2f noticesMicros=%.2f%n",
+                    "upstreams=%d state=%s decisionMicros=%.2f (%.2f to %.2f) allocatedBytes=%.0f%n",
                     upstreams,
-                    names.get(kind),
-                    micros(nanos[kind]),
-                    (double) nanos[kind] / nanos[0],
-                    micros(noticeNanos[kind]));
+                    name,
+                    micros[turns / 2],
+                    micros[0],
+                    micros[turns - 1],
+                    bytes[turns / 2]);
         }
-        return 0;
     }
 
-    private void decide(List<ReplicaEntry> accepting) {
-        List<Candidate> candidates = tracks.candidates(accepting);
-        if (!(placement.decide(demand, candidates) instanceof Placement.Decision.Send)) {
-            throw new IllegalStateException("no upstream was chosen among " + candidates.size());
-        }
-    }
-
-    private double micros(long totalNanos) {
-        return totalNanos / NANOS_PER_MICRO / DECISIONS_OF_A_TURN / turns;
-    }
+    /** Reads entries whose key is the upstream's id. */
+    private static final class NumberedUpstreams implements DocumentReader {
 
-    private UpstreamNotices notices() {
-        return new UpstreamNotices(clock, new SplittableRandom(1), new MetricRegistry());
-    }
+        @Override
+        public DeploymentConfiguration configuration(byte[] document) throws UnreadableDocumentException {
+            throw new UnreadableDocumentException("no configuration is stored");
+        }
 
-    private List<ReplicaEntry> entries() {
-        List<ReplicaEntry> entries = new ArrayList<>();
-        for (int number = 0; number < upstreams; number++) {
-            entries.add(new ReplicaEntry(
-                    new UpstreamId("u" + number),
-                    new ServiceName("service"),
-                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 10_000 + number),
-                    new AvailabilityZone("zone-a"),
-                    8,
-                    false,
-                    EngineStage.NONE,
-                    false,
-                    OptionalLong.of(1),
-                    OptionalLong.empty()));
+        @Override
+        public ReplicaEntry replica(StoreKey key, byte[] document) {
+            return entry(Integer.parseInt(key.path().substring(1)));
         }
-        return entries;
     }
 }
