--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -1,6 +1,7 @@
 package io.banyantally.internal.duty;
 
 import io.banyantally.internal.adapter.WireFormat;
+import io.banyantally.internal.deployment.EraCheckedStore;
 import io.banyantally.internal.deployment.GatewayStoreKeys;
 import io.banyantally.internal.deployment.MemberList;
 import io.banyantally.internal.deployment.StoreHealth;
@@ -9,13 +10,13 @@
 import io.banyantally.internal.timeline.EventField;
 import io.banyantally.model.FencingNumber;
 import io.banyantally.model.VmId;
-import io.banyantally.platform.CoordinationStore;
 import io.banyantally.platform.CoordinationStore.StoreItem;
 import io.banyantally.platform.DutyHolder;
 import io.banyantally.platform.LeaseId;
 import io.banyantally.platform.LeaseLapsedException;
 import io.banyantally.platform.OutcomeUnknownException;
 import io.banyantally.platform.RevisionConflictException;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.StoreTransaction;
@@ -24,9 +25,12 @@
 import java.util.Optional;
 
 /**
- * Elects the VM that carries out the duties, by a key in the store that the lease of the elected VM holds. The revision
- * that created the key is the fencing number, which rises with every holder. A holder never revokes its lease, so two
- * terms begin at least one time to live apart and holders cannot alternate faster than that.
+ * Elects the VM that carries out the duties, by a key in the store that the lease of the elected VM holds. The era of
+ * the store and the revision of the key give the fencing number, which rises with every holder. A holder never revokes
+ * its lease, so two terms begin at least one time to live apart and holders cannot alternate faster than that.
+ *
+ * <p>A term belongs to one era of the store. When the store has come back from an older copy, leases and entries of
+ * before count no more, and nobody acts until the holder of before must have stopped.
  */
 public final class DutyLease {
 
@@ -40,7 +44,7 @@
 
     private static final EventLog LOG = EventLog.of(DutyLease.class);
 
-    private final CoordinationStore store;
+    private final EraCheckedStore store;
     private final MemberList members;
     private final StoreHealth health;
     private final WallClock clock;
@@ -48,9 +52,12 @@
     private final String incarnation;
     private final Duration timeToLive;
     private int attempts;
-    private boolean stopped;
     private Optional<LeaseId> lease = Optional.empty();
-    private Optional<Term> term = Optional.empty();
+    private WallClock.Reading leaseRequestedAt;
+
+    // Read without the lock, which a call to a slow store holds.
+    private volatile boolean stopped;
+    private volatile Optional<Term> term = Optional.empty();
 
     /**
      * Creates a lease that is not held.
@@ -59,7 +66,7 @@
      * @param timeToLive how long the lease lasts after its last renewal
      */
     public DutyLease(
-            CoordinationStore store,
+            EraCheckedStore store,
             MemberList members,
             StoreHealth health,
             WallClock clock,
@@ -73,6 +80,7 @@
         this.vm = vm;
         this.incarnation = incarnation;
         this.timeToLive = timeToLive;
+        this.leaseRequestedAt = clock.reading();
     }
 
     /** Renews the lease if this VM holds it, and otherwise tries to acquire it. */
@@ -80,96 +88,166 @@
         if (stopped) {
             return;
         }
+        Optional<StoreItem> entry = members.dutyHolder();
+        dropOutdatedLease(entry);
         try {
             if (term.isPresent()) {
-                renew();
-            } else if (members.dutyHolder().isEmpty()) {
-                acquire();
-            } else if (isOwnWrite(members.dutyHolder().get())) {
-                startTerm(members.dutyHolder().get().created(), clock.reading());
+                renew(term.get());
+            } else if (entry.isEmpty()) {
+                acquire(StoreRevision.ABSENT);
+            } else {
+                elect(entry.get());
             }
+        } catch (LeaseLapsedException lapsed) {
+            health.answered();
+            endTerm(isLeaseOfCurrentEra() ? "lapsed" : "store_era");
         } catch (StoreException failure) {
             health.failed("duty lease", failure);
         }
     }
 
     /** Stops using the lease, which then expires. */
-    public synchronized void stop() {
+    public void stop() {
         stopped = true;
-        endTerm("stopped");
+        synchronized (this) {
+            endTerm("stopped");
+        }
     }
 
     /** Returns this VM as the holder of the duties; empty if it does not hold a valid lease. */
-    public synchronized Optional<DutyHolder> held() {
-        if (!isTermValid()) {
-            return Optional.empty();
-        }
-        long revision = term.get().revision().value();
-        return Optional.of(new DutyHolder(vm, new FencingNumber(revision), () -> isCurrentTerm(revision)));
+    public Optional<DutyHolder> held() {
+        return validTerm().map(Term::number).map(this::holder);
+    }
+
+    private DutyHolder holder(FencingNumber number) {
+        return new DutyHolder(
+                vm,
+                number,
+                () -> validTerm()
+                        .filter(current -> current.number().equals(number))
+                        .isPresent());
+    }
+
+    private Optional<Term> validTerm() {
+        return stopped ? Optional.empty() : term.filter(this::isValid);
+    }
+
+    private boolean isValid(Term current) {
+        return current.formerEraEnded()
+                && isCurrent(current.revision().era())
+                && clock.maximumElapsedSince(current.renewedAt()).compareTo(timeToLive.minus(SAFETY_MARGIN)) < 0;
     }
 
-    private synchronized boolean isCurrentTerm(long revision) {
-        return isTermValid() && term.get().revision().value() == revision;
+    private boolean isCurrent(StoreEra era) {
+        return store.era().filter(era::equals).isPresent();
     }
 
-    private boolean isTermValid() {
-        return !stopped
-                && term.isPresent()
-                && clock.maximumElapsedSince(term.get().renewedAt()).compareTo(timeToLive.minus(SAFETY_MARGIN)) < 0;
+    private boolean isLeaseOfCurrentEra() {
+        return lease.isEmpty() || isCurrent(lease.get().era());
     }
 
-    private void renew() throws StoreException {
+    /**
+     * Returns whether the holder of the former era has stopped. It may not know of the present era, and then acts for
+     * its time to live after a renewal that was before the store came back.
+     */
+    private boolean hasFormerEraEnded() {
+        return isCurrent(StoreEra.UNKNOWN) || store.eraKnownFor().compareTo(timeToLive) >= 0;
+    }
+
+    private void dropOutdatedLease(Optional<StoreItem> entry) {
+        if (!isLeaseOfCurrentEra()) {
+            endTerm("store_era");
+        } else if (term.isPresent() && entry.filter(this::isAfterTerm).isPresent()) {
+            endTerm("replaced");
+        }
+    }
+
+    private boolean isAfterTerm(StoreItem entry) {
+        return entry.versioned().revision().isAfter(term.get().revision());
+    }
+
+    private void renew(Term current) throws StoreException {
+        boolean formerEraEnded = current.formerEraEnded() || hasFormerEraEnded();
         WallClock.Reading requestedAt = clock.reading();
+        renewLease();
+        // A successful renewal shows that the lease never expired, so its key remained and no other VM has held the
+        // duties.
+        term = Optional.of(new Term(current.number(), current.revision(), requestedAt, formerEraEnded));
+    }
+
+    private void renewLease() throws StoreException {
+        StoreEra renewedIn = store.renewLease(lease.get());
+        health.answered();
+        if (!renewedIn.equals(lease.get().era())) {
+            throw new LeaseLapsedException("the store renewed lease " + lease.get() + " in era " + renewedIn);
+        }
+    }
+
+    private void elect(StoreItem entry) throws StoreException {
+        StoreRevision revision = entry.versioned().revision();
+        Optional<HolderRecord> holder = decode(entry);
+        if (holder.isEmpty() || !isCurrent(revision.era())) {
+            // After a change of the era the watch lists the key again.
+            return;
+        }
+        if (lease.isPresent() && holder.get().isUnder(lease.get())) {
+            startTerm(revision);
+        } else if (holder.get().isBefore(revision.era())) {
+            acquire(revision);
+        } else if (holder.get().isOf(vm, incarnation)) {
+            // The term under that lease has ended, so the entry is old or will be removed; the store decides which.
+            acquire(StoreRevision.ABSENT);
+        }
+    }
+
+    private static Optional<HolderRecord> decode(StoreItem entry) {
         try {
-            store.renewLease(lease.get());
-            health.answered();
-            // A successful renewal shows that the lease never expired, so its key remained and no other VM has held the
-            // duties.
-            term = Optional.of(new Term(term.get().revision(), requestedAt));
-        } catch (LeaseLapsedException lapsed) {
-            health.answered();
-            endTerm("lapsed");
+            return Optional.of(WireFormat.decode(entry.value(), HolderRecord.class));
+        } catch (IOException unreadable) {
+            LOG.error("duty_holder_unreadable", unreadable, EventField.of("key", entry.key()));
+            return Optional.empty();
         }
     }
 
-    private void acquire() throws StoreException {
+    private void acquire(StoreRevision expected) throws StoreException {
         WallClock.Reading requestedAt = clock.reading();
-        if (lease.isEmpty()) {
+        if (lease.isEmpty() || clock.maximumElapsedSince(leaseRequestedAt).compareTo(timeToLive) >= 0) {
             lease = Optional.of(store.grantLease(timeToLive));
+            leaseRequestedAt = requestedAt;
         }
         attempts++;
-        byte[] value = WireFormat.encode(new HolderRecord(vm, incarnation, attempts));
+        byte[] value = WireFormat.encode(HolderRecord.of(vm, incarnation, attempts, lease.get()));
         try {
-            StoreRevision revision = store.apply(StoreTransaction.create(GatewayStoreKeys.DUTY_HOLDER, value, lease));
+            StoreRevision revision =
+                    store.apply(StoreTransaction.replace(GatewayStoreKeys.DUTY_HOLDER, expected, value, lease));
             health.answered();
-            startTerm(revision, requestedAt);
+            startTerm(revision);
         } catch (RevisionConflictException taken) {
             health.answered();
-        } catch (LeaseLapsedException lapsed) {
-            health.answered();
-            lease = Optional.empty();
         } catch (OutcomeUnknownException unknown) {
             // The watch of the key shows whether the write took effect.
             health.failed("take duties", unknown);
         }
     }
 
-    private boolean isOwnWrite(StoreItem item) {
-        try {
-            HolderRecord holder = WireFormat.decode(item.value(), HolderRecord.class);
-            return lease.isPresent()
-                    && holder.vm().equals(vm)
-                    && holder.lifetime().equals(incarnation);
-        } catch (IOException unreadable) {
-            LOG.error("duty_holder_unreadable", unreadable, EventField.of("key", item.key()));
-            return false;
+    private void startTerm(StoreRevision revision) throws StoreException {
+        Optional<FencingNumber> number = TermNumbers.of(revision);
+        if (number.isEmpty()) {
+            LOG.warn("fencing_number_too_large", EventField.of("vm", vm), EventField.of("revision", revision));
+            return;
         }
-    }
-
-    private void startTerm(StoreRevision revision, WallClock.Reading since) throws StoreException {
-        store.renewLease(lease.get());
-        term = Optional.of(new Term(revision, since));
-        LOG.info("duties_taken", EventField.of("vm", vm), EventField.of("fencing", revision));
+        boolean formerEraEnded = hasFormerEraEnded();
+        WallClock.Reading requestedAt = clock.reading();
+        renewLease();
+        if (!revision.era().equals(lease.get().era())) {
+            throw new LeaseLapsedException("revision " + revision + " is not of the era of lease " + lease.get());
+        }
+        term = Optional.of(new Term(number.get(), revision, requestedAt, formerEraEnded));
+        LOG.info(
+                "duties_taken",
+                EventField.of("vm", vm),
+                EventField.of("fencing", number.get()),
+                EventField.of("revision", revision));
     }
 
     private void endTerm(String reason) {
@@ -177,20 +255,19 @@
             LOG.warn(
                     "duties_lost",
                     EventField.of("vm", vm),
-                    EventField.of("fencing", term.get().revision()),
+                    EventField.of("fencing", term.get().number()),
                     EventField.of("reason", reason));
         }
         term = Optional.empty();
         lease = Optional.empty();
     }
 
-    private record Term(StoreRevision revision, WallClock.Reading renewedAt) {}
-
     /**
-     * The value of the key in the store.
+     * A time as holder.
      *
-     * @param lifetime the incarnation of the process
-     * @param attempt distinguishes the writes of one process
+     * @param revision the revision of the entry
+     * @param formerEraEnded whether the term may act because the holders of the former era have stopped
      */
-    record HolderRecord(VmId vm, String lifetime, int attempt) {}
+    private record Term(
+            FencingNumber number, StoreRevision revision, WallClock.Reading renewedAt, boolean formerEraEnded) {}
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/MemberPresenceTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/MemberPresenceTest.java
@@ -7,6 +7,7 @@
 import io.banyantally.platform.CoordinationStore;
 import io.banyantally.platform.LeaseId;
 import io.banyantally.platform.OutcomeUnknownException;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.StoreTransaction;
@@ -60,8 +61,55 @@
         assertEquals(1, store.keys(GatewayStoreKeys.LIVE_PREFIX).size());
     }
 
+    /** Guards against a live VM that gets no callers, as the store came back from a copy without its entry. */
+    @Test
+    void entryIsPublishedWithinOneRefreshAfterTheStoreLostIt() throws StoreException {
+        FakeCoordinationStore.Copy copy = store.copy();
+        MemberPresence presence = presence(store);
+        presence.refresh();
+        store.returnOlder(copy);
+        store.grantLease(MemberPresence.TIME_TO_LIVE);
+
+        presence.refresh();
+
+        assertEquals(1, store.keys(GatewayStoreKeys.LIVE_PREFIX).size());
+    }
+
+    /** Guards against an entry that expires although its VM serves, as the store came back from an older copy. */
+    @Test
+    void entryOfAnOlderCopyIsHeldByALeaseOfItsOwnAgain() {
+        MemberPresence presence = presence(store);
+        presence.refresh();
+        FakeCoordinationStore.Copy copy = store.copy();
+        clock.advance(MemberPresence.RENEWAL_INTERVAL);
+        store.returnOlder(copy);
+
+        presence.refresh();
+        clock.advance(MemberPresence.TIME_TO_LIVE.minusMillis(1));
+
+        assertEquals(1, store.keys(GatewayStoreKeys.LIVE_PREFIX).size());
+    }
+
+    /** Guards against sending callers to a VM that shuts down, as the store came back with its entry. */
+    @Test
+    void withdrawnEntryIsRemovedAgainAfterTheStoreReturnedWithIt() throws StoreException {
+        EraCheckedStore checked = new EraCheckedStore(store, clock);
+        MemberPresence presence = new MemberPresence(
+                checked, () -> checked.era().orElse(StoreEra.UNKNOWN), entry, new StoreHealth(clock));
+        presence.refresh();
+        FakeCoordinationStore.Copy copy = store.copy();
+        presence.withdraw();
+        store.returnOlder(copy);
+        checked.list("any prefix");
+
+        presence.refresh();
+
+        assertEquals(0, store.keys(GatewayStoreKeys.LIVE_PREFIX).size());
+    }
+
     private MemberPresence presence(CoordinationStore usedStore) {
-        return new MemberPresence(usedStore, entry, new StoreHealth(clock));
+        EraCheckedStore checked = new EraCheckedStore(usedStore, clock);
+        return new MemberPresence(checked, () -> checked.era().orElse(StoreEra.UNKNOWN), entry, new StoreHealth(clock));
     }
 
     /** A store that loses the first deletions. */
@@ -100,8 +148,8 @@
         }
 
         @Override
-        public void renewLease(LeaseId lease) throws StoreException {
-            store.renewLease(lease);
+        public StoreEra renewLease(LeaseId lease) throws StoreException {
+            return store.renewLease(lease);
         }
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
@@ -4,24 +4,39 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.banyantally.internal.deployment.EraCheckedStore;
 import io.banyantally.internal.deployment.GatewayStoreKeys;
 import io.banyantally.internal.deployment.MemberList;
 import io.banyantally.internal.deployment.StoreHealth;
 import io.banyantally.internal.time.WallClock;
 import io.banyantally.model.VmId;
+import io.banyantally.platform.CoordinationStore.StoreChange;
+import io.banyantally.platform.CoordinationStore.StoreChanges;
+import io.banyantally.platform.CoordinationStore.StoreItem;
+import io.banyantally.platform.CoordinationStore.StoreListing;
 import io.banyantally.platform.DutyHolder;
+import io.banyantally.platform.HistoryDiscardedException;
 import io.banyantally.platform.StoreException;
 import io.banyantally.testing.FakeCoordinationStore;
 import io.banyantally.testing.ManualClock;
 import io.banyantally.testing.StoreFeed;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 
 final class DutyLeaseTest {
 
     private static final Duration TIME_TO_LIVE = Duration.ofMillis(3500);
 
+    /** Until a lease that was elected at once may act in a new era. */
+    private static final int ROUNDS_TO_ACT = 4;
+
     private final ManualClock clock = new ManualClock();
     private final FakeCoordinationStore store = new FakeCoordinationStore(clock);
     private final Vm first = new Vm("vm-1");
@@ -115,15 +130,246 @@
         assertEquals(0, store.keys(GatewayStoreKeys.DUTY_HOLDER.path()).size());
     }
 
+    /** Guards against a VM that takes up its former term, with its lower number, beside the VM elected since. */
+    @Test
+    void formerEntryShownAgainByARepeatedBatchStartsNoTerm() throws StoreException {
+        first.round();
+        StoreItem formerEntry = first.members.dutyHolder().orElseThrow();
+        clock.advance(TIME_TO_LIVE);
+        first.round();
+        assertTrue(first.lease.held().isEmpty(), "the term ended with its lease");
+        first.members.changed(new StoreChanges(
+                List.of(new StoreChange.Removed(GatewayStoreKeys.DUTY_HOLDER)), formerEntry.created()));
+        second.round();
+        first.lease.refresh();
+        first.members.changed(new StoreChanges(List.of(new StoreChange.Written(formerEntry)), formerEntry.created()));
+
+        first.lease.refresh();
+
+        assertTrue(second.lease.held().isPresent());
+        assertFalse(first.lease.held().isPresent());
+    }
+
+    /** Guards against a write that takes effect under a lease whose later attempts were refused. */
+    @Test
+    void recognisesAWriteOfAnyAttemptUnderItsLease() throws StoreException {
+        store.loseAnswers(1);
+        first.lease.refresh();
+        first.lease.refresh();
+        assertFalse(first.lease.held().isPresent(), "the watch has not shown the entry");
+
+        first.round();
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
+    /** Guards against duties that wait for their permission while the store is slow, or a stop that waits for it. */
+    @Test
+    void slowRenewalDelaysNeitherPermissionNorStop() throws StoreException {
+        first.round();
+        DutyHolder holder = first.lease.held().orElseThrow();
+        List<Boolean> permissions = new ArrayList<>();
+        first.link.setBeforeRenewal(() -> {
+            permissions.add(inOtherThread(() -> holder.permission().isGranted()));
+            CompletableFuture<Void> _ = CompletableFuture.runAsync(first.lease::stop);
+            awaitUntil(() -> !inOtherThread(() -> holder.permission().isGranted()));
+        });
+
+        first.lease.refresh();
+
+        assertEquals(List.of(true), permissions);
+    }
+
+    private static boolean inOtherThread(BooleanSupplier question) {
+        return CompletableFuture.supplyAsync(question::getAsBoolean)
+                .orTimeout(5, TimeUnit.SECONDS)
+                .join();
+    }
+
+    private static void awaitUntil(BooleanSupplier condition) {
+        long startedAt = System.nanoTime();
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() - startedAt < TimeUnit.SECONDS.toNanos(5), "waited for too long");
+        }
+    }
+
+    /** Guards against an election that loses a round, a second, with a lease of an election long ago. */
+    @Test
+    void leaseOfAnElectionLongAgoIsNotUsed() throws StoreException {
+        second.lease.refresh();
+        first.lease.refresh();
+        second.lease.stop();
+        clock.advance(TIME_TO_LIVE);
+
+        first.round();
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
+    /** Guards against duties without a holder: the lease ends between the election and its first renewal. */
+    @Test
+    void leaseThatEndsDuringTheElectionIsDropped() throws StoreException {
+        store.loseAnswers(1);
+        first.round();
+        first.link.setBeforeRenewal(() -> {
+            first.link.setBeforeRenewal(() -> {});
+            store.lapseAllLeases();
+        });
+        first.round();
+        assertFalse(first.lease.held().isPresent());
+
+        first.round();
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
+    /** Guards against duties without a holder: the watch of the VM that lost its lease does not show the removal. */
+    @Test
+    void formerHolderDoesNotWaitForItsOwnEntryToBeRemoved() throws StoreException {
+        first.round();
+        store.lapseAllLeases();
+        first.lease.refresh();
+        assertFalse(first.lease.held().isPresent());
+
+        first.lease.refresh();
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
+    /** Guards against lower numbers after the store came back from a copy whose revisions are lower. */
+    @Test
+    void numbersRiseOverEras() throws StoreException {
+        FakeCoordinationStore.Copy copy = store.copy();
+        store.write("servers/1", new byte[0]);
+        first.round();
+        long formerNumber = first.lease.held().orElseThrow().fencing().value();
+        store.returnOlder(copy);
+
+        second.round();
+        second.rounds(ROUNDS_TO_ACT);
+
+        assertTrue(second.lease.held().orElseThrow().fencing().value() > formerNumber);
+    }
+
+    /** Guards against a holder of the former era beside one of the present era that the store has elected since. */
+    @Test
+    void newerEraEndsTheTermAtOnce() throws StoreException {
+        first.round();
+        DutyHolder holder = first.lease.held().orElseThrow();
+        store.returnOlder(store.copy());
+        assertTrue(holder.permission().isGranted(), "the VM does not know of the new era");
+
+        first.feed.listAgain();
+
+        assertFalse(holder.permission().isGranted());
+        assertFalse(first.lease.held().isPresent());
+    }
+
+    /** Guards against acting beside the former era's holder, which may not know of the new era yet. */
+    @Test
+    void termOfANewEraActsOnlyWhenThoseOfTheFormerEraHaveEnded() throws StoreException {
+        first.round();
+        DutyHolder former = first.lease.held().orElseThrow();
+        store.returnOlder(store.copy());
+        second.round();
+        while (former.permission().isGranted()) {
+            assertFalse(second.lease.held().isPresent());
+            clock.advance(Duration.ofMillis(100));
+            second.round();
+        }
+
+        second.rounds(ROUNDS_TO_ACT);
+
+        assertTrue(second.lease.held().isPresent());
+    }
+
+    /** Guards against a process that takes the first era that it sees for an old one. */
+    @Test
+    void processThatHasJustStartedWaitsLikeInANewEra() throws StoreException {
+        store.returnOlder(store.copy());
+        first.round();
+        assertFalse(first.lease.held().isPresent());
+
+        first.rounds(ROUNDS_TO_ACT);
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
+    /** Guards against a wait for the lease of an entry that the copy has brought back. */
+    @Test
+    void entryOfAFormerEraIsReplacedAtOnce() throws StoreException {
+        first.round();
+        store.returnOlder(store.copy());
+
+        second.round();
+
+        assertEquals(
+                2,
+                second.members.dutyHolder().orElseThrow().versioned().revision().value());
+        second.rounds(ROUNDS_TO_ACT);
+        assertTrue(second.lease.held().isPresent());
+        assertFalse(first.lease.held().isPresent());
+    }
+
+    /** Guards against a term that is renewed by a lease of another VM with the same number. */
+    @Test
+    void renewalOfAnotherLeaseWithTheSameNumberKeepsNoTerm() throws StoreException {
+        FakeCoordinationStore.Copy copy = store.copy();
+        first.round();
+        store.returnOlder(copy);
+        second.round();
+
+        first.lease.refresh();
+
+        assertFalse(first.lease.held().isPresent());
+        for (int round = 0; round < ROUNDS_TO_ACT; round++) {
+            second.rounds(1);
+            first.round();
+            assertFalse(first.lease.held().isPresent());
+        }
+        assertTrue(second.lease.held().isPresent());
+    }
+
+    /** Guards against replacing the holder of an era by the revision of an entry of the era before. */
+    @Test
+    void viewOfAFormerEraReplacesNoHolder() throws StoreException {
+        FakeCoordinationStore.Copy empty = store.copy();
+        first.round();
+        store.returnOlder(store.copy());
+        second.feed.listAgain();
+        store.returnOlder(empty);
+        first.round();
+        StoreItem entry = first.members.dutyHolder().orElseThrow();
+        StoreListing _ = second.eras.list("servers/");
+
+        second.lease.refresh();
+
+        first.feed.deliver();
+        assertEquals(entry, first.members.dutyHolder().orElseThrow());
+    }
+
+    /** Guards against a holder whose key was overwritten, by a write from before an older copy, and that acts on. */
+    @Test
+    void holderWhoseKeyWasReplacedStops() throws StoreException {
+        first.round();
+        store.write(GatewayStoreKeys.DUTY_HOLDER.path(), "{}".getBytes(StandardCharsets.UTF_8));
+
+        first.round();
+
+        assertFalse(first.lease.held().isPresent());
+    }
+
     private final class Vm {
         private final AtomicLong timeOfDay = new AtomicLong();
         private final MemberList members = new MemberList();
-        private final StoreFeed feed = new StoreFeed(store, GatewayStoreKeys.LIVE_PREFIX, members);
+        private final StoreLink link = new StoreLink(store);
+        private final EraCheckedStore eras = new EraCheckedStore(link, clock);
+        private final StoreFeed feed = new StoreFeed(eras, GatewayStoreKeys.LIVE_PREFIX, members);
         private final DutyLease lease;
 
         Vm(String name) {
             lease = new DutyLease(
-                    store,
+                    eras,
                     members,
                     new StoreHealth(clock),
                     new WallClock(clock, timeOfDay::get),
@@ -132,10 +378,26 @@
                     TIME_TO_LIVE);
         }
 
+        /** Refreshes the lease every second. */
+        void rounds(int count) throws StoreException {
+            for (int round = 0; round < count; round++) {
+                clock.advance(DutyLease.INTERVAL);
+                round();
+            }
+        }
+
         void round() throws StoreException {
-            feed.deliver();
+            deliver();
             lease.refresh();
-            feed.deliver();
+            deliver();
+        }
+
+        private void deliver() throws StoreException {
+            try {
+                feed.deliver();
+            } catch (HistoryDiscardedException newEra) {
+                feed.listAgain();
+            }
         }
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/LateUsageWriteTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/LateUsageWriteTest.java
@@ -11,6 +11,7 @@
 import io.banyantally.model.VmId;
 import io.banyantally.platform.CoordinationStore;
 import io.banyantally.platform.LeaseId;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.StoreTransaction;
@@ -39,8 +40,8 @@
      */
     @Test
     void delayedOlderWriteDoesNotReplaceTheFinalCounts() throws Exception {
-        UsagePublisher publisher =
-                new UsagePublisher(delayed, ledger, new StoreHealth(clock), clock, new VmId("vm-1"), "lifetime");
+        UsagePublisher publisher = new UsagePublisher(
+                delayed, () -> StoreEra.UNKNOWN, ledger, new StoreHealth(clock), clock, new VmId("vm-1"), "lifetime");
         ledger.countStarted(ACCOUNT);
         Thread older = Thread.ofVirtual().start(() -> publisher.publish(1));
         delayed.awaitCall();
@@ -107,8 +108,8 @@
         }
 
         @Override
-        public void renewLease(LeaseId lease) throws StoreException {
-            store.renewLease(lease);
+        public StoreEra renewLease(LeaseId lease) throws StoreException {
+            return store.renewLease(lease);
         }
     }
 }
