Keep the addresses of VMs that an older copy of the store lacks

Cause: the list of VMs is what the store has. If it comes back from a copy from before the VMs wrote their entries, or with leases that end at once, callers get no addresses until the VMs have written again.

Change: entries that were used when a listing of a newer era arrives stay in use for one time to live of an entry, also if they are missing there or are removed meanwhile. An entry that only the copy has is dropped as soon as it is removed: its VM shuts down. Listings and removals in one era are applied at once, as before. The entries are a type of their own now.

Price: a VM that ends or is withdrawn between copy and return, or in the three seconds after it, is listed until these have passed.

Ruled out: LimitFleet, which counts VMs for 5 s after they left the list, and RetryAllowance, which shares by the most VMs of the last window.

With the list as the store has it, entriesThatTheCopyLacksStayUntilThey- AreWrittenAgain and entriesWhoseLeasesEndShortlyAfterTheReturnStay fail (no VM listed instead of two).

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberList.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberList.java
@@ -1,22 +1,16 @@
 package io.banyantally.internal.deployment;
 
-import io.banyantally.internal.adapter.WireFormat;
 import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.timeline.EventField;
 import io.banyantally.platform.CoordinationStore.StoreChange;
 import io.banyantally.platform.CoordinationStore.StoreChanges;
 import io.banyantally.platform.CoordinationStore.StoreItem;
 import io.banyantally.platform.CoordinationStore.StoreListing;
 import io.banyantally.platform.StoreKey;
-import java.io.IOException;
-import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.SortedMap;
-import java.util.TreeMap;
-import java.util.stream.Collectors;
 
 /**
  * The VMs of the system and the holder of the duties, as last read from the store. While the store is unavailable the
@@ -26,14 +20,22 @@
 
     private static final EventLog LOG = EventLog.of(MemberList.class);
 
+    private final MonotonicClock clock;
     private volatile View view = View.EMPTY;
 
     /** Creates an empty list. */
-    public MemberList() {}
+    public MemberList() {
+        this(MonotonicClock.SYSTEM);
+    }
+
+    /** Creates an empty list; the clock tells how long missing entries are kept. */
+    MemberList(MonotonicClock clock) {
+        this.clock = clock;
+    }
 
     /** Returns the VMs, ordered by name. */
     public List<MemberEntry> members() {
-        return List.copyOf(view.members().values());
+        return view.members().at(clock.nanoTime());
     }
 
     /** Returns the item that names the holder of the duties; empty if there is none. */
@@ -43,53 +45,29 @@
 
     @Override
     public void listed(StoreListing listing) {
-        Set<StoreKey> present = listing.items().stream().map(StoreItem::key).collect(Collectors.toSet());
-        SortedMap<StoreKey, MemberEntry> remaining = new TreeMap<>(view.members());
-        remaining.keySet().retainAll(present);
-        publish(
-                listing.items().stream()
-                        .<StoreChange>map(StoreChange.Written::new)
-                        .toList(),
-                new View(remaining, Optional.empty()));
+        Optional<StoreItem> dutyHolder = listing.items().stream()
+                .filter(item -> item.key().equals(GatewayStoreKeys.DUTY_HOLDER))
+                .findFirst();
+        publish(new View(view.members().listed(listing, clock.nanoTime()), dutyHolder));
     }
 
     /** A batch may repeat changes, so only its end state is published. */
     @Override
     public void changed(StoreChanges changes) {
-        publish(changes.changes(), view);
-    }
-
-    private void publish(List<StoreChange> changes, View from) {
-        SortedMap<StoreKey, MemberEntry> members = new TreeMap<>(from.members());
-        Optional<StoreItem> dutyHolder = from.dutyHolder();
-        for (StoreChange change : changes) {
+        Optional<StoreItem> dutyHolder = view.dutyHolder();
+        for (StoreChange change : changes.changes()) {
             if (change.key().equals(GatewayStoreKeys.DUTY_HOLDER)) {
                 dutyHolder =
                         change instanceof StoreChange.Written written ? Optional.of(written.item()) : Optional.empty();
-            } else {
-                apply(change, members);
             }
         }
-        View before = view;
-        view = new View(members, dutyHolder);
-        logDifferences(before.members(), members);
+        publish(new View(view.members().changed(changes, clock.nanoTime()), dutyHolder));
     }
 
-    private static void apply(StoreChange change, SortedMap<StoreKey, MemberEntry> members) {
-        switch (change) {
-            case StoreChange.Written written ->
-                decode(written.item()).ifPresent(entry -> members.put(change.key(), entry));
-            case StoreChange.Removed removed -> members.remove(removed.key());
-        }
-    }
-
-    private static Optional<MemberEntry> decode(StoreItem item) {
-        try {
-            return Optional.of(WireFormat.decode(item.value(), MemberEntry.class));
-        } catch (IOException unreadable) {
-            LOG.error("vm_entry_unreadable", unreadable, EventField.of("key", item.key()));
-            return Optional.empty();
-        }
+    private void publish(View next) {
+        View before = view;
+        view = next;
+        logDifferences(before.members().entries(), next.members().entries());
     }
 
     private static void logDifferences(Map<StoreKey, MemberEntry> before, Map<StoreKey, MemberEntry> now) {
@@ -105,9 +83,9 @@
         });
     }
 
-    /** The list at one moment; its map is not changed after construction. */
-    private record View(SortedMap<StoreKey, MemberEntry> members, Optional<StoreItem> dutyHolder) {
+    /** The list at one moment. */
+    private record View(KnownMembers members, Optional<StoreItem> dutyHolder) {
 
-        private static final View EMPTY = new View(Collections.emptySortedMap(), Optional.empty());
+        private static final View EMPTY = new View(KnownMembers.NONE, Optional.empty());
     }
 }
