Ignore the former start of an upstream in an older copy of the store

Cause: an entry of an earlier start replaces that of a later one, unless the later one leaves or is gone. A store that comes back from a copy from before an upstream's restart has the earlier one, so that requests go to where the former process was.

Change: LastUpstreamEntries keeps the era of the store in which an entry was read. In a later era an entry of an earlier start is ignored; the upstream writes its own again. Within an era nothing changes: upstreams whose clock was set back remain usable.

Ruled out by tests that passed before: an upstream that left or leaves does not return or turn ready with the copy, by its own count of entries.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/LastUpstreamEntries.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/LastUpstreamEntries.java
@@ -2,6 +2,7 @@
 
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.model.UpstreamId;
+import io.banyantally.platform.StoreEra;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -17,8 +18,12 @@
 
     private final Map<UpstreamId, Last> lastById = new LinkedHashMap<>();
 
-    /** Returns whether the upstream wrote an entry before the last one that is known of it, or another writer wrote it. */
-    boolean isOutdated(ReplicaEntry entry) {
+    /**
+     * Returns whether the upstream wrote an entry before the last one that is known of it, or another writer wrote it.
+     *
+     * @param era the era of the store that has the entry; it may be from a copy that is older than the last one known
+     */
+    boolean isOutdated(ReplicaEntry entry, StoreEra era) {
         Last last = lastById.get(entry.id());
         if (last == null) {
             return false;
@@ -28,7 +33,7 @@
             return true;
         }
         if (!former.startedAtMillis().equals(entry.startedAtMillis())) {
-            return (former.draining() || last.gone())
+            return (former.draining() || last.gone() || era.isAfter(last.era()))
                     && isBefore(entry.startedAtMillis(), former.startedAtMillis(), false);
         }
         return (former.draining() && !entry.draining()) || isBefore(entry.sequence(), former.sequence(), last.gone());
@@ -41,13 +46,14 @@
     }
 
     /** Records an entry that is in the store. */
-    void present(ReplicaEntry entry) {
-        put(new Last(entry, false));
+    void present(ReplicaEntry entry, StoreEra era) {
+        put(new Last(entry, era, false));
     }
 
     /** Records that an entry is no longer in the store; its upstream returns with a later one, if at all. */
     void gone(ReplicaEntry entry) {
-        put(new Last(entry, true));
+        Last last = lastById.get(entry.id());
+        put(new Last(entry, last == null ? StoreEra.UNKNOWN : last.era(), true));
     }
 
     private void put(Last last) {
@@ -59,5 +65,5 @@
         }
     }
 
-    private record Last(ReplicaEntry entry, boolean gone) {}
+    private record Last(ReplicaEntry entry, StoreEra era, boolean gone) {}
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
@@ -12,6 +12,7 @@
 import io.banyantally.platform.CoordinationStore.StoreChanges;
 import io.banyantally.platform.CoordinationStore.StoreItem;
 import io.banyantally.platform.CoordinationStore.StoreListing;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreKey;
 import java.time.Duration;
 import java.util.HashMap;
@@ -128,7 +129,8 @@
     private void read(StoreItem item) {
         try {
             ReplicaEntry entry = reader.replica(item.key(), item.value());
-            if (lastEntries.isOutdated(entry)) {
+            StoreEra written = item.versioned().revision().era();
+            if (lastEntries.isOutdated(entry, written)) {
                 LOG.info(
                         "upstream_entry_outdated",
                         EventField.of("upstream", entry.id()),
@@ -136,7 +138,7 @@
                         EventField.of("revision", item.versioned().revision()));
                 return;
             }
-            lastEntries.present(entry);
+            lastEntries.present(entry, written);
             missing.remove(item.key());
             ReplicaEntry previous = entries.put(item.key(), entry);
             logChange(Optional.ofNullable(previous), entry, item);
