Keep upstreams in use that an older copy of the store lacks

Cause: an upstream without an entry is dropped at once, unless the store was silent for 1.8 s before. A store that comes back from a copy after a shorter time lacks upstreams that registered since, and entries in the copy expire before their upstreams have written again: services lose live upstreams. One that was taken for gone is then also ignored when it writes the entry again that the store has lost.

Change: the first listing of a newer era counts as the end of an outage of any length, so that a missing entry stays in use for 1.8 s from then. An upstream whose entry the store has lost is not taken for gone.

Price: an upstream that really leaves in the 1.8 s after a return is used until their end, and a late write of its last entry is not told from its return.

Without the change three of the six in ReplicaRegistryEraTest fail (no upstream instead of one).

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
@@ -27,7 +27,8 @@
 /**
  * The upstreams that have an entry in the platform's store. While the store is unavailable, the last known entries stay
  * in use. An entry that is missing after an outage may have expired because of it, so it stays in use for a short time;
- * after a failed call without an outage, only as long as an upstream that left during the call may be used.
+ * after a failed call without an outage, only as long as an upstream that left during the call may be used. A store that
+ * comes back from an older copy may lack entries until the upstreams write them again, as after an outage.
  */
 public final class ReplicaRegistry implements PrefixListener {
 
@@ -46,6 +47,8 @@
     private final Map<StoreKey, ReplicaEntry> entries = new HashMap<>();
     private final Map<StoreKey, Missing> missing = new HashMap<>();
     private final LastUpstreamEntries lastEntries = new LastUpstreamEntries();
+    private Optional<StoreEra> era = Optional.empty();
+    private OptionalLong returnedAt = OptionalLong.empty();
     private long caughtUpAt;
     private volatile Map<UpstreamId, Missing> missingById = Map.of();
     private volatile Map<ServiceName, List<ReplicaEntry>> byService = Map.of();
@@ -84,6 +87,7 @@
 
     @Override
     public synchronized void listed(StoreListing listing) {
+        observe(listing.revision().era());
         Set<StoreKey> present = new HashSet<>();
         for (StoreItem item : listing.items()) {
             present.add(item.key());
@@ -95,6 +99,13 @@
         rebuildIndex();
     }
 
+    private void observe(StoreEra listed) {
+        if (era.isPresent() && listed.isAfter(era.get())) {
+            returnedAt = OptionalLong.of(clock.nanoTime());
+        }
+        era = Optional.of(listed);
+    }
+
     @Override
     public synchronized void changed(StoreChanges changes) {
         for (StoreChange change : changes.changes()) {
@@ -177,8 +188,11 @@
         if (!entries.containsKey(key)) {
             return;
         }
-        lastEntries.gone(entries.get(key));
-        Missing absence = beginAbsence();
+        boolean lostByStore = isWithinGrace(returnedAt);
+        if (!lostByStore) {
+            lastEntries.gone(entries.get(key));
+        }
+        Missing absence = lostByStore ? new Missing(graceEnd(returnedAt), true) : beginAbsence();
         if (!entries.get(key).draining() && isUsable(absence)) {
             missing.putIfAbsent(key, absence);
         } else {
@@ -190,12 +204,20 @@
     private Missing beginAbsence() {
         long now = clock.nanoTime();
         OptionalLong regainedAt = health.regainedAfter(LAPSED_ENTRY_GRACE);
-        if (regainedAt.isPresent() && now - regainedAt.getAsLong() < LAPSED_ENTRY_GRACE.toNanos()) {
-            return new Missing(regainedAt.getAsLong() + LAPSED_ENTRY_GRACE.toNanos(), true);
+        if (isWithinGrace(regainedAt)) {
+            return new Missing(graceEnd(regainedAt), true);
         }
         return new Missing(health.hasFailedSince(caughtUpAt) ? caughtUpAt + LAPSED_ENTRY_GRACE.toNanos() : now, false);
     }
 
+    private boolean isWithinGrace(OptionalLong start) {
+        return start.isPresent() && clock.nanoTime() - graceEnd(start) < 0;
+    }
+
+    private static long graceEnd(OptionalLong start) {
+        return start.getAsLong() + LAPSED_ENTRY_GRACE.toNanos();
+    }
+
     private void remove(StoreKey key, String reason) {
         missing.remove(key);
         ReplicaEntry removed = entries.remove(key);
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryEraTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryEraTest.java
@@ -18,6 +18,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
@@ -32,6 +33,44 @@
     private final ReplicaRegistry registry = new ReplicaRegistry(new NumberedReader(), new StoreHealth(clock), clock);
     private final StoreFeed feed = new StoreFeed(store, "upstreams/", registry);
 
+    /** Guards against a service without upstreams since the copy was made before they registered. */
+    @Test
+    void upstreamThatTheCopyLacksStaysInUseForAShortTime() throws StoreException {
+        FakeCoordinationStore.Copy copy = store.copy();
+        write("ready", 1, 100);
+        returnOlder(copy);
+        assertEquals(List.of("100.1"), accepting());
+
+        clock.advance(ReplicaRegistry.LAPSED_ENTRY_GRACE);
+        registry.dropLapsed();
+        assertEquals(List.of(), accepting());
+    }
+
+    /** Guards against dropping an upstream whose entry in the copy expires before the upstream has written again. */
+    @Test
+    void upstreamWhoseEntryExpiresShortlyAfterTheReturnStaysInUse() throws StoreException {
+        write("ready", 1, 100);
+        returnOlder(store.copy());
+        clock.advance(Duration.ofMillis(500));
+        store.delete(KEY);
+        feed.deliver();
+
+        assertEquals(List.of("100.1"), accepting());
+    }
+
+    /** Guards against an upstream that stays unused since it writes the entry again that the store has lost. */
+    @Test
+    void upstreamThatWritesItsLostEntryAgainIsUsed() throws StoreException {
+        FakeCoordinationStore.Copy copy = store.copy();
+        write("ready", 1, 100);
+        returnOlder(copy);
+        clock.advance(ReplicaRegistry.LAPSED_ENTRY_GRACE);
+        registry.dropLapsed();
+        write("ready", 1, 100);
+
+        assertEquals(List.of("100.1"), accepting());
+    }
+
     /** Guards against new work for an upstream that has left, as the copy still has its entry. */
     @Test
     void upstreamThatIsGoneDoesNotReturnWithTheCopy() throws StoreException {
