Reset the connection of a call with permission that is given up

Cause: a call that had timed out was closed in order, so the kernel went on to deliver it: whole, seconds after the permission, if the network or the receiver's window held it up. The receiver could then see the former holder of the duties after its successor.

Change: a call that needs a permission (calls of the duties to the platform and to engines, orders of upstreams) resets its connection unless its response has arrived; and it is not sent if its time limit passed while the permission was asked.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -155,10 +155,17 @@
         if (call.ownConnection()) {
             Connection connection = connect(call, request, deadline);
             exchange.setOwnConnection(connection);
+            if (call.needsPermission()) {
+                resetUnlessAnswered(request, connection);
+            }
             if (!call.permission().isGranted()) {
                 exchange.close();
                 throw new NothingSentException(call + " was not sent: the send permission was denied");
             }
+            if (deadline - System.nanoTime() <= 0) {
+                exchange.close();
+                throw new NothingSentException(call + " was not sent within its time limit");
+            }
             setTimeouts(
                     request,
                     call,
@@ -180,6 +187,14 @@
         }
     }
 
+    /** After an orderly close the kernel would go on to deliver a call that was given up. */
+    private static void resetUnlessAnswered(Request request, Connection connection) {
+        ResetAwareEndPoint.of(connection).ifPresent(endPoint -> {
+            endPoint.setResetOnClose(true);
+            request.onResponseSuccess(_ -> endPoint.setResetOnClose(false));
+        });
+    }
+
     private Connection connect(HttpCall call, Request request, long deadline)
             throws NothingSentException, InterruptedException {
         CompletableFuture<Connection> connecting =
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpCall.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpCall.java
@@ -72,6 +72,11 @@
         return new HttpCall(address, method, target, headers, body, true, timeLimit, sendPermission, responseCheck);
     }
 
+    /** Returns whether the request may be sent only with a permission. */
+    boolean needsPermission() {
+        return permission != ALWAYS;
+    }
+
     @Override
     public String toString() {
         return method + " " + target + " at " + address;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/ResetAwareEndPoint.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/ResetAwareEndPoint.java
@@ -1,6 +1,9 @@
 package io.banyantally.internal.adapter;
 
+import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.timeline.EventField;
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
@@ -28,6 +31,8 @@
     /** A chunk with one byte of content has six bytes. */
     private static final int BYTES_PER_CONTENT_BYTE = 6;
 
+    private static final EventLog LOG = EventLog.of(ResetAwareEndPoint.class);
+
     private final AtomicLong remainingBytes = new AtomicLong(MAXIMUM_OVERHEAD_BYTES);
     private final AtomicInteger requests = new AtomicInteger();
 
@@ -49,6 +54,18 @@
         return requests.getAndIncrement();
     }
 
+    /** Sets whether closing the connection resets it and discards what it has not delivered. */
+    void setResetOnClose(boolean reset) {
+        try {
+            getChannel().setOption(StandardSocketOptions.SO_LINGER, reset ? 0 : -1);
+        } catch (IOException closed) {
+            LOG.warn(
+                    "reset_on_close_not_set",
+                    EventField.of("reset", reset),
+                    EventField.of("reason", closed.toString()));
+        }
+    }
+
     /** Raises the limit after content was read. */
     void contentRead(int bytes) {
         remainingBytes.addAndGet((long) bytes * BYTES_PER_CONTENT_BYTE);
