Let a new holder wait a second before it acts

Cause: between the last permission of a holder and the first of its successor were 0.8 s, in the worst case. Only that bounds the order in which their calls arrive when the sender is descheduled between the check and the write, or the network holds the call up until its time limit of 0.7 s.

Ruled out: the order was not seen reversed.

Change: a new term acts a second after its election, in a new era when the era is known for a time to live and a second; the latter replaces the wait for a renewal. Tests that relied on acting at once wait for that second, also before they check that a VM must not act.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -42,6 +42,12 @@
      */
     static final Duration SAFETY_MARGIN = Duration.ofMillis(800);
 
+    /**
+     * How long a new holder waits before it acts. A call that the former holder sent at the end of its term may arrive
+     * later than the margin, from a busy VM or over a slow network.
+     */
+    static final Duration TAKEOVER_DELAY = Duration.ofSeconds(1);
+
     private static final EventLog LOG = EventLog.of(DutyLease.class);
 
     private final EraCheckedStore store;
@@ -133,11 +139,21 @@
     }
 
     private boolean isValid(Term current) {
-        return current.formerEraEnded()
-                && isCurrent(current.revision().era())
+        return isCurrent(current.revision().era())
+                && hasFormerHolderStopped(current)
                 && clock.maximumElapsedSince(current.renewedAt()).compareTo(timeToLive.minus(SAFETY_MARGIN)) < 0;
     }
 
+    /**
+     * Returns whether calls of earlier holders have arrived. The holder of the former era may not know of the present
+     * one, and then acts for its time to live after a renewal that was before the store came back.
+     */
+    private boolean hasFormerHolderStopped(Term current) {
+        long nanos = clock.reading().monotonicNanos() - current.electedAt().monotonicNanos();
+        return Duration.ofNanos(nanos).compareTo(TAKEOVER_DELAY) >= 0
+                && (isCurrent(StoreEra.UNKNOWN) || store.eraKnownFor().compareTo(timeToLive.plus(TAKEOVER_DELAY)) >= 0);
+    }
+
     private boolean isCurrent(StoreEra era) {
         return store.era().filter(era::equals).isPresent();
     }
@@ -146,14 +162,6 @@
         return lease.isEmpty() || isCurrent(lease.get().era());
     }
 
-    /**
-     * Returns whether the holder of the former era has stopped. It may not know of the present era, and then acts for
-     * its time to live after a renewal that was before the store came back.
-     */
-    private boolean hasFormerEraEnded() {
-        return isCurrent(StoreEra.UNKNOWN) || store.eraKnownFor().compareTo(timeToLive) >= 0;
-    }
-
     private void dropOutdatedLease(Optional<StoreItem> entry) {
         if (!isLeaseOfCurrentEra()) {
             endTerm("store_era");
@@ -167,12 +175,11 @@
     }
 
     private void renew(Term current) throws StoreException {
-        boolean formerEraEnded = current.formerEraEnded() || hasFormerEraEnded();
         WallClock.Reading requestedAt = clock.reading();
         renewLease();
         // A successful renewal shows that the lease never expired, so its key remained and no other VM has held the
         // duties.
-        term = Optional.of(new Term(current.number(), current.revision(), requestedAt, formerEraEnded));
+        term = Optional.of(new Term(current.number(), current.revision(), current.electedAt(), requestedAt));
     }
 
     private void renewLease() throws StoreException {
@@ -236,13 +243,12 @@
             LOG.warn("fencing_number_too_large", EventField.of("vm", vm), EventField.of("revision", revision));
             return;
         }
-        boolean formerEraEnded = hasFormerEraEnded();
         WallClock.Reading requestedAt = clock.reading();
         renewLease();
         if (!revision.era().equals(lease.get().era())) {
             throw new LeaseLapsedException("revision " + revision + " is not of the era of lease " + lease.get());
         }
-        term = Optional.of(new Term(number.get(), revision, requestedAt, formerEraEnded));
+        term = Optional.of(new Term(number.get(), revision, clock.reading(), requestedAt));
         LOG.info(
                 "duties_taken",
                 EventField.of("vm", vm),
@@ -266,8 +272,9 @@
      * A time as holder.
      *
      * @param revision the revision of the entry
-     * @param formerEraEnded whether the term may act because the holders of the former era have stopped
+     * @param electedAt when this VM knew that it was elected
+     * @param renewedAt before the last renewal was sent
      */
     private record Term(
-            FencingNumber number, StoreRevision revision, WallClock.Reading renewedAt, boolean formerEraEnded) {}
+            FencingNumber number, StoreRevision revision, WallClock.Reading electedAt, WallClock.Reading renewedAt) {}
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyActs.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyActs.java
@@ -14,8 +14,8 @@
     /** Holders must not take turns within this time ({@code leaseMs}). */
     private static final long TURN_MILLIS = 3000;
 
-    /** The last call of a holder may be open for this long. */
-    private static final long CALL_MILLIS = 700;
+    /** The last call of a holder may be open for 700 ms, and be delayed on the way for a second. */
+    private static final long CALL_MILLIS = 1700;
 
     private final List<String> violations = new ArrayList<>();
     private final Map<VmId, Long> lastActs = new HashMap<>();
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
@@ -35,18 +35,35 @@
     private static final Duration TIME_TO_LIVE = Duration.ofMillis(3500);
 
     /** Until a lease that was elected at once may act in a new era. */
-    private static final int ROUNDS_TO_ACT = 4;
+    private static final int ROUNDS_TO_ACT = 5;
 
     private final ManualClock clock = new ManualClock();
     private final FakeCoordinationStore store = new FakeCoordinationStore(clock);
     private final Vm first = new Vm("vm-1");
     private final Vm second = new Vm("vm-2");
 
+    /** Guards against a last call of the former holder that arrives after the first one of the next. */
+    @Test
+    void newHolderWaitsForTheLastCallOfTheFormerOne() throws StoreException {
+        first.takeDuties();
+        long lastPermissionAt = clock.nanoTime();
+        while (second.lease.held().isEmpty()) {
+            if (first.lease.held().isPresent()) {
+                lastPermissionAt = clock.nanoTime();
+            }
+            clock.advance(Duration.ofMillis(10));
+            second.round();
+        }
+
+        Duration between = clock.since(lastPermissionAt);
+        assertTrue(between.compareTo(Duration.ofMillis(1800)) >= 0, "between both: " + between);
+    }
+
     /** Guards against two VMs that both act as holder, and so both order upstreams. */
     @Test
     void onlyOneVmHoldsTheDuties() throws StoreException {
-        first.round();
-        second.round();
+        first.takeDuties();
+        second.takeDuties();
 
         assertTrue(first.lease.held().isPresent());
         assertFalse(second.lease.held().isPresent());
@@ -55,14 +72,14 @@
     /** Guards against a new holder whose orders carry a lower fencing number than those of the previous one. */
     @Test
     void newHolderHasAHigherFencingNumberAndWaitsForTheLeaseToExpire() throws StoreException {
-        first.round();
+        first.takeDuties();
         long firstNumber = first.lease.held().orElseThrow().fencing().value();
         first.lease.stop();
-        second.round();
+        second.takeDuties();
         assertFalse(second.lease.held().isPresent(), "the lease of the first VM has not expired");
 
         clock.advance(TIME_TO_LIVE);
-        second.round();
+        second.takeDuties();
 
         assertTrue(second.lease.held().orElseThrow().fencing().value() > firstNumber);
     }
@@ -71,10 +88,10 @@
     @Test
     void recognisesItsOwnWriteAfterALostResponse() throws StoreException {
         store.loseAnswers(1);
-        first.round();
+        first.takeDuties();
         assertFalse(first.lease.held().isPresent());
 
-        first.round();
+        first.takeDuties();
 
         assertTrue(first.lease.held().isPresent());
     }
@@ -82,7 +99,7 @@
     /** Guards against an order by a VM whose process was paused past the expiry of its lease. */
     @Test
     void pausedHolderLosesItsPermission() throws StoreException {
-        first.round();
+        first.takeDuties();
         DutyHolder holder = first.lease.held().orElseThrow();
 
         clock.advance(TIME_TO_LIVE);
@@ -94,7 +111,7 @@
     /** Guards against an order by a VM that was suspended: its monotonic clock stops while its lease expires. */
     @Test
     void holderThatWasSuspendedLosesItsPermission() throws StoreException {
-        first.round();
+        first.takeDuties();
         DutyHolder holder = first.lease.held().orElseThrow();
 
         first.timeOfDay.addAndGet(TIME_TO_LIVE.toMillis());
@@ -105,7 +122,7 @@
     /** Guards against acting with the permission of an old term after another VM has held the duties in between. */
     @Test
     void permissionOfAnEarlierTermIsNotGrantedInALaterOne() throws StoreException {
-        first.round();
+        first.takeDuties();
         DutyHolder earlier = first.lease.held().orElseThrow();
         clock.advance(TIME_TO_LIVE);
         second.round();
@@ -113,7 +130,7 @@
         first.round();
         clock.advance(TIME_TO_LIVE);
         first.round();
-        first.round();
+        first.takeDuties();
 
         assertTrue(first.lease.held().isPresent());
         assertFalse(earlier.permission().isGranted());
@@ -122,7 +139,7 @@
     /** Guards against a holder that still acts after the store has dropped all leases. */
     @Test
     void expiredLeaseEndsTheTerm() throws StoreException {
-        first.round();
+        first.takeDuties();
         store.lapseAllLeases();
         first.round();
 
@@ -133,18 +150,19 @@
     /** Guards against a VM that takes up its former term, with its lower number, beside the VM elected since. */
     @Test
     void formerEntryShownAgainByARepeatedBatchStartsNoTerm() throws StoreException {
-        first.round();
+        first.takeDuties();
         StoreItem formerEntry = first.members.dutyHolder().orElseThrow();
         clock.advance(TIME_TO_LIVE);
         first.round();
         assertTrue(first.lease.held().isEmpty(), "the term ended with its lease");
         first.members.changed(new StoreChanges(
                 List.of(new StoreChange.Removed(GatewayStoreKeys.DUTY_HOLDER)), formerEntry.created()));
-        second.round();
+        second.takeDuties();
         first.lease.refresh();
         first.members.changed(new StoreChanges(List.of(new StoreChange.Written(formerEntry)), formerEntry.created()));
 
         first.lease.refresh();
+        clock.advance(DutyLease.TAKEOVER_DELAY);
 
         assertTrue(second.lease.held().isPresent());
         assertFalse(first.lease.held().isPresent());
@@ -156,9 +174,10 @@
         store.loseAnswers(1);
         first.lease.refresh();
         first.lease.refresh();
+        clock.advance(DutyLease.TAKEOVER_DELAY);
         assertFalse(first.lease.held().isPresent(), "the watch has not shown the entry");
 
-        first.round();
+        first.takeDuties();
 
         assertTrue(first.lease.held().isPresent());
     }
@@ -166,7 +185,7 @@
     /** Guards against duties that wait for their permission while the store is slow, or a stop that waits for it. */
     @Test
     void slowRenewalDelaysNeitherPermissionNorStop() throws StoreException {
-        first.round();
+        first.takeDuties();
         DutyHolder holder = first.lease.held().orElseThrow();
         List<Boolean> permissions = new ArrayList<>();
         first.link.setBeforeRenewal(() -> {
@@ -201,7 +220,7 @@
         second.lease.stop();
         clock.advance(TIME_TO_LIVE);
 
-        first.round();
+        first.takeDuties();
 
         assertTrue(first.lease.held().isPresent());
     }
@@ -216,9 +235,10 @@
             store.lapseAllLeases();
         });
         first.round();
+        clock.advance(DutyLease.TAKEOVER_DELAY);
         assertFalse(first.lease.held().isPresent());
 
-        first.round();
+        first.takeDuties();
 
         assertTrue(first.lease.held().isPresent());
     }
@@ -226,12 +246,13 @@
     /** Guards against duties without a holder: the watch of the VM that lost its lease does not show the removal. */
     @Test
     void formerHolderDoesNotWaitForItsOwnEntryToBeRemoved() throws StoreException {
-        first.round();
+        first.takeDuties();
         store.lapseAllLeases();
         first.lease.refresh();
         assertFalse(first.lease.held().isPresent());
 
         first.lease.refresh();
+        clock.advance(DutyLease.TAKEOVER_DELAY);
 
         assertTrue(first.lease.held().isPresent());
     }
@@ -241,7 +262,7 @@
     void numbersRiseOverEras() throws StoreException {
         FakeCoordinationStore.Copy copy = store.copy();
         store.write("servers/1", new byte[0]);
-        first.round();
+        first.takeDuties();
         long formerNumber = first.lease.held().orElseThrow().fencing().value();
         store.returnOlder(copy);
 
@@ -254,7 +275,7 @@
     /** Guards against a holder of the former era beside one of the present era that the store has elected since. */
     @Test
     void newerEraEndsTheTermAtOnce() throws StoreException {
-        first.round();
+        first.takeDuties();
         DutyHolder holder = first.lease.held().orElseThrow();
         store.returnOlder(store.copy());
         assertTrue(holder.permission().isGranted(), "the VM does not know of the new era");
@@ -268,7 +289,7 @@
     /** Guards against acting beside the former era's holder, which may not know of the new era yet. */
     @Test
     void termOfANewEraActsOnlyWhenThoseOfTheFormerEraHaveEnded() throws StoreException {
-        first.round();
+        first.takeDuties();
         DutyHolder former = first.lease.held().orElseThrow();
         store.returnOlder(store.copy());
         second.round();
@@ -287,7 +308,7 @@
     @Test
     void processThatHasJustStartedWaitsLikeInANewEra() throws StoreException {
         store.returnOlder(store.copy());
-        first.round();
+        first.takeDuties();
         assertFalse(first.lease.held().isPresent());
 
         first.rounds(ROUNDS_TO_ACT);
@@ -315,7 +336,7 @@
     @Test
     void renewalOfAnotherLeaseWithTheSameNumberKeepsNoTerm() throws StoreException {
         FakeCoordinationStore.Copy copy = store.copy();
-        first.round();
+        first.takeDuties();
         store.returnOlder(copy);
         second.round();
 
@@ -351,7 +372,7 @@
     /** Guards against a holder whose key was overwritten, by a write from before an older copy, and that acts on. */
     @Test
     void holderWhoseKeyWasReplacedStops() throws StoreException {
-        first.round();
+        first.takeDuties();
         store.write(GatewayStoreKeys.DUTY_HOLDER.path(), "{}".getBytes(StandardCharsets.UTF_8));
 
         first.round();
@@ -386,6 +407,12 @@
             }
         }
 
+        /** Is elected and waits until it may act. */
+        void takeDuties() throws StoreException {
+            round();
+            clock.advance(DutyLease.TAKEOVER_DELAY);
+        }
+
         void round() throws StoreException {
             deliver();
             lease.refresh();
