Count reported crashes also when the store comes back older

Cause: CrashLedger compares the revisions of reports with those at which a part of prompts was cleared or served. A store that comes back from an older copy gives revisions out again, so that new reports do not count. It also lacks reports, after which prompts that crash upstreams are sent again, and clearances, after which sound prompts are refused.

Change: clearances compare revisions with their era. What this process saw served is kept as the number of reports that it had received, not as a revision. At a listing of a newer era it keeps the reports that are missing for their lifetime, and that cleared ones do not count; a report that is written again keeps its number. A clearance is published only if it concerns a report that this process knows to be older.

The three tests of CrashLedgerEraTest fail on the code before.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/crash/CrashLedger.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/crash/CrashLedger.java
@@ -12,22 +12,26 @@
 import io.banyantally.platform.CoordinationStore.StoreChanges;
 import io.banyantally.platform.CoordinationStore.StoreItem;
 import io.banyantally.platform.CoordinationStore.StoreListing;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreKey;
+import io.banyantally.platform.StoreRevision;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.ToLongFunction;
+import java.util.function.BiPredicate;
 import java.util.stream.Collectors;
 
 /**
  * The crashes of upstreams that all VMs reported, and the parts of prompts that were served since. A report counts
- * against a part until a prompt with the part is served later, by any VM.
+ * against a part until a prompt with the part is served later, by any VM. What is known here also counts when the store
+ * comes back from an older copy that lacks it.
  */
 public final class CrashLedger implements PrefixListener {
 
@@ -37,10 +41,11 @@
     private static final EventLog LOG = EventLog.of(CrashLedger.class);
 
     private final MonotonicClock clock;
-    private final Map<StoreKey, RevisedReport> reports = new HashMap<>();
-    private final Map<PromptPartKey, Long> clearedUpTo = new HashMap<>();
-    private final Map<PromptPartKey, Long> servedHereUpTo = new HashMap<>();
-    private long newestRevision;
+    private final Map<StoreKey, ReceivedReport> reports = new HashMap<>();
+    private final Map<PromptPartKey, StoreRevision> clearedUpTo = new HashMap<>();
+    private final Map<PromptPartKey, Long> servedUpTo = new HashMap<>();
+    private Optional<StoreEra> era = Optional.empty();
+    private long received;
     private long episode;
     private long episodeStartedAt;
     private volatile Set<PromptPartKey> suspected = Set.of();
@@ -82,7 +87,7 @@
     }
 
     private synchronized void clear(List<PromptPartKey> served) {
-        served.forEach(part -> servedHereUpTo.put(part, newestRevision));
+        served.forEach(part -> servedUpTo.put(part, received));
         evaluate();
     }
 
@@ -91,27 +96,51 @@
         return episode == 0 || clock.since(episodeStartedAt).compareTo(EPISODE) >= 0 ? episode + 1 : episode;
     }
 
-    /** Returns the parts that this VM has served and that other VMs are about to blame. */
+    /** Returns the parts that are known to have been served and that other VMs are about to blame. */
     synchronized List<PromptPartKey> unpublishedClearances() {
-        if (servedHereUpTo.isEmpty()) {
+        if (servedUpTo.isEmpty()) {
             return List.of();
         }
-        return CrashAttribution.nearlyBlamed(crashes(part -> clearedUpTo.getOrDefault(part, 0L))).stream()
-                .filter(part -> servedHereUpTo.getOrDefault(part, 0L) > clearedUpTo.getOrDefault(part, 0L))
+        return CrashAttribution.nearlyBlamed(crashes((report, part) -> !isCleared(report, part))).stream()
+                .filter(part -> reports.values().stream()
+                        .anyMatch(report ->
+                                report.parts().contains(part) && !isCleared(report, part) && isServed(report, part)))
                 .sorted()
                 .toList();
     }
 
     @Override
     public synchronized void listed(StoreListing listing) {
-        reports.clear();
+        StoreRevision listed = listing.revision();
+        boolean returned = era.isPresent() && listed.era().isAfter(era.get());
+        era = Optional.of(listed.era());
+        if (returned) {
+            keepClearances();
+        }
+        Set<StoreKey> present = listing.items().stream().map(StoreItem::key).collect(Collectors.toSet());
+        reports.entrySet()
+                .removeIf(report -> !present.contains(report.getKey())
+                        && !returned
+                        && !report.getValue().lostByStore());
+        if (returned) {
+            reports.replaceAll((key, report) -> report.lostBefore(listed));
+        }
         clearedUpTo.clear();
-        listing.items().forEach(this::written);
-        newestRevision = Math.max(newestRevision, listing.revision().value());
+        listing.items().stream()
+                .sorted(Comparator.comparing(item -> item.versioned().revision()))
+                .forEach(this::written);
         evaluate();
         read = true;
     }
 
+    /** Keeps which reports do not count, as the copy that the store came back from may lack that. */
+    private void keepClearances() {
+        reports.values()
+                .forEach(report -> report.parts().stream()
+                        .filter(part -> isCleared(report, part))
+                        .forEach(part -> servedUpTo.merge(part, report.number(), Math::max)));
+    }
+
     @Override
     public synchronized void changed(StoreChanges changes) {
         for (StoreChange change : changes.changes()) {
@@ -124,8 +153,7 @@
     }
 
     private void written(StoreItem item) {
-        long revision = item.versioned().revision().value();
-        newestRevision = Math.max(newestRevision, revision);
+        StoreRevision revision = item.versioned().revision();
         Optional<PromptPartKey> cleared = CrashStoreKeys.clearedPart(item.key());
         if (cleared.isPresent()) {
             clearedUpTo.put(cleared.get(), revision);
@@ -133,8 +161,10 @@
         }
         try {
             CrashReport report = WireFormat.decode(item.value(), CrashReport.class);
-            RevisedReport revised = RevisedReport.of(report, revision);
-            reports.put(item.key(), revised);
+            ReceivedReport former = reports.get(item.key());
+            long number = former == null ? ++received : former.number();
+            long receivedAt = former == null ? clock.nanoTime() : former.receivedAt();
+            reports.put(item.key(), ReceivedReport.of(report, revision, number, receivedAt));
             if (report.episode() > episode) {
                 episode = report.episode();
                 episodeStartedAt = clock.nanoTime();
@@ -149,13 +179,16 @@
             Set<PromptPartKey> reported = reports.values().stream()
                     .flatMap(report -> report.parts().stream())
                     .collect(Collectors.toSet());
-            servedHereUpTo.keySet().retainAll(reported);
+            servedUpTo.keySet().retainAll(reported);
         }
         CrashStoreKeys.clearedPart(key).ifPresent(clearedUpTo::remove);
     }
 
     private void evaluate() {
-        Collection<Crash> crashes = crashes(this::clearedOrServedUpTo);
+        reports.values()
+                .removeIf(report -> report.lostByStore()
+                        && clock.since(report.receivedAt()).compareTo(CrashReporter.LIFETIME) >= 0);
+        Collection<Crash> crashes = crashes((report, part) -> !isCleared(report, part) && !isServed(report, part));
         suspected = crashes.stream().flatMap(crash -> crash.parts().stream()).collect(Collectors.toUnmodifiableSet());
         List<Set<PromptPartKey>> previous = crashing;
         crashing = CrashAttribution.blame(crashes);
@@ -164,12 +197,12 @@
         }
     }
 
-    /** Returns the crashes with the parts that count, which are those of reports after {@code notCountedUpTo}. */
-    private Collection<Crash> crashes(ToLongFunction<PromptPartKey> notCountedUpTo) {
+    /** Returns the crashes with the parts of their reports that count. */
+    private Collection<Crash> crashes(BiPredicate<ReceivedReport, PromptPartKey> counts) {
         Map<String, Crash> byUpstream = new HashMap<>();
-        for (RevisedReport report : reports.values()) {
+        for (ReceivedReport report : reports.values()) {
             Set<PromptPartKey> counted = report.parts().stream()
-                    .filter(part -> report.revision() > notCountedUpTo.applyAsLong(part))
+                    .filter(part -> counts.test(report, part))
                     .collect(Collectors.toSet());
             byUpstream.merge(
                     report.upstream(), new Crash(report.upstream(), report.episode(), counted), CrashLedger::merge);
@@ -183,16 +216,40 @@
         return new Crash(first.upstream(), Math.min(first.episode(), second.episode()), parts);
     }
 
-    private long clearedOrServedUpTo(PromptPartKey part) {
-        return Math.max(clearedUpTo.getOrDefault(part, 0L), servedHereUpTo.getOrDefault(part, 0L));
+    private boolean isCleared(ReceivedReport report, PromptPartKey part) {
+        StoreRevision cleared = clearedUpTo.get(part);
+        return cleared != null && !report.revision().isAfter(cleared);
     }
 
-    private record RevisedReport(String upstream, long episode, Set<PromptPartKey> parts, long revision) {
+    private boolean isServed(ReceivedReport report, PromptPartKey part) {
+        return report.number() <= servedUpTo.getOrDefault(part, 0L);
+    }
+
+    /**
+     * A report of a crash.
+     *
+     * @param number counts the reports in the order in which this process received them, also over eras of the store
+     * @param receivedAt the monotonic time in nanoseconds
+     * @param lostByStore whether the store came back from an older copy and the report has not been seen there
+     */
+    private record ReceivedReport(
+            String upstream,
+            long episode,
+            Set<PromptPartKey> parts,
+            StoreRevision revision,
+            long number,
+            long receivedAt,
+            boolean lostByStore) {
 
-        static RevisedReport of(CrashReport report, long revision) {
+        static ReceivedReport of(CrashReport report, StoreRevision revision, long number, long receivedAt) {
             Set<PromptPartKey> parts =
                     report.parts().stream().map(PromptPartKey::new).collect(Collectors.toUnmodifiableSet());
-            return new RevisedReport(report.upstream(), report.episode(), parts, revision);
+            return new ReceivedReport(report.upstream(), report.episode(), parts, revision, number, receivedAt, false);
+        }
+
+        /** Returns the report as one that is newer than all that the store has at its return. */
+        ReceivedReport lostBefore(StoreRevision returned) {
+            return new ReceivedReport(upstream, episode, parts, returned, number, receivedAt, true);
         }
     }
 }
