Choose among a few upstreams drawn at random in large services

Services of more than 32 upstreams are drawn from now. The lesser loaded of two drawn that have a free slot, are trusted and respond gets the request; what leaves, waits, is limited or was tried is passed over when it is looked at. If 32 draws find none, all are looked at as before, so no request waits or is refused while another upstream could start it. Smaller services are looked at whole, with the same order and equal chances of equal upstreams. There has been no preference of a zone for plain services, and there is none now. Engines are chosen as before. `UpstreamNotices` is read without a lock, and `UpstreamTracks` locks for new upstreams only.

--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/NoticeCostCommand.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/NoticeCostCommand.java
@@ -10,10 +10,10 @@
 import io.banyantally.deployment.UnreadableDocumentException;
 import io.banyantally.internal.deployment.ReplicaRegistry;
 import io.banyantally.internal.deployment.StoreHealth;
-import io.banyantally.internal.placement.Candidate;
 import io.banyantally.internal.placement.LeastLoadedPlacement;
 import io.banyantally.internal.placement.LimitSharers;
 import io.banyantally.internal.placement.Placement;
+import io.banyantally.internal.placement.PlainPlacement;
 import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamNotices;
 import io.banyantally.internal.placement.UpstreamTracks;
@@ -132,6 +132,7 @@
                 new UpstreamNotices(clock, new SplittableRandom(1), new MetricRegistry());
         private final UpstreamLimits limits = new UpstreamLimits(
                 () -> new LimitSharers(1, 1, Duration.ofMillis(100)), clock, new Random(1), new MetricRegistry());
+        private final PlainPlacement plain = new PlainPlacement(notices, limits, tracks, placement, clock);
         private final double[] micros = new double[turns];
         private final double[] bytes = new double[turns];
 
@@ -175,11 +176,9 @@
         }
 
         private void decide() {
-            List<ReplicaEntry> open = limits.accepting(notices.accepting(replicas.accepting(SERVICE)));
-            List<Candidate> candidates = tracks.candidates(open);
-            if (!(placement.decide(demand, candidates) instanceof Placement.Decision.Send send)
-                    || !limits.tryTake(send.candidate().entry())) {
-                throw new IllegalStateException("no upstream was chosen among " + candidates.size());
+            if (!(plain.take(demand, replicas.replicas(SERVICE), replicas::isAccepting)
+                    instanceof Placement.Decision.Send)) {
+                throw new IllegalStateException("no upstream was chosen");
             }
         }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
@@ -67,7 +67,8 @@
         return replicas(service).stream().filter(this::isAccepting).toList();
     }
 
-    private boolean isAccepting(ReplicaEntry entry) {
+    /** Returns whether a known upstream accepts new work. */
+    public boolean isAccepting(ReplicaEntry entry) {
         Missing absence = missingById.get(entry.id());
         return !entry.draining() && (absence == null || isUsable(absence));
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamChooser.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamChooser.java
@@ -6,6 +6,8 @@
 import io.banyantally.internal.placement.Candidate;
 import io.banyantally.internal.placement.EnginePlacement;
 import io.banyantally.internal.placement.Placement;
+import io.banyantally.internal.placement.PlainPlacement;
+import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.UpstreamId;
 import java.time.Duration;
 import java.util.List;
@@ -73,12 +75,11 @@
      */
     Placement.Decision.Send choose(Set<UpstreamId> tried, Optional<PrefilledCache> prefilledCache, boolean mayHaveRun)
             throws RefusedException {
-        List<ReplicaEntry> untried = untried(tried);
-        List<ReplicaEntry> known = services.notices().accepting(untried);
         // After a failed send or the start of the stream, a late response is better than none.
         Placement.Demand demand = demand(tried.isEmpty() ? latencyTarget() : request.remaining(services.clock()));
-        Placement.Decision decision =
-                take(services.limits().accepting(known), candidates -> decide(demand, candidates, prefilledCache));
+        Placement.Decision decision = request.service().engine().isPresent()
+                ? takeEngine(demand, tried, prefilledCache)
+                : takePlain(demand, tried);
         if (decision instanceof Placement.Decision.Send send) {
             return send;
         }
@@ -88,6 +89,8 @@
         if (decision instanceof Placement.Decision.Refuse full) {
             throw allUpstreamsFull(full);
         }
+        List<ReplicaEntry> untried = untried(tried);
+        List<ReplicaEntry> known = services.notices().accepting(untried);
         // Others than limited ones would have been chosen.
         if (known.stream().anyMatch(UpstreamChooser::generates)) {
             throw limitReached(known, UpstreamChooser::generates);
@@ -99,15 +102,23 @@
                         : Refusal.notRun("no_upstream", ForwardedRequest.jittered(RETRY_AFTER_NO_UPSTREAM)));
     }
 
-    private Placement.Decision decide(
-            Placement.Demand demand, List<Candidate> candidates, Optional<PrefilledCache> prefilledCache) {
-        return request.service().engine().isPresent()
-                ? services.engines()
-                        .decideDecode(
-                                demand,
-                                candidates,
-                                prefilledCache.map(PrefilledCache::engine).map(ReplicaEntry::zone))
-                : services.plain().decide(demand, candidates);
+    private Placement.Decision takeEngine(
+            Placement.Demand demand, Set<UpstreamId> tried, Optional<PrefilledCache> prefilledCache) {
+        Optional<AvailabilityZone> cacheZone =
+                prefilledCache.map(PrefilledCache::engine).map(ReplicaEntry::zone);
+        return take(
+                services.limits().accepting(services.notices().accepting(untried(tried))),
+                candidates -> services.engines().decideDecode(demand, candidates, cacheZone));
+    }
+
+    private Placement.Decision takePlain(Placement.Demand demand, Set<UpstreamId> tried) {
+        return new PlainPlacement(
+                        services.notices(), services.limits(), services.tracks(), services.plain(), services.clock())
+                .take(
+                        demand,
+                        services.replicas().replicas(request.service().name()),
+                        entry -> !tried.contains(entry.id())
+                                && services.replicas().isAccepting(entry));
     }
 
     /** Decides until the limit of the chosen upstream leaves a send; other requests may have taken it meanwhile. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/Candidate.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/Candidate.java
@@ -32,22 +32,4 @@
         double observedWaitMillis,
         double slotMillis,
         boolean refusing,
-        boolean trusted) {
-
-    /** Returns the same candidate with a newer entry of the same lifetime. */
-    Candidate withEntry(ReplicaEntry newer) {
-        return new Candidate(
-                newer,
-                outstanding,
-                outstandingWork,
-                peerRequests,
-                peerWork,
-                load,
-                outstandingAtLoad,
-                loadAgeNanos,
-                observedWaitMillis,
-                slotMillis,
-                refusing,
-                trusted);
-    }
-}
+        boolean trusted) {}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/CandidateSource.java
@@ -0,0 +1,13 @@
+package io.banyantally.internal.placement;
+
+import java.util.Optional;
+
+/** The known upstreams of a service, looked at one at a time. */
+public interface CandidateSource {
+
+    /** Returns how many upstreams there are, those included that may not get the request. */
+    int size();
+
+    /** Returns the upstream at an index from 0; empty if it may not get the request. */
+    Optional<Candidate> candidate(int index);
+}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
@@ -2,51 +2,94 @@
 
 import io.banyantally.deployment.ReportedLoad;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 /**
- * Chooses the upstream with the least load.
+ * Chooses the upstream with the least load, in a large service among a few that are drawn at random.
  *
  * <p>Designed for plain services: short requests of similar cost on few slots, sent by several VMs that do not see each
  * other's requests. The requests of this process count in full; those of others are taken from peers and from
  * the reported load while it is recent. Ties are broken at random, since a fixed order would send all VMs to the same
  * upstream.
+ *
+ * <p>The time to look at all upstreams grows with their number, and a request starts at once at any that has a free
+ * slot. All are looked at only if none of those drawn has one, is trusted and responds, so that no request waits or is
+ * refused while another upstream could start it.
  */
 public final class LeastLoadedPlacement implements Placement {
 
     /** An older reported load is of little use, since requests take tens of milliseconds. */
     static final Duration MAXIMUM_LOAD_AGE = Duration.ofMillis(150);
 
+    /** A service of at most as many upstreams is looked at whole, which takes no longer than drawing as many. */
+    static final int MAXIMUM_DRAWS = 32;
+
+    /** Upstreams with a free slot of which the least loaded is chosen. */
+    static final int FREE_DRAWS = 2;
+
     /** An upstream is unresponsive while a request has waited there for this many times its latency target. */
     private static final double UNRESPONSIVE_LATENCY_TARGETS = 2;
 
+    private static final int UNTRUSTED = 4;
+    private static final int REFUSING = 2;
+    private static final int UNRESPONSIVE = 1;
+
     private final RandomGenerator random;
 
-    /** Creates the policy; {@code random} breaks ties. */
+    /** Creates the policy; {@code random} draws upstreams and breaks ties. */
     public LeastLoadedPlacement(RandomGenerator random) {
         this.random = random;
     }
 
     @Override
-    public Decision decide(Demand demand, List<Candidate> candidates) {
-        List<Candidate> shuffled = new ArrayList<>(candidates);
-        for (int last = shuffled.size() - 1; last > 0; last--) {
-            Collections.swap(shuffled, last, random.nextInt(last + 1));
-        }
-        Optional<Candidate> least = shuffled.stream()
-                .min(Comparator.comparing((Candidate candidate) -> !candidate.trusted())
-                        .thenComparing(Candidate::refusing)
-                        .thenComparing(candidate -> isUnresponsive(candidate, demand))
-                        .thenComparingDouble(LeastLoadedPlacement::load));
-        return least.<Decision>map(chosen -> new Decision.Send(chosen, 0, 1, "least_loaded"))
+    public Decision decide(Demand demand, CandidateSource upstreams) {
+        Optional<Candidate> drawn = upstreams.size() > MAXIMUM_DRAWS ? draw(demand, upstreams) : Optional.empty();
+        return decision(drawn.or(() -> leastOfAll(demand, upstreams)));
+    }
+
+    /** Decides after a look at all candidates, however many there are. */
+    Decision decide(Demand demand, List<Candidate> candidates) {
+        Least least = new Least(demand);
+        candidates.forEach(least::add);
+        return decision(least.chosen());
+    }
+
+    private static Decision decision(Optional<Candidate> chosen) {
+        return chosen.<Decision>map(upstream -> new Decision.Send(upstream, 0, 1, "least_loaded"))
                 .orElseGet(Decision.NoUpstream::new);
     }
 
+    /** Returns the least loaded of the upstreams drawn that have a free slot; empty if there is none. */
+    private Optional<Candidate> draw(Demand demand, CandidateSource upstreams) {
+        Least least = new Least(demand);
+        int free = 0;
+        for (int draws = 0; draws < MAXIMUM_DRAWS && free < FREE_DRAWS; draws++) {
+            Optional<Candidate> drawn = upstreams.candidate(random.nextInt(upstreams.size()));
+            if (drawn.isPresent() && fault(drawn.get(), demand) == 0 && load(drawn.get()) < 1) {
+                free++;
+                least.add(drawn.get());
+            }
+        }
+        return least.chosen();
+    }
+
+    private Optional<Candidate> leastOfAll(Demand demand, CandidateSource upstreams) {
+        Least least = new Least(demand);
+        for (int index = 0; index < upstreams.size(); index++) {
+            upstreams.candidate(index).ifPresent(least::add);
+        }
+        return least.chosen();
+    }
+
+    /** Returns how much speaks against an upstream; 0 if nothing does. */
+    private static int fault(Candidate candidate, Demand demand) {
+        return (candidate.trusted() ? 0 : UNTRUSTED)
+                + (candidate.refusing() ? REFUSING : 0)
+                + (isUnresponsive(candidate, demand) ? UNRESPONSIVE : 0);
+    }
+
     /** Such an upstream may be down, and one that was idle when it went down would seem to have no load. */
     private static boolean isUnresponsive(Candidate candidate, Demand demand) {
         return candidate.observedWaitMillis() > demand.latencyTarget().toMillis() * UNRESPONSIVE_LATENCY_TARGETS;
@@ -62,4 +105,39 @@
         }
         return (candidate.outstanding() + otherVmRequests) / candidate.entry().slots();
     }
+
+    /** The least loaded of the candidates seen so far, of which those without a fault come first. */
+    private final class Least {
+        private final Demand demand;
+        private Optional<Candidate> chosen = Optional.empty();
+        private int fault;
+        private double load;
+        private int ties;
+
+        Least(Demand demand) {
+            this.demand = demand;
+        }
+
+        void add(Candidate candidate) {
+            int itsFault = fault(candidate, demand);
+            double itsLoad = load(candidate);
+            int order = itsFault != fault ? Integer.compare(itsFault, fault) : Double.compare(itsLoad, load);
+            if (chosen.isEmpty() || order < 0) {
+                ties = 0;
+            } else if (order > 0) {
+                return;
+            }
+            ties++;
+            // Of equal candidates, each is chosen with the same probability.
+            if (random.nextInt(ties) == 0) {
+                chosen = Optional.of(candidate);
+                fault = itsFault;
+                load = itsLoad;
+            }
+        }
+
+        Optional<Candidate> chosen() {
+            return chosen;
+        }
+    }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/Placement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/Placement.java
@@ -2,15 +2,14 @@
 
 import io.banyantally.deployment.PromptMetadata;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 
 /** Chooses the upstream of a request, or decides that none can serve it in time. */
 @FunctionalInterface
 public interface Placement {
 
-    /** Decides on a request; {@code candidates} are the upstreams to which it has not been sent yet. */
-    Decision decide(Demand demand, List<Candidate> candidates);
+    /** Decides on a request; {@code upstreams} are those to which it may be sent. */
+    Decision decide(Demand demand, CandidateSource upstreams);
 
     /**
      * The inputs of a placement decision that come from the request.
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamLimits.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamLimits.java
@@ -98,6 +98,15 @@
                 .toList();
     }
 
+    /** Returns whether this VM may send a request to an upstream at {@code time}. */
+    boolean accepts(ReplicaEntry upstream, long time) {
+        if (!anyNamed) {
+            return true;
+        }
+        UpstreamLimit limit = limits.get(UpstreamLifetime.of(upstream));
+        return limit == null || limit.limitPerSecond().isEmpty() || limit.hasRoom(sharers.get(), time);
+    }
+
     /** Counts a send to an upstream and returns true, or returns false if its limit leaves none. */
     public boolean tryTake(ReplicaEntry upstream) {
         boolean taken = limit(UpstreamLifetime.of(upstream)).tryTake(sharers.get(), clock.nanoTime());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamNotices.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamNotices.java
@@ -7,11 +7,13 @@
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.timeline.EventField;
 import java.time.Duration;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.SequencedSet;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.random.RandomGenerator;
 
 /**
@@ -37,7 +39,8 @@
     private final MonotonicClock clock;
     private final RandomGenerator random;
     private final MetricRegistry metrics;
-    private final Map<UpstreamLifetime, Notice> notices = new LinkedHashMap<>();
+    private final Map<UpstreamLifetime, Notice> notices = new ConcurrentHashMap<>();
+    private final SequencedSet<UpstreamLifetime> oldestFirst = new LinkedHashSet<>();
 
     /** Creates an empty set of notices; {@code random} spreads the returns after a wait. */
     public UpstreamNotices(MonotonicClock clock, RandomGenerator random, MetricRegistry metrics) {
@@ -66,11 +69,11 @@
         OptionalLong waitUntil = response.retryAfter()
                 .map(wait -> laterEnd(former.waitUntil(), upstream, wait, attempt))
                 .orElse(former.waitUntil());
-        // Removed first, so that the oldest notices are dropped first.
-        notices.remove(lifetime);
         notices.put(lifetime, new Notice(leaving, waitUntil));
-        if (notices.size() > MAXIMUM_LIFETIMES) {
-            notices.remove(notices.keySet().iterator().next());
+        oldestFirst.remove(lifetime);
+        oldestFirst.add(lifetime);
+        if (oldestFirst.size() > MAXIMUM_LIFETIMES) {
+            notices.remove(oldestFirst.removeFirst());
         }
     }
 
@@ -95,21 +98,25 @@
     }
 
     /** Returns the upstreams that neither leave nor wait. */
-    public synchronized List<ReplicaEntry> accepting(List<ReplicaEntry> upstreams) {
+    public List<ReplicaEntry> accepting(List<ReplicaEntry> upstreams) {
         if (notices.isEmpty()) {
             return upstreams;
         }
         long now = clock.nanoTime();
-        return upstreams.stream()
-                .filter(upstream -> {
-                    Notice notice = notices.getOrDefault(UpstreamLifetime.of(upstream), Notice.NONE);
-                    return !notice.leaving() && !notice.isWaiting(now);
-                })
-                .toList();
+        return upstreams.stream().filter(upstream -> accepts(upstream, now)).toList();
+    }
+
+    /** Returns whether an upstream neither leaves nor waits at {@code now}. */
+    boolean accepts(ReplicaEntry upstream, long now) {
+        if (notices.isEmpty()) {
+            return true;
+        }
+        Notice notice = notices.getOrDefault(UpstreamLifetime.of(upstream), Notice.NONE);
+        return !notice.leaving() && !notice.isWaiting(now);
     }
 
     /** Returns the time until the first of these upstreams ends its wait; empty if none waits that does not leave. */
-    public synchronized Optional<Duration> untilFirstReturn(List<ReplicaEntry> upstreams) {
+    public Optional<Duration> untilFirstReturn(List<ReplicaEntry> upstreams) {
         long now = clock.nanoTime();
         return upstreams.stream()
                 .map(upstream -> notices.getOrDefault(UpstreamLifetime.of(upstream), Notice.NONE))
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
@@ -160,12 +160,12 @@
         return new Work(requests, millis);
     }
 
-    /** Returns the inputs of a placement decision at {@code now}. */
-    public synchronized Candidate candidate(long now) {
+    /** Returns the inputs of a placement decision at {@code now}, with the newest entry of the upstream. */
+    synchronized Candidate candidate(ReplicaEntry newest, long now) {
         boolean refusing = everRefused && now - refusedAt < REFUSAL_AVOIDANCE_TIME.toNanos();
         Work withPeers = workWithPeers(vm -> true, now);
         return new Candidate(
-                entry,
+                newest,
                 outstanding,
                 outstandingWork,
                 withPeers.requests() - outstanding,
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTracks.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTracks.java
@@ -30,6 +30,11 @@
 
     /** Returns the track of an upstream, which is new if the entry belongs to a later lifetime of it. */
     public UpstreamTrack of(ReplicaEntry entry) {
+        UpstreamTrack known = tracks.get(entry.id());
+        // Locks a part of the map only for an upstream that is new.
+        if (known != null && isSameLifetime(known.entry(), entry)) {
+            return known;
+        }
         return tracks.compute(
                 entry.id(),
                 (id, track) ->
@@ -39,9 +44,12 @@
     /** Returns one placement candidate for each entry, in the same order. */
     public List<Candidate> candidates(List<ReplicaEntry> entries) {
         long now = clock.nanoTime();
-        return entries.stream()
-                .map(entry -> of(entry).candidate(now).withEntry(entry))
-                .toList();
+        return entries.stream().map(entry -> candidate(entry, now)).toList();
+    }
+
+    /** Returns one upstream as a placement candidate. */
+    Candidate candidate(ReplicaEntry entry, long now) {
+        return of(entry).candidate(entry, now);
     }
 
     /** Records a failure, and ejects the upstream if it failed too often and enough others remain. */
