Order stage changes in the largest zones first

Cause: StageTargets.changes returned a HashMap whose keys are entries with an enum, so its order depended on identity hashes; StageReconciler orders the first change only. Which engine changed its stage was chance, and the same for one build.

Change: the changes keep the order in which they are chosen, from the largest zones first.

Test: changesStartInTheLargestZone failed before (a5 first instead of a7), passes now.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/StageTargets.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/StageTargets.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -24,13 +25,13 @@
 
     private StageTargets() {}
 
-    /** Returns the engines whose stage should change, with their new stage. */
+    /** Returns the engines whose stage should change, with their new stage, those of the largest zones first. */
     public static Map<ReplicaEntry, EngineStage> changes(List<ReplicaEntry> engines) {
         List<ReplicaEntry> prefill = new ArrayList<>();
         List<ReplicaEntry> decode = new ArrayList<>();
         engines.forEach(engine -> (engine.stage() == EngineStage.PREFILL ? prefill : decode).add(engine));
         int target = prefillCount(engines.size());
-        Map<ReplicaEntry, EngineStage> changes = new HashMap<>();
+        Map<ReplicaEntry, EngineStage> changes = new LinkedHashMap<>();
         if (prefill.size() < target) {
             fromLargestZones(decode, target - prefill.size())
                     .forEach(engine -> changes.put(engine, EngineStage.PREFILL));
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/StageTargetsTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/StageTargetsTest.java
@@ -55,6 +55,24 @@
                 changes::toString);
     }
 
+    /** Guards against orders by chance, as only the first change is ordered at once. */
+    @Test
+    void changesStartInTheLargestZone() {
+        List<ReplicaEntry> engines = new ArrayList<>();
+        for (int index = 0; index < 8; index++) {
+            engines.add(engine("a" + index, "a", EngineStage.DECODE));
+        }
+        for (int index = 0; index < 4; index++) {
+            engines.add(engine("b" + index, "b", EngineStage.DECODE));
+        }
+
+        List<String> changes = StageTargets.changes(engines).keySet().stream()
+                .map(engine -> engine.id().value())
+                .toList();
+
+        assertEquals(List.of("a7", "a6", "a5", "a4", "b3", "a3"), changes);
+    }
+
     private static ReplicaEntry engine(String id, String zone, EngineStage stage) {
         return Deployments.engine(id, zone, stage);
     }
