Order no stage change at an engine that is given back

Cause: StageReconciler did not know the fleet's targets.

Change: FleetReconciler tells which upstreams its targets give back now (more of a zone and kind run than should, and reclaimable ones serve in place of regular ones). StageTargets still counts them, but changes the stage of others only. Where a part of a zone's engines of one kind is given back, the platform chooses which, so none of them changes until the surplus is gone. A surplus without substitutes changes its stages as before.

Test: engineThatIsGivenBackGetsNoStageOrder fails with the predicate switched off (dear-regular-1), passes with it, as do the other 17 of Stage*Test and Fleet*Test. engineWithoutASubstituteGetsItsStageOrder guards against leaving out too many.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -221,7 +221,7 @@
                 new UsageReporter(platform.store(), usage, platform.usage(), health, settings.usageDueTime());
         FleetReconciler fleet =
                 new FleetReconciler(replicas, platform.replicaOrdering(), engines::refusedShare, MonotonicClock.SYSTEM);
-        StageReconciler stages = new StageReconciler(replicas, platform.stageOrdering(), MonotonicClock.SYSTEM);
+        StageReconciler stages = new StageReconciler(replicas, fleet, platform.stageOrdering(), MonotonicClock.SYSTEM);
         tasks.start("usage-reports", UsageReporter.INTERVAL, () -> runIfHolder(reporter::run));
         tasks.start(
                 "fleet",
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetReconciler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetReconciler.java
@@ -20,7 +20,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 
 /** Reconciles the number of running upstreams with {@link FleetTargets} by ordering from the platform. */
 public final class FleetReconciler {
@@ -47,7 +49,9 @@
     private final OrderThrottle<OrderKey> throttle;
     private final DoubleSupplier refusedShare;
     private final Map<ServiceName, Set<AvailabilityZone>> soldOutZones = new HashMap<>();
-    private final Map<ServiceName, Set<AvailabilityZone>> replacementZones = new HashMap<>();
+
+    /** Also read by {@link #givenBack}, on other threads than that of the orders. */
+    private final Map<ServiceName, Set<AvailabilityZone>> replacementZones = new ConcurrentHashMap<>();
 
     /**
      * Creates a reconciler without orders; {@code refusedShare} returns the share of prompts that are refused, 0 to 1.
@@ -77,9 +81,7 @@
         List<FleetTarget> targets = FleetTargets.of(rule, zonesToReplace(service, running));
         for (FleetTarget target : targets) {
             int runningCount = count(running, target);
-            // Regular upstreams are given back only when reclaimable ones serve in their place.
-            boolean orderNeeded = runningCount < target.count()
-                    || (runningCount > target.count() && (target.cheap() || hasSubstitutes(running, target, targets)));
+            boolean orderNeeded = runningCount < target.count() || isGivenBack(running, target, targets);
             OrderKey key = new OrderKey(service, target);
             if (orderNeeded && throttle.isDue(key)) {
                 order(holder, key, rule, runningCount);
@@ -87,6 +89,24 @@
         }
     }
 
+    /**
+     * Returns which upstreams of a service the targets give back: those of a zone and kind of which more run than should.
+     * The platform chooses among them.
+     */
+    Predicate<ReplicaEntry> givenBack(ServiceName service, ScalingRule rule) {
+        List<ReplicaEntry> running = replicas.accepting(service);
+        List<FleetTarget> targets = FleetTargets.of(rule, replacementZones.getOrDefault(service, Set.of()));
+        List<FleetTarget> exceeded = targets.stream()
+                .filter(target -> isGivenBack(running, target, targets))
+                .toList();
+        return upstream -> exceeded.stream().anyMatch(target -> target.includes(upstream));
+    }
+
+    /** Regular upstreams are given back only when reclaimable ones serve in their place. */
+    private static boolean isGivenBack(List<ReplicaEntry> running, FleetTarget target, List<FleetTarget> targets) {
+        return count(running, target) > target.count() && (target.cheap() || hasSubstitutes(running, target, targets));
+    }
+
     /**
      * Returns the zones in which regular upstreams replace reclaimable ones: those that have none available and lost
      * all of theirs, from the time at which requests are refused until reclaimable ones run again.
@@ -94,11 +114,12 @@
     private Set<AvailabilityZone> zonesToReplace(ServiceName service, List<ReplicaEntry> running) {
         Set<AvailabilityZone> soldOutNow = new HashSet<>(soldOutZones.getOrDefault(service, Set.of()));
         running.stream().filter(ReplicaEntry::cheap).map(ReplicaEntry::zone).forEach(soldOutNow::remove);
-        Set<AvailabilityZone> zonesToReplace = replacementZones.computeIfAbsent(service, name -> new HashSet<>());
+        Set<AvailabilityZone> zonesToReplace = new HashSet<>(replacementZones.getOrDefault(service, Set.of()));
         zonesToReplace.retainAll(soldOutNow);
         if (refusedShare.getAsDouble() > REFUSED_SHARE_TO_REPLACE) {
             zonesToReplace.addAll(soldOutNow);
         }
+        replacementZones.put(service, Set.copyOf(zonesToReplace));
         return zonesToReplace;
     }
 
@@ -112,9 +133,7 @@
     }
 
     private static int count(List<ReplicaEntry> running, FleetTarget target) {
-        return (int) running.stream()
-                .filter(entry -> entry.zone().equals(target.zone()) && entry.cheap() == target.cheap())
-                .count();
+        return (int) running.stream().filter(target::includes).count();
     }
 
     private void order(DutyHolder holder, OrderKey key, ScalingRule rule, int runningCount)
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetTargets.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetTargets.java
@@ -1,5 +1,6 @@
 package io.banyantally.internal.duty;
 
+import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.ScalingRule;
 import io.banyantally.model.AvailabilityZone;
 import java.util.ArrayList;
@@ -48,5 +49,11 @@
      *
      * @param cheap whether the platform may reclaim them
      */
-    public record FleetTarget(AvailabilityZone zone, boolean cheap, int count) {}
+    public record FleetTarget(AvailabilityZone zone, boolean cheap, int count) {
+
+        /** Returns whether an upstream is of the zone and kind. */
+        boolean includes(ReplicaEntry upstream) {
+            return upstream.zone().equals(zone) && upstream.cheap() == cheap;
+        }
+    }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/StageReconciler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/StageReconciler.java
@@ -16,6 +16,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /** Reconciles the stages of engines with {@link StageTargets} by ordering stage changes. */
 public final class StageReconciler {
@@ -35,14 +36,17 @@
     private static final EventLog LOG = EventLog.of(StageReconciler.class);
 
     private final ReplicaRegistry replicas;
+    private final FleetReconciler fleet;
     private final StageOrdering ordering;
     private final OrderThrottle<UpstreamId> engineThrottle;
     private final OrderThrottle<ServiceName> serviceThrottle;
     private final Map<UpstreamId, EngineStage> orderedStages = new HashMap<>();
 
-    /** Creates a reconciler that has ordered nothing. */
-    public StageReconciler(ReplicaRegistry replicas, StageOrdering ordering, MonotonicClock clock) {
+    /** Creates a reconciler that has ordered nothing; {@code fleet} knows the engines that are given back. */
+    public StageReconciler(
+            ReplicaRegistry replicas, FleetReconciler fleet, StageOrdering ordering, MonotonicClock clock) {
         this.replicas = replicas;
+        this.fleet = fleet;
         this.ordering = ordering;
         this.engineThrottle = new OrderThrottle<>(clock);
         this.serviceThrottle = new OrderThrottle<>(clock);
@@ -52,14 +56,18 @@
     public void run(DutyHolder holder, ActiveConfiguration configuration) throws InterruptedException {
         for (ServiceRule service : configuration.document().services()) {
             if (service.engine().isPresent() && serviceThrottle.isDue(service.name())) {
-                run(holder, service.name());
+                Predicate<ReplicaEntry> givenBack = service.scaling()
+                        .map(rule -> fleet.givenBack(service.name(), rule))
+                        .orElse(engine -> false);
+                run(holder, service.name(), givenBack);
             }
         }
     }
 
-    private void run(DutyHolder holder, ServiceName service) throws InterruptedException {
+    private void run(DutyHolder holder, ServiceName service, Predicate<ReplicaEntry> givenBack)
+            throws InterruptedException {
         Map<ReplicaEntry, EngineStage> stageChanges = StageTargets.changes(
-                replicas.accepting(service).stream().map(this::withOrderedStage).toList());
+                replicas.accepting(service).stream().map(this::withOrderedStage).toList(), givenBack);
         for (Map.Entry<ReplicaEntry, EngineStage> change : stageChanges.entrySet()) {
             ReplicaEntry engine = change.getKey();
             if (engineThrottle.isDue(engine.id()) && holder.permission().isGranted()) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/StageTargets.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/StageTargets.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Decides which engines prefill prompts and which decode.
@@ -25,23 +26,33 @@
 
     private StageTargets() {}
 
-    /** Returns the engines whose stage should change, with their new stage, those of the largest zones first. */
-    public static Map<ReplicaEntry, EngineStage> changes(List<ReplicaEntry> engines) {
+    /**
+     * Returns the engines whose stage should change, with their new stage, those of the largest zones first.
+     *
+     * @param engines all engines
+     * @param givenBack those that are about to leave, so that a change would be in vain
+     */
+    public static Map<ReplicaEntry, EngineStage> changes(
+            List<ReplicaEntry> engines, Predicate<ReplicaEntry> givenBack) {
         List<ReplicaEntry> prefill = new ArrayList<>();
         List<ReplicaEntry> decode = new ArrayList<>();
         engines.forEach(engine -> (engine.stage() == EngineStage.PREFILL ? prefill : decode).add(engine));
         int target = prefillCount(engines.size());
         Map<ReplicaEntry, EngineStage> changes = new LinkedHashMap<>();
         if (prefill.size() < target) {
-            fromLargestZones(decode, target - prefill.size())
+            fromLargestZones(staying(decode, givenBack), target - prefill.size())
                     .forEach(engine -> changes.put(engine, EngineStage.PREFILL));
         } else {
-            fromLargestZones(prefill, prefill.size() - target)
+            fromLargestZones(staying(prefill, givenBack), prefill.size() - target)
                     .forEach(engine -> changes.put(engine, EngineStage.DECODE));
         }
         return changes;
     }
 
+    private static List<ReplicaEntry> staying(List<ReplicaEntry> engines, Predicate<ReplicaEntry> givenBack) {
+        return engines.stream().filter(givenBack.negate()).toList();
+    }
+
     static int prefillCount(int engines) {
         if (engines < 2) {
             return 0;
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/FleetReconcilerTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/FleetReconcilerTest.java
@@ -6,6 +6,7 @@
 import io.banyantally.deployment.CallerLimits;
 import io.banyantally.deployment.DeploymentConfiguration;
 import io.banyantally.deployment.DocumentReader;
+import io.banyantally.deployment.EngineRule;
 import io.banyantally.deployment.EngineStage;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.ScalingRule;
@@ -111,6 +112,45 @@
         assertTrue(orders.contains("zone-dear regular 0"), orders.toString());
     }
 
+    /** Guards against an engine that changes its stage, for seconds, while the platform is about to take it back. */
+    @Test
+    void engineThatIsGivenBackGetsNoStageOrder() throws InterruptedException {
+        List<String> stageOrders = new ArrayList<>();
+        StageReconciler stages = new StageReconciler(
+                registry, reconciler, (holder, engine, stage) -> stageOrders.add(engine.id() + " " + stage), clock);
+        setRunning(2, 1, 4, 2);
+
+        stages.run(HOLDER, engineConfiguration());
+
+        assertEquals(List.of("dear-cheap-3 DECODE"), stageOrders);
+    }
+
+    /** Guards against one stage only while regular engines run because there are no others. */
+    @Test
+    void engineWithoutASubstituteGetsItsStageOrder() throws InterruptedException {
+        List<String> stageOrders = new ArrayList<>();
+        StageReconciler stages = new StageReconciler(
+                registry, reconciler, (holder, engine, stage) -> stageOrders.add(engine.id() + " " + stage), clock);
+        setRunning(0, 0, 0, 2);
+
+        stages.run(HOLDER, engineConfiguration());
+
+        assertEquals(List.of("dear-regular-1 DECODE"), stageOrders);
+    }
+
+    private static ActiveConfiguration engineConfiguration() {
+        return new ActiveConfiguration(new DeploymentConfiguration(
+                1,
+                List.of(),
+                List.of(new ServiceRule(
+                        Deployments.ENGINES,
+                        100,
+                        Optional.of(new EngineRule(16, 783_000, Duration.ofSeconds(3))),
+                        Optional.of(SCALING_RULE))),
+                new CallerLimits(8192, 65536, Duration.ofSeconds(3), Duration.ofSeconds(15)),
+                List.of()));
+    }
+
     private void runFor(Duration time) throws InterruptedException {
         for (Duration elapsed = Duration.ZERO;
                 elapsed.compareTo(time) < 0;
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/StageTargetsTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/StageTargetsTest.java
@@ -29,11 +29,13 @@
     void balancedEnginesStayAsTheyAre() {
         assertEquals(
                 Map.of(),
-                StageTargets.changes(List.of(
-                        engine("a1", "a", EngineStage.PREFILL),
-                        engine("a2", "a", EngineStage.DECODE),
-                        engine("b1", "b", EngineStage.PREFILL),
-                        engine("b2", "b", EngineStage.DECODE))));
+                StageTargets.changes(
+                        List.of(
+                                engine("a1", "a", EngineStage.PREFILL),
+                                engine("a2", "a", EngineStage.DECODE),
+                                engine("b1", "b", EngineStage.PREFILL),
+                                engine("b2", "b", EngineStage.DECODE)),
+                        engine -> false));
     }
 
     /** Guards against a zone that loses all engines of a stage to balance the fleet as a whole. */
@@ -46,7 +48,7 @@
         engines.add(engine("b1", "b", EngineStage.DECODE));
         engines.add(engine("b2", "b", EngineStage.PREFILL));
 
-        Map<ReplicaEntry, EngineStage> changes = StageTargets.changes(engines);
+        Map<ReplicaEntry, EngineStage> changes = StageTargets.changes(engines, engine -> false);
 
         assertEquals(2, changes.size());
         assertTrue(
@@ -66,7 +68,7 @@
             engines.add(engine("b" + index, "b", EngineStage.DECODE));
         }
 
-        List<String> changes = StageTargets.changes(engines).keySet().stream()
+        List<String> changes = StageTargets.changes(engines, engine -> false).keySet().stream()
                 .map(engine -> engine.id().value())
                 .toList();
 
