--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -219,7 +219,7 @@
                 new UsageReporter(store, this::storeEra, usage, platform.usage(), health, settings.usageDueTime());
         FleetReconciler fleet =
                 new FleetReconciler(replicas, platform.replicaOrdering(), engines::refusedShare, MonotonicClock.SYSTEM);
-        StageReconciler stages = new StageReconciler(replicas, platform.stageOrdering(), MonotonicClock.SYSTEM);
+        StageReconciler stages = new StageReconciler(replicas, fleet, platform.stageOrdering(), MonotonicClock.SYSTEM);
         tasks.start("usage-reports", UsageReporter.INTERVAL, () -> {
             reporter.restoreSealed();
             runIfHolder(reporter::run);
