Let no second holder act after an outage that ended leases early

Cause: while the store is down, leases may run out before their time. The holder found that out by its next renewal, up to a second after the store's return (2.7 s if it was cut off), and acted until then although its watch showed that its key was gone or was another VM's. Its successor was elected at the return and acted a second later.

Change: permission is denied as soon as the watch shows a later entry, or none after it has shown that of the term. A VM that saw a call to the store fail acts only a time to live after that, plus the takeover delay; by then a holder that was cut off has stopped by its clock.

Tests of a lost answer wait for that time now, as a failed call cannot be told from an outage; they still want the VM to hold the duties in the end.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -23,6 +23,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Elects the VM that carries out the duties, by a key in the store that the lease of the elected VM holds. The era of
@@ -98,7 +99,7 @@
         dropOutdatedLease(entry);
         try {
             if (term.isPresent()) {
-                renew(term.get());
+                renew(term.get(), entry);
             } else if (entry.isEmpty()) {
                 acquire(StoreRevision.ABSENT);
             } else {
@@ -141,6 +142,7 @@
     private boolean isValid(Term current) {
         return isCurrent(current.revision().era())
                 && hasFormerHolderStopped(current)
+                && isEntryPresent(current)
                 && clock.maximumElapsedSince(current.renewedAt()).compareTo(timeToLive.minus(SAFETY_MARGIN)) < 0;
     }
 
@@ -149,11 +151,29 @@
      * one, and then acts for its time to live after a renewal that was before the store came back.
      */
     private boolean hasFormerHolderStopped(Term current) {
-        long nanos = clock.reading().monotonicNanos() - current.electedAt().monotonicNanos();
-        return Duration.ofNanos(nanos).compareTo(TAKEOVER_DELAY) >= 0
+        return clock.reading().monotonicNanos() - current.actsFromNanos() >= 0
                 && (isCurrent(StoreEra.UNKNOWN) || store.eraKnownFor().compareTo(timeToLive.plus(TAKEOVER_DELAY)) >= 0);
     }
 
+    /**
+     * Returns the monotonic time from which a new term may act. An outage of the store may end leases before their time,
+     * so a holder whose last renewal was before the outage may act for its time to live.
+     */
+    private long actsFromNanos() {
+        long electedAt = clock.reading().monotonicNanos();
+        OptionalLong failedAt = health.lastFailureAt();
+        long formerStopsAt =
+                failedAt.isEmpty() ? electedAt : Math.max(electedAt, failedAt.getAsLong() + timeToLive.toNanos());
+        return formerStopsAt + TAKEOVER_DELAY.toNanos();
+    }
+
+    /** Returns whether the watch shows no end of a term: neither a later entry, nor none after it has shown the term's. */
+    private boolean isEntryPresent(Term current) {
+        return members.dutyHolder()
+                .map(entry -> !entry.versioned().revision().isAfter(current.revision()))
+                .orElse(!current.listed());
+    }
+
     private boolean isCurrent(StoreEra era) {
         return store.era().filter(era::equals).isPresent();
     }
@@ -174,12 +194,16 @@
         return entry.versioned().revision().isAfter(term.get().revision());
     }
 
-    private void renew(Term current) throws StoreException {
+    private void renew(Term current, Optional<StoreItem> entry) throws StoreException {
+        boolean listed = current.listed()
+                || entry.filter(item -> item.versioned().revision().equals(current.revision()))
+                        .isPresent();
         WallClock.Reading requestedAt = clock.reading();
         renewLease();
         // A successful renewal shows that the lease never expired, so its key remained and no other VM has held the
         // duties.
-        term = Optional.of(new Term(current.number(), current.revision(), current.electedAt(), requestedAt));
+        term = Optional.of(
+                new Term(current.number(), current.revision(), current.actsFromNanos(), requestedAt, listed));
     }
 
     private void renewLease() throws StoreException {
@@ -248,7 +272,7 @@
         if (!revision.era().equals(lease.get().era())) {
             throw new LeaseLapsedException("revision " + revision + " is not of the era of lease " + lease.get());
         }
-        term = Optional.of(new Term(number.get(), revision, clock.reading(), requestedAt));
+        term = Optional.of(new Term(number.get(), revision, actsFromNanos(), requestedAt, false));
         LOG.info(
                 "duties_taken",
                 EventField.of("vm", vm),
@@ -272,9 +296,14 @@
      * A time as holder.
      *
      * @param revision the revision of the entry
-     * @param electedAt when this VM knew that it was elected
+     * @param actsFromNanos the monotonic time from which the term may act, in nanoseconds
      * @param renewedAt before the last renewal was sent
+     * @param listed whether the watch has shown the entry of the term, so that its absence means its end
      */
     private record Term(
-            FencingNumber number, StoreRevision revision, WallClock.Reading electedAt, WallClock.Reading renewedAt) {}
+            FencingNumber number,
+            StoreRevision revision,
+            long actsFromNanos,
+            WallClock.Reading renewedAt,
+            boolean listed) {}
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
@@ -91,7 +91,7 @@
         first.takeDuties();
         assertFalse(first.lease.held().isPresent());
 
-        first.takeDuties();
+        first.takeDutiesAfterAFailedCall();
 
         assertTrue(first.lease.held().isPresent());
     }
@@ -177,7 +177,7 @@
         clock.advance(DutyLease.TAKEOVER_DELAY);
         assertFalse(first.lease.held().isPresent(), "the watch has not shown the entry");
 
-        first.takeDuties();
+        first.takeDutiesAfterAFailedCall();
 
         assertTrue(first.lease.held().isPresent());
     }
@@ -238,7 +238,7 @@
         clock.advance(DutyLease.TAKEOVER_DELAY);
         assertFalse(first.lease.held().isPresent());
 
-        first.takeDuties();
+        first.takeDutiesAfterAFailedCall();
 
         assertTrue(first.lease.held().isPresent());
     }
@@ -380,6 +380,51 @@
         assertFalse(first.lease.held().isPresent());
     }
 
+    /** Guards against two holders after an outage that ended all leases before their time. */
+    @Test
+    void leaseThatEndsEarlyInAnOutageMakesNoSecondHolder() throws StoreException {
+        first.takeDuties();
+        DutyHolder former = first.lease.held().orElseThrow();
+        store.setDown(true);
+        second.lease.refresh();
+        store.lapseAllLeases();
+        store.setDown(false);
+
+        for (int step = 0; step < 60; step++) {
+            second.round();
+            assertFalse(former.permission().isGranted() && second.lease.held().isPresent());
+            clock.advance(Duration.ofMillis(100));
+        }
+
+        assertTrue(second.lease.held().isPresent(), "the outage was over a time to live ago");
+    }
+
+    /** Guards against a holder that acts on until its next renewal although its watch shows that its key is gone. */
+    @Test
+    void holderWhoseKeyIsShownAsGoneLosesItsPermission() throws StoreException {
+        first.takeDuties();
+        first.round();
+        DutyHolder former = first.lease.held().orElseThrow();
+        store.lapseAllLeases();
+
+        first.feed.deliver();
+
+        assertFalse(former.permission().isGranted());
+    }
+
+    /** Guards against a holder that acts on until its next renewal although its watch shows another one. */
+    @Test
+    void holderWhoseKeyIsShownAsReplacedLosesItsPermission() throws StoreException {
+        first.takeDuties();
+        DutyHolder former = first.lease.held().orElseThrow();
+        store.lapseAllLeases();
+        second.round();
+
+        first.feed.deliver();
+
+        assertFalse(former.permission().isGranted());
+    }
+
     private final class Vm {
         private final AtomicLong timeOfDay = new AtomicLong();
         private final MemberList members = new MemberList();
@@ -407,6 +452,12 @@
             }
         }
 
+        /** Takes the duties and waits as after an outage, for which a failed call is taken. */
+        void takeDutiesAfterAFailedCall() throws StoreException {
+            round();
+            rounds(ROUNDS_TO_ACT);
+        }
+
         /** Is elected and waits until it may act. */
         void takeDuties() throws StoreException {
             round();
