Repeat a renewal of the duties that got no response at once

Cause: a call without a response takes a second, and the next renewal was sent a second later, 3 s after the last good one. The term is valid for 2.7 s, so one lost response made the duties rest although the lease went on; two of them could let it lapse.

Change: a renewal that fails without the lease having lapsed is sent once more in the same refresh. Only the holder and a VM that was just elected renew.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -175,19 +175,32 @@
     }
 
     private void renew(Term current) throws StoreException {
-        WallClock.Reading requestedAt = clock.reading();
-        renewLease();
+        WallClock.Reading requestedAt = renewLease();
         // A successful renewal shows that the lease never expired, so its key remained and no other VM has held the
         // duties.
         term = Optional.of(new Term(current.number(), current.revision(), current.electedAt(), requestedAt));
     }
 
-    private void renewLease() throws StoreException {
+    /** Renews the lease and returns when that was requested. Often only one response is lost, so it is repeated once. */
+    private WallClock.Reading renewLease() throws StoreException {
+        try {
+            return requestRenewal();
+        } catch (LeaseLapsedException lapsed) {
+            throw lapsed;
+        } catch (StoreException failure) {
+            LOG.info("renewal_repeated", EventField.of("vm", vm), EventField.of("reason", failure.getMessage()));
+            return requestRenewal();
+        }
+    }
+
+    private WallClock.Reading requestRenewal() throws StoreException {
+        WallClock.Reading requestedAt = clock.reading();
         StoreEra renewedIn = store.renewLease(lease.get());
         health.answered();
         if (!renewedIn.equals(lease.get().era())) {
             throw new LeaseLapsedException("the store renewed lease " + lease.get() + " in era " + renewedIn);
         }
+        return requestedAt;
     }
 
     private void elect(StoreItem entry) throws StoreException {
@@ -243,8 +256,7 @@
             LOG.warn("fencing_number_too_large", EventField.of("vm", vm), EventField.of("revision", revision));
             return;
         }
-        WallClock.Reading requestedAt = clock.reading();
-        renewLease();
+        WallClock.Reading requestedAt = renewLease();
         if (!revision.era().equals(lease.get().era())) {
             throw new LeaseLapsedException("revision " + revision + " is not of the era of lease " + lease.get());
         }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
@@ -34,6 +34,8 @@
 
     private static final Duration TIME_TO_LIVE = Duration.ofMillis(3500);
 
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
+
     /** Until a lease that was elected at once may act in a new era. */
     private static final int ROUNDS_TO_ACT = 5;
 
@@ -212,6 +214,22 @@
         }
     }
 
+    /** Guards against duties that rest, a second after a call without a response, until the next renewal. */
+    @Test
+    void renewalWithoutAResponseIsRepeatedAtOnce() throws StoreException {
+        first.takeDuties();
+        first.link.setLosesResponses(true);
+        first.link.setBeforeRenewal(() -> {
+            clock.advance(CALL_TIMEOUT);
+            first.link.setBeforeRenewal(() -> first.link.setLosesResponses(false));
+        });
+        first.lease.refresh();
+
+        clock.advance(DutyLease.INTERVAL);
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
     /** Guards against an election that loses a round, a second, with a lease of an election long ago. */
     @Test
     void leaseOfAnElectionLongAgoIsNotUsed() throws StoreException {
