Keep the term when a later revision of its key is its own entry

Cause: the check for a replaced key compares revisions only. A write of the holder itself, or a store that answers a transaction with a lower revision than that of the item, would end every term.

Change: an entry under the lease of the term does not end it.

Measured: DutyLeaseTest.laterRevisionOfTheOwnEntryEndsNoTerm failed before and passes.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -165,13 +165,14 @@
     private void dropOutdatedLease(Optional<StoreItem> entry) {
         if (!isLeaseOfCurrentEra()) {
             endTerm("store_era");
-        } else if (term.isPresent() && entry.filter(this::isAfterTerm).isPresent()) {
+        } else if (term.isPresent() && entry.filter(this::replacesTerm).isPresent()) {
             endTerm("replaced");
         }
     }
 
-    private boolean isAfterTerm(StoreItem entry) {
-        return entry.versioned().revision().isAfter(term.get().revision());
+    private boolean replacesTerm(StoreItem entry) {
+        return entry.versioned().revision().isAfter(term.get().revision())
+                && decode(entry).filter(holder -> holder.isUnder(lease.get())).isEmpty();
     }
 
     private void renew(Term current) throws StoreException {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
@@ -16,7 +16,10 @@
 import io.banyantally.platform.CoordinationStore.StoreListing;
 import io.banyantally.platform.DutyHolder;
 import io.banyantally.platform.HistoryDiscardedException;
+import io.banyantally.platform.LeaseId;
 import io.banyantally.platform.StoreException;
+import io.banyantally.platform.StoreRevision;
+import io.banyantally.platform.StoreTransaction;
 import io.banyantally.testing.FakeCoordinationStore;
 import io.banyantally.testing.ManualClock;
 import io.banyantally.testing.StoreFeed;
@@ -24,6 +27,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -398,6 +402,20 @@
         assertFalse(first.lease.held().isPresent());
     }
 
+    /** Guards against a holder that takes a later write of its own for that of another VM. */
+    @Test
+    void laterRevisionOfTheOwnEntryEndsNoTerm() throws StoreException {
+        first.takeDuties();
+        byte[] value = store.value(GatewayStoreKeys.DUTY_HOLDER).orElseThrow();
+        StoreRevision _ =
+                store.apply(StoreTransaction.put(GatewayStoreKeys.DUTY_HOLDER, value, Optional.of(new LeaseId(1))));
+
+        first.round();
+        first.round();
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
     private final class Vm {
         private final AtomicLong timeOfDay = new AtomicLong();
         private final MemberList members = new MemberList();
