--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -169,9 +169,7 @@
 
     /** Returns whether the watch shows no end of a term: neither a later entry, nor none after it has shown the term's. */
     private boolean isEntryPresent(Term current) {
-        return members.dutyHolder()
-                .map(entry -> !entry.versioned().revision().isAfter(current.revision()))
-                .orElse(!current.listed());
+        return members.dutyHolder().map(entry -> !replaces(entry, current)).orElse(!current.listed());
     }
 
     private boolean isCurrent(StoreEra era) {
@@ -185,33 +183,50 @@
     private void dropOutdatedLease(Optional<StoreItem> entry) {
         if (!isLeaseOfCurrentEra()) {
             endTerm("store_era");
-        } else if (term.isPresent() && entry.filter(this::isAfterTerm).isPresent()) {
+        } else if (term.isPresent()
+                && entry.filter(item -> replaces(item, term.get())).isPresent()) {
             endTerm("replaced");
         }
     }
 
-    private boolean isAfterTerm(StoreItem entry) {
-        return entry.versioned().revision().isAfter(term.get().revision());
+    private static boolean replaces(StoreItem entry, Term current) {
+        return entry.versioned().revision().isAfter(current.revision())
+                && decode(entry)
+                        .filter(holder -> holder.isUnder(current.lease()))
+                        .isEmpty();
     }
 
     private void renew(Term current, Optional<StoreItem> entry) throws StoreException {
         boolean listed = current.listed()
                 || entry.filter(item -> item.versioned().revision().equals(current.revision()))
                         .isPresent();
-        WallClock.Reading requestedAt = clock.reading();
-        renewLease();
+        WallClock.Reading requestedAt = renewLease();
         // A successful renewal shows that the lease never expired, so its key remained and no other VM has held the
         // duties.
-        term = Optional.of(
-                new Term(current.number(), current.revision(), current.actsFromNanos(), requestedAt, listed));
+        term = Optional.of(new Term(
+                current.number(), current.revision(), current.lease(), current.actsFromNanos(), requestedAt, listed));
     }
 
-    private void renewLease() throws StoreException {
+    /** Renews the lease and returns when that was requested. Often only one response is lost, so it is repeated once. */
+    private WallClock.Reading renewLease() throws StoreException {
+        try {
+            return requestRenewal();
+        } catch (LeaseLapsedException lapsed) {
+            throw lapsed;
+        } catch (StoreException failure) {
+            LOG.info("renewal_repeated", EventField.of("vm", vm), EventField.of("reason", failure.getMessage()));
+            return requestRenewal();
+        }
+    }
+
+    private WallClock.Reading requestRenewal() throws StoreException {
+        WallClock.Reading requestedAt = clock.reading();
         StoreEra renewedIn = store.renewLease(lease.get());
         health.answered();
         if (!renewedIn.equals(lease.get().era())) {
             throw new LeaseLapsedException("the store renewed lease " + lease.get() + " in era " + renewedIn);
         }
+        return requestedAt;
     }
 
     private void elect(StoreItem entry) throws StoreException {
@@ -267,12 +282,11 @@
             LOG.warn("fencing_number_too_large", EventField.of("vm", vm), EventField.of("revision", revision));
             return;
         }
-        WallClock.Reading requestedAt = clock.reading();
-        renewLease();
+        WallClock.Reading requestedAt = renewLease();
         if (!revision.era().equals(lease.get().era())) {
             throw new LeaseLapsedException("revision " + revision + " is not of the era of lease " + lease.get());
         }
-        term = Optional.of(new Term(number.get(), revision, actsFromNanos(), requestedAt, false));
+        term = Optional.of(new Term(number.get(), revision, lease.get(), actsFromNanos(), requestedAt, false));
         LOG.info(
                 "duties_taken",
                 EventField.of("vm", vm),
@@ -303,6 +317,7 @@
     private record Term(
             FencingNumber number,
             StoreRevision revision,
+            LeaseId lease,
             long actsFromNanos,
             WallClock.Reading renewedAt,
             boolean listed) {}
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyLeaseTest.java
@@ -16,7 +16,10 @@
 import io.banyantally.platform.CoordinationStore.StoreListing;
 import io.banyantally.platform.DutyHolder;
 import io.banyantally.platform.HistoryDiscardedException;
+import io.banyantally.platform.LeaseId;
 import io.banyantally.platform.StoreException;
+import io.banyantally.platform.StoreRevision;
+import io.banyantally.platform.StoreTransaction;
 import io.banyantally.testing.FakeCoordinationStore;
 import io.banyantally.testing.ManualClock;
 import io.banyantally.testing.StoreFeed;
@@ -24,6 +27,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -34,6 +38,8 @@
 
     private static final Duration TIME_TO_LIVE = Duration.ofMillis(3500);
 
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
+
     /** Until a lease that was elected at once may act in a new era. */
     private static final int ROUNDS_TO_ACT = 5;
 
@@ -212,6 +218,22 @@
         }
     }
 
+    /** Guards against duties that rest, a second after a call without a response, until the next renewal. */
+    @Test
+    void renewalWithoutAResponseIsRepeatedAtOnce() throws StoreException {
+        first.takeDuties();
+        first.link.setLosesResponses(true);
+        first.link.setBeforeRenewal(() -> {
+            clock.advance(CALL_TIMEOUT);
+            first.link.setBeforeRenewal(() -> first.link.setLosesResponses(false));
+        });
+        first.lease.refresh();
+
+        clock.advance(DutyLease.INTERVAL);
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
     /** Guards against an election that loses a round, a second, with a lease of an election long ago. */
     @Test
     void leaseOfAnElectionLongAgoIsNotUsed() throws StoreException {
@@ -425,6 +447,20 @@
         assertFalse(former.permission().isGranted());
     }
 
+    /** Guards against a holder that takes a later write of its own for that of another VM. */
+    @Test
+    void laterRevisionOfTheOwnEntryEndsNoTerm() throws StoreException {
+        first.takeDuties();
+        byte[] value = store.value(GatewayStoreKeys.DUTY_HOLDER).orElseThrow();
+        StoreRevision _ =
+                store.apply(StoreTransaction.put(GatewayStoreKeys.DUTY_HOLDER, value, Optional.of(new LeaseId(1))));
+
+        first.round();
+        first.round();
+
+        assertTrue(first.lease.held().isPresent());
+    }
+
     private final class Vm {
         private final AtomicLong timeOfDay = new AtomicLong();
         private final MemberList members = new MemberList();
