Report crashes again when the store comes back older

Cause: a crash is reported once. A store that comes back from a copy from before that lacks the report, so that a VM that starts later sends the prompts again that crash upstreams.

Change: a VM keeps its reports for their five minutes. When the known era of the store is newer than that of the write, it writes a report again for the rest of that time if it is absent. A report that the copy has is left alone: with a newer revision it would count after its clearance.

Without the new writes reportIsWrittenAgainAfterTheStoreLostIt fails (0 reports instead of 1).

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -153,7 +153,7 @@
                 MonotonicClock.SYSTEM,
                 settings.retryLimit(),
                 () -> members.members().size());
-        crashReporter = CrashReporter.create(store, crashes, this::isInService, settings.vm());
+        crashReporter = CrashReporter.create(store, this::storeEra, crashes, this::isInService, settings.vm());
         long bufferBytes = Runtime.getRuntime().maxMemory() / BUFFER_HEAP_PARTS;
         ForwardingServices services = new ForwardingServices(
                 configuration,
@@ -200,6 +200,7 @@
                 () -> UsagePublisher.interval(members.members().size()),
                 () -> usagePublisher.publish(members.members().size()));
         tasks.startWithJitter("crash-clearances", CrashReporter.CLEARANCE_INTERVAL, crashReporter::publishClearances);
+        tasks.startWithJitter("crash-reports", CrashReporter.CLEARANCE_INTERVAL, crashReporter::restoreReports);
         tasks.startWithJitter("duty-lease", DutyLease.INTERVAL, duties::refresh);
         tasks.start("work-exchange", exchange::interval, exchange::exchange);
         tasks.start("upkeep", MAINTENANCE_INTERVAL, this::runMaintenance);
--- a/modules/banyantally/src/test/java/io/banyantally/internal/crash/CrashReporterTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/crash/CrashReporterTest.java
@@ -9,6 +9,9 @@
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.model.VmId;
+import io.banyantally.platform.StoreEra;
+import io.banyantally.platform.StoreException;
+import io.banyantally.platform.StoreRevision;
 import io.banyantally.testing.Deployments;
 import io.banyantally.testing.FakeCoordinationStore;
 import io.banyantally.testing.ManualClock;
@@ -36,6 +39,7 @@
 
     private final ManualClock clock = new ManualClock();
     private final FakeCoordinationStore store = new FakeCoordinationStore(clock);
+    private StoreEra era = StoreEra.UNKNOWN;
 
     /** Guards against losing the report of a crash to a short outage of the store. */
     @Test
@@ -63,20 +67,57 @@
         assertEquals(0, reports());
     }
 
+    /** Guards against a restarted VM that sends a crashing prompt again, as the store came back without the report. */
+    @Test
+    void reportIsWrittenAgainAfterTheStoreLostIt() {
+        FakeCoordinationStore.Copy copy = store.copy();
+        CrashReporter reporter = reporter(true, true, () -> {});
+        reporter.recordBrokenOff(ENGINE, PROMPT);
+        store.returnOlder(copy);
+        era = new StoreEra(1);
+
+        reporter.restoreReports();
+
+        assertEquals(1, reports());
+    }
+
+    /** Guards against a report that counts again after it was cleared, as it is written again without need. */
+    @Test
+    void reportThatTheCopyHasIsNotWrittenAgain() throws StoreException {
+        CrashReporter reporter = reporter(true, true, () -> {});
+        reporter.recordBrokenOff(ENGINE, PROMPT);
+        StoreRevision former = revision();
+        store.returnOlder(store.copy());
+        era = new StoreEra(1);
+
+        reporter.restoreReports();
+
+        assertEquals(former.value(), revision().value());
+    }
+
+    private StoreRevision revision() throws StoreException {
+        return store.list(CrashStoreKeys.PREFIX).items().getFirst().versioned().revision();
+    }
+
     private void breakOff(boolean inService, boolean ended, Runnable whileWaiting) {
-        new CrashReporter(
-                        store,
-                        new CrashLedger(clock),
-                        upstream -> inService,
-                        upstream -> ended,
-                        new VmId("vm-1"),
-                        Runnable::run,
-                        duration -> {
-                            if (duration.compareTo(CrashReporter.COLLECTION_TIME) > 0) {
-                                whileWaiting.run();
-                            }
-                        })
-                .recordBrokenOff(ENGINE, PROMPT);
+        reporter(inService, ended, whileWaiting).recordBrokenOff(ENGINE, PROMPT);
+    }
+
+    private CrashReporter reporter(boolean inService, boolean ended, Runnable whileWaiting) {
+        return new CrashReporter(
+                store,
+                () -> era,
+                new CrashLedger(clock),
+                upstream -> inService,
+                upstream -> ended,
+                new VmId("vm-1"),
+                Runnable::run,
+                duration -> {
+                    if (duration.compareTo(CrashReporter.COLLECTION_TIME) > 0) {
+                        whileWaiting.run();
+                    }
+                },
+                clock);
     }
 
     private int reports() {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/crash/CrashSimulation.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/crash/CrashSimulation.java
@@ -7,6 +7,7 @@
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.model.VmId;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreException;
 import io.banyantally.testing.Deployments;
 import io.banyantally.testing.FakeCoordinationStore;
@@ -195,12 +196,14 @@
         Vm(String name) throws StoreException {
             reporter = new CrashReporter(
                     store,
+                    () -> StoreEra.UNKNOWN,
                     ledger,
                     upstream -> true,
                     upstream -> crashedIds.contains(upstream.id().value()),
                     new VmId(name),
                     tasks::add,
-                    duration -> {});
+                    duration -> {},
+                    clock);
             feed.deliver();
         }
 
