Check that a configuration survives an older copy of the store

ConfigurationHolder compares versions, not revisions, so a store that comes back from a copy with an older version changes nothing in a running process, and the next version is adopted though its revision is lower.

Open: a process that starts before the operator has written again reads the older version, with a key that was withdrawn since. Peers could tell it their version, or hand it the newer document, over the relay of watches.

Measured: mvn package -Dtest=ConfigurationHolderTest: 6 tests pass; the new one also passes on the code before, as nothing had to change.

--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ConfigurationHolderTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ConfigurationHolderTest.java
@@ -64,6 +64,21 @@
         assertEquals(7, holder.current().orElseThrow().version());
     }
 
+    /** Guards against a key or a route that works again, as the store came back from a copy with an older version. */
+    @Test
+    void neverRevertsToTheVersionOfAnOlderCopyOfTheStore() throws StoreException {
+        write("3");
+        FakeCoordinationStore.Copy copy = store.copy();
+        write("7");
+        store.returnOlder(copy);
+        feed.listAgain();
+        assertEquals(7, holder.current().orElseThrow().version());
+
+        write("7");
+        write("9");
+        assertEquals(9, holder.current().orElseThrow().version());
+    }
+
     /** Guards against routing by a shorter prefix where a longer one matches. */
     @Test
     void longestPrefixOfThePathSelectsTheRoute() {
