Refuse a late write of an earlier entry of the VM

Cause: the entry of a VM was written without an expected revision. A write that got no answer and that the store applied seconds later bound the entry to its own lease, which nobody renews; when that ended, the VM was not listed for the rest of its life, as it renewed another lease with success.

Change: the entry is created, or replaced at the revision that the store names, so an earlier write is refused once a later one has been applied.

Measured: MemberPresenceTest.lateWriteOfAnEarlierAttemptDoesNotEndTheEntry failed before (0 entries instead of 1) and passes; it also checks now that the store refuses the late write. 7 tests of the class pass.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberPresence.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberPresence.java
@@ -9,6 +9,7 @@
 import io.banyantally.platform.RevisionConflictException;
 import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreException;
+import io.banyantally.platform.StoreKey;
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.StoreTransaction;
 import java.time.Duration;
@@ -81,12 +82,25 @@
 
     private void publish() throws StoreException {
         LeaseId granted = store.grantLease(TIME_TO_LIVE);
-        published = Optional.of(store.apply(StoreTransaction.put(
-                GatewayStoreKeys.member(entry.vm()), WireFormat.encode(entry), Optional.of(granted))));
+        published = Optional.of(write(granted));
         lease = Optional.of(granted);
         LOG.info("presence_published", EventField.of("vm", entry.vm()), EventField.of("lease", granted));
     }
 
+    /**
+     * Writes the entry at its revision, so that an earlier attempt that the store applies late is refused then. It would
+     * hold the entry by its own lease, which nobody renews.
+     */
+    private StoreRevision write(LeaseId granted) throws StoreException {
+        StoreKey key = GatewayStoreKeys.member(entry.vm());
+        byte[] value = WireFormat.encode(entry);
+        try {
+            return store.apply(StoreTransaction.create(key, value, Optional.of(granted)));
+        } catch (RevisionConflictException existing) {
+            return store.apply(StoreTransaction.replace(key, existing.currentRevision(), value, Optional.of(granted)));
+        }
+    }
+
     /** Removes the entry permanently, unless another process of the VM has overwritten it. */
     public synchronized void withdraw() {
         withdrawn = true;
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/MemberPresenceTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/MemberPresenceTest.java
@@ -1,12 +1,14 @@
 package io.banyantally.internal.deployment;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.VmId;
 import io.banyantally.platform.CoordinationStore;
 import io.banyantally.platform.LeaseId;
 import io.banyantally.platform.OutcomeUnknownException;
+import io.banyantally.platform.RevisionConflictException;
 import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreRevision;
@@ -107,6 +109,25 @@
         assertEquals(0, store.keys(GatewayStoreKeys.LIVE_PREFIX).size());
     }
 
+    /** Guards against a live VM that is no longer listed: an older write took effect late, under a lease that ends. */
+    @Test
+    void lateWriteOfAnEarlierAttemptDoesNotEndTheEntry() throws StoreException {
+        LatePutStore late = new LatePutStore(store);
+        MemberPresence presence = presence(late);
+        late.delayNext = true;
+        presence.refresh();
+        clock.advance(MemberPresence.RENEWAL_INTERVAL.multipliedBy(2));
+        presence.refresh();
+        assertThrows(RevisionConflictException.class, late::deliver);
+
+        for (int round = 0; round < 10; round++) {
+            clock.advance(MemberPresence.RENEWAL_INTERVAL);
+            presence.refresh();
+        }
+
+        assertEquals(1, store.keys(GatewayStoreKeys.LIVE_PREFIX).size());
+    }
+
     private MemberPresence presence(CoordinationStore usedStore) {
         EraCheckedStore checked = new EraCheckedStore(usedStore, clock);
         return new MemberPresence(checked, () -> checked.era().orElse(StoreEra.UNKNOWN), entry, new StoreHealth(clock));
@@ -152,4 +173,50 @@
             return store.renewLease(lease);
         }
     }
+
+    /** A store that applies one transaction late, without an answer. */
+    private static final class LatePutStore implements CoordinationStore {
+
+        private final CoordinationStore store;
+        private boolean delayNext;
+        private StoreTransaction delayed;
+
+        LatePutStore(CoordinationStore store) {
+            this.store = store;
+        }
+
+        void deliver() throws StoreException {
+            StoreRevision _ = store.apply(delayed);
+        }
+
+        @Override
+        public StoreListing list(String prefix) throws StoreException {
+            return store.list(prefix);
+        }
+
+        @Override
+        public StoreChanges awaitChanges(String prefix, StoreRevision after, Duration wait) throws StoreException {
+            return store.awaitChanges(prefix, after, wait);
+        }
+
+        @Override
+        public StoreRevision apply(StoreTransaction transaction) throws StoreException {
+            if (delayNext) {
+                delayNext = false;
+                delayed = transaction;
+                throw new OutcomeUnknownException("no answer");
+            }
+            return store.apply(transaction);
+        }
+
+        @Override
+        public LeaseId grantLease(Duration timeToLive) throws StoreException {
+            return store.grantLease(timeToLive);
+        }
+
+        @Override
+        public StoreEra renewLease(LeaseId lease) throws StoreException {
+            return store.renewLease(lease);
+        }
+    }
 }
