Do not seal a window again whose seal was deleted

Cause: seals are deleted 60 s after their windows by the clock of the holder. A holder whose clock is a minute behind finds no seal of a window that was reported and seals it anew; one whose clock is a minute ahead deletes seals of windows that others may still report. Both led to a second report with other counts, without any fault of the store.

Change: the transaction that deletes seals moves the first window that may be sealed behind them.

Measured: UsageReportEraTest.holderWhoseClockIsBehindDoesNotSealDeleted- WindowsAgain and .holderWhoseClockIsAheadDoesNotDeleteSealsOfReportable- Windows failed before (reports [3, 0]) and pass.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageSealer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageSealer.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 
 /**
@@ -125,10 +126,14 @@
     private Optional<SealedCounts> write(
             long window, Map<ClientAccountId, Long> counts, UsageListing listing, List<StoreKey> expired) {
         SealedCounts sealed = new SealedCounts(listing.era(), window, counts);
-        StoreKey key = GatewayStoreKeys.sealedWindow(window);
+        StoreTransaction seal = putAt(
+                GatewayStoreKeys.sealedWindow(window),
+                listing.revision(GatewayStoreKeys.sealedWindow(window)),
+                WireFormat.encode(sealed));
+        Optional<StoreTransaction> start = startAfter(expired, listing);
         try {
-            StoreRevision revision = store.apply(
-                    putAt(key, listing.revision(key), WireFormat.encode(sealed)).andDelete(expired));
+            StoreRevision revision =
+                    store.apply(start.map(seal::and).orElse(seal).andDelete(expired));
             health.answered();
             if (revision.era().equals(sealed.era())) {
                 known.put(window, sealed);
@@ -142,6 +147,24 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns the write of a start of sealing after the sealed windows that are deleted; empty if it is there already. A
+     * VM whose clock is far behind or ahead would otherwise seal a deleted window again.
+     */
+    private static Optional<StoreTransaction> startAfter(List<StoreKey> deleted, UsageListing listing) {
+        OptionalLong newest = deleted.stream()
+                .filter(GatewayStoreKeys::isSealedWindow)
+                .mapToLong(GatewayStoreKeys::windowOfSealed)
+                .max();
+        long firstWindow = newest.isEmpty() ? Long.MIN_VALUE : newest.getAsLong() + 1;
+        return listing.firstWindow()
+                .filter(start -> start < firstWindow)
+                .map(start -> putAt(
+                        GatewayStoreKeys.SEALING_START,
+                        listing.revision(GatewayStoreKeys.SEALING_START),
+                        WireFormat.encode(new SealingStart(listing.era(), firstWindow))));
+    }
+
     private static StoreTransaction putAt(StoreKey key, StoreRevision expected, byte[] value) {
         return new StoreTransaction(
                 List.of(new StoreTransaction.Expectation(key, expected)),
--- a/modules/banyantally/src/main/java/io/banyantally/platform/StoreTransaction.java
+++ b/modules/banyantally/src/main/java/io/banyantally/platform/StoreTransaction.java
@@ -41,6 +41,17 @@
         return new StoreTransaction(List.of(new Expectation(key, revision)), List.of(), List.of(key));
     }
 
+    /** Returns a copy with the expectations and writes of another transaction. */
+    public StoreTransaction and(StoreTransaction other) {
+        List<Expectation> allExpectations = new ArrayList<>(expectations);
+        allExpectations.addAll(other.expectations);
+        List<Put> allPuts = new ArrayList<>(puts);
+        allPuts.addAll(other.puts);
+        List<StoreKey> allDeletes = new ArrayList<>(deletes);
+        allDeletes.addAll(other.deletes);
+        return new StoreTransaction(allExpectations, allPuts, allDeletes);
+    }
+
     /** Returns a copy with additional deletions. */
     public StoreTransaction andDelete(List<StoreKey> keys) {
         List<StoreKey> all = new ArrayList<>(deletes);
