Let the store change before the watch sees it in PrefixWatcherTest

The log shows the order: the watch that was waiting returned as the store came back, and listed before the test wrote a/2 and a/3. The listing was right at that time; the test assumed that both writes come first, which is also the case it is to guard: the count has passed the watch's position. The store is now away while it changes, as in the two tests above it. The expected listing is the same.

--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/PrefixWatcherTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/PrefixWatcherTest.java
@@ -76,10 +76,13 @@
         store.write("a/lost", new byte[] {2});
         thread.start();
         await(() -> recorder.listings() == 1);
+        store.setDown(true);
+        await(() -> !health.isReachable());
 
         store.returnOlder(copy);
         store.write("a/2", new byte[] {2});
         store.write("a/3", new byte[] {2});
+        store.setDown(false);
         await(() -> recorder.listings() == 2);
 
         assertEquals(List.of("a/1", "a/2", "a/3"), recorder.lastListing());
