Draw plain upstreams from a generator of each thread

Requests of several threads shared one `SplittableRandom` in `LeastLoadedPlacement`, which is not made for several threads: two requests at once drew the same upstreams, and equal ones were not chosen with the same probability. Cause: the gateway gave one generator to a choice that takes no lock. The choice now takes a supplier, as the router does, and the gateway passes `ThreadLocalRandom::current`; simulations pass one seeded generator.

Looked at for the same cause, by reading: `EnginePlacement` and `UpstreamNotices` draw under their own lock, `UpstreamLimits` has a `Random`, which several threads may use, and `DirectorySynchronizer` draws in its own thread. All scope owners of a process share the generator of `AuthorityEnvironment`: a fault of its own, not part of this change. The state of `UpstreamTrack`, `UpstreamLimit`, `RetryAllowance`, `Health` and of the classes in internal/routing is guarded by locks or concurrent.

What callers saw is not known; queues at single upstreams would have been longer under load.

--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/NoticeCostCommand.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/NoticeCostCommand.java
@@ -41,6 +41,7 @@
 import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.IntPredicate;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -75,7 +76,7 @@
     private int peers;
 
     private final MonotonicClock clock = MonotonicClock.SYSTEM;
-    private final LeastLoadedPlacement placement = new LeastLoadedPlacement(new SplittableRandom(1));
+    private final LeastLoadedPlacement placement = new LeastLoadedPlacement(ThreadLocalRandom::current);
     private final Placement.Demand demand = new Placement.Demand(Optional.empty(), Duration.ofMillis(100));
     private final ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
 
--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -60,6 +60,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.SplittableRandom;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -148,7 +149,7 @@
         exchange = new WorkExchange(self, peers, tracks, limits, limitFleet, MonotonicClock.SYSTEM, metrics);
         watchedStore = new RelayedStore(store, self, peers, MonotonicClock.SYSTEM, metrics);
         client = AdapterHttpClient.start(UPSTREAM_CLIENT_SETTINGS);
-        LeastLoadedPlacement placement = new LeastLoadedPlacement(new SplittableRandom());
+        LeastLoadedPlacement placement = new LeastLoadedPlacement(ThreadLocalRandom::current);
         RetryAllowance retries = new RetryAllowance(
                 MonotonicClock.SYSTEM,
                 settings.retryLimit(),
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -36,10 +37,15 @@
     private static final int REFUSING = 2;
     private static final int UNRESPONSIVE = 1;
 
-    private final RandomGenerator random;
+    private final Supplier<RandomGenerator> random;
 
-    /** Creates the policy; {@code random} draws upstreams and breaks ties. */
-    public LeastLoadedPlacement(RandomGenerator random) {
+    /**
+     * Creates the policy.
+     *
+     * @param random returns the calling thread's generator, which draws upstreams and breaks ties; use {@code
+     *     ThreadLocalRandom::current} outside simulations
+     */
+    public LeastLoadedPlacement(Supplier<RandomGenerator> random) {
         this.random = random;
     }
 
@@ -64,9 +70,10 @@
     /** Returns the least loaded of the upstreams drawn that have a free slot; empty if there is none. */
     private Optional<Candidate> draw(Demand demand, CandidateSource upstreams) {
         Least least = new Least(demand);
+        RandomGenerator generator = random.get();
         int free = 0;
         for (int draws = 0; draws < MAXIMUM_DRAWS && free < FREE_DRAWS; draws++) {
-            Optional<Candidate> drawn = upstreams.candidate(random.nextInt(upstreams.size()));
+            Optional<Candidate> drawn = upstreams.candidate(generator.nextInt(upstreams.size()));
             if (drawn.isPresent() && fault(drawn.get(), demand) == 0 && load(drawn.get()) < 1) {
                 free++;
                 least.add(drawn.get());
@@ -109,6 +116,7 @@
     /** The least loaded of the candidates seen so far, of which those without a fault come first. */
     private final class Least {
         private final Demand demand;
+        private final RandomGenerator generator = random.get();
         private Optional<Candidate> chosen = Optional.empty();
         private int fault;
         private double load;
@@ -129,7 +137,7 @@
             }
             ties++;
             // Of equal candidates, each is chosen with the same probability.
-            if (random.nextInt(ties) == 0) {
+            if (generator.nextInt(ties) == 0) {
                 chosen = Optional.of(candidate);
                 fault = itsFault;
                 load = itsLoad;
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/LeastLoadedPlacementTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/LeastLoadedPlacementTest.java
@@ -12,11 +12,18 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -27,13 +34,15 @@
 final class LeastLoadedPlacementTest {
 
     private static final int REQUESTS = 2000;
+    private static final int THREADS = 4;
     private static final Duration REQUEST_INTERVAL = Duration.ofMillis(10);
     private static final Duration USUAL_DURATION = Duration.ofMillis(20);
     private static final Placement.Demand DEMAND = new Placement.Demand(Optional.empty(), Duration.ofMillis(150));
 
     private final ManualClock clock = new ManualClock();
     private final UpstreamTracks tracks = new UpstreamTracks(clock);
-    private final LeastLoadedPlacement placement = new LeastLoadedPlacement(new SplittableRandom(1));
+    private final RandomGenerator random = new SplittableRandom(1);
+    private final LeastLoadedPlacement placement = new LeastLoadedPlacement(() -> random);
     private final List<ReplicaEntry> upstreams =
             IntStream.range(0, 3).mapToObj(index -> upstream("u" + index)).toList();
     private final List<Running> running = new ArrayList<>();
@@ -65,6 +74,31 @@
         sent.values().forEach(count -> assertTrue(count > REQUESTS / 4, sent.toString()));
     }
 
+    /** Guards against a generator that several threads use at once, whose draws repeat. */
+    @Test
+    void noThreadDrawsFromTheGeneratorOfAnother() throws Exception {
+        AtomicInteger drawsOfOthers = new AtomicInteger();
+        LeastLoadedPlacement shared = new LeastLoadedPlacement(() -> {
+            Thread owner = Thread.currentThread();
+            RandomGenerator own = new SplittableRandom(owner.threadId());
+            return () -> {
+                drawsOfOthers.addAndGet(Thread.currentThread().equals(owner) ? 0 : 1);
+                return own.nextLong();
+            };
+        });
+        try (ExecutorService threads = Executors.newFixedThreadPool(THREADS)) {
+            List<Callable<Object>> callers = Collections.nCopies(
+                    THREADS,
+                    Executors.callable(() -> IntStream.range(0, REQUESTS)
+                            .forEach(request -> shared.decide(DEMAND, tracks.candidates(upstreams)))));
+            for (Future<Object> caller : threads.invokeAll(callers)) {
+                caller.get();
+            }
+        }
+
+        assertEquals(0, drawsOfOthers.get());
+    }
+
     /**
      * Returns how many requests each upstream got, if the first one takes {@code durationAtFirst} for each and may fail
      * all of them.
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/PlainLoadSimulation.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/PlainLoadSimulation.java
@@ -25,6 +25,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
 
 /**
  * Simulates the requests to a plain service of many upstreams, sent by several VMs that exchange their work, in virtual
@@ -214,7 +215,8 @@
 
         Vm(VmId id, long seed) {
             this.id = id;
-            placement = new LeastLoadedPlacement(new SplittableRandom(seed));
+            RandomGenerator random = new SplittableRandom(seed);
+            placement = new LeastLoadedPlacement(() -> random);
             notices = new UpstreamNotices(clock, new SplittableRandom(seed), new MetricRegistry());
             limits = new UpstreamLimits(
                     () -> new LimitSharers(VMS, VMS, Duration.ZERO), clock, new Random(seed), new MetricRegistry());
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/PlainPlacementTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/PlainPlacementTest.java
@@ -19,6 +19,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -37,7 +38,8 @@
     private final UpstreamLimits limits =
             new UpstreamLimits(() -> new LimitSharers(1, 1, Duration.ZERO), clock, new Random(1), new MetricRegistry());
     private final UpstreamTracks tracks = new UpstreamTracks(clock);
-    private final LeastLoadedPlacement placement = new LeastLoadedPlacement(new SplittableRandom(1));
+    private final RandomGenerator random = new SplittableRandom(1);
+    private final LeastLoadedPlacement placement = new LeastLoadedPlacement(() -> random);
     private final PlainPlacement plain = new PlainPlacement(notices, limits, tracks, placement, clock);
     private final Set<ReplicaEntry> tried = new HashSet<>();
 
