Log the term and the outcome first in the calls of the duties

Lines of usage_reported, usage_report_failed, upstreams_ordered and stage_ordered now begin with the subject, the fencing number, the era that it contains, the outcome, the time that the call took and the age of what it was decided from (the engine's entry, the last confirmation by the store, or the end of the window). A call that was sent without an answer has the outcome unknown and is a warning; one that was not sent or was answered with an error has the outcome not_done. No logic changes.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
@@ -22,6 +22,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 
 /**
@@ -46,10 +47,11 @@
     private final MonotonicClock clock;
     private final Map<StoreKey, ReplicaEntry> entries = new HashMap<>();
     private final Map<StoreKey, Missing> missing = new HashMap<>();
+    private final Map<UpstreamId, Long> readAt = new ConcurrentHashMap<>();
     private final LastUpstreamEntries lastEntries = new LastUpstreamEntries();
     private Optional<StoreEra> era = Optional.empty();
     private OptionalLong returnedAt = OptionalLong.empty();
-    private long caughtUpAt;
+    private volatile long caughtUpAt;
     private volatile Map<UpstreamId, Missing> missingById = Map.of();
     private volatile Map<ServiceName, List<ReplicaEntry>> byService = Map.of();
 
@@ -86,6 +88,17 @@
         return byService.values().stream().flatMap(List::stream).toList();
     }
 
+    /** Returns how long ago the entry of an upstream was last read; zero if it is not known. */
+    public Duration sinceRead(UpstreamId upstream) {
+        Long at = readAt.get(upstream);
+        return at == null ? Duration.ZERO : clock.since(at);
+    }
+
+    /** Returns how long ago the store last confirmed the known entries. */
+    public Duration sinceCaughtUp() {
+        return clock.since(caughtUpAt);
+    }
+
     @Override
     public synchronized void listed(StoreListing listing) {
         observe(listing.revision().era());
@@ -153,6 +166,7 @@
             lastEntries.present(entry, written);
             missing.remove(item.key());
             ReplicaEntry previous = entries.put(item.key(), entry);
+            readAt.put(entry.id(), clock.nanoTime());
             logChange(Optional.ofNullable(previous), entry, item);
         } catch (UnreadableDocumentException unreadable) {
             missing.remove(item.key());
@@ -223,6 +237,7 @@
         missing.remove(key);
         ReplicaEntry removed = entries.remove(key);
         if (removed != null) {
+            readAt.remove(removed.id());
             LOG.info("upstream_gone", EventField.of("upstream", removed.id()), EventField.of("reason", reason));
         }
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetReconciler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetReconciler.java
@@ -47,6 +47,7 @@
     private final ReplicaRegistry replicas;
     private final ReplicaOrdering ordering;
     private final OrderThrottle<OrderKey> throttle;
+    private final DutyCallLog log;
     private final DoubleSupplier refusedShare;
     private final Map<ServiceName, Set<AvailabilityZone>> soldOutZones = new HashMap<>();
 
@@ -62,6 +63,7 @@
         this.replicas = replicas;
         this.ordering = ordering;
         this.throttle = new OrderThrottle<>(clock);
+        this.log = new DutyCallLog(LOG, clock);
     }
 
     /** Places the orders that are needed now, while the holder may act. */
@@ -143,10 +145,16 @@
         }
         FleetTarget target = key.target();
         Duration delay = rule.bootTime().plus(REPEAT_MARGIN);
-        String outcome;
+        DutyCallLog.Entry line = log.begin(
+                "upstreams_ordered",
+                holder,
+                replicas.sinceCaughtUp(),
+                EventField.of("service", key.service()),
+                EventField.of("zone", target.zone()),
+                EventField.of("cheap", target.cheap()));
+        EventField[] details = {EventField.of("count", target.count()), EventField.of("present", runningCount)};
         try {
             boolean accepted = ordering.order(holder, key.service(), target.zone(), target.cheap(), target.count());
-            outcome = accepted ? "accepted" : "none_available";
             delay = accepted ? delay : SOLD_OUT_DELAY;
             if (target.cheap()) {
                 Set<AvailabilityZone> soldOut = soldOutZones.computeIfAbsent(key.service(), name -> new HashSet<>());
@@ -156,20 +164,12 @@
                     soldOut.add(target.zone());
                 }
             }
+            line.answered(accepted ? "accepted" : "none_available", details);
         } catch (PlatformException failure) {
-            outcome = failure.getMessage();
+            line.failed(failure, details);
             delay = SOLD_OUT_DELAY;
         }
         throttle.block(key, delay);
-        LOG.info(
-                "upstreams_ordered",
-                EventField.of("service", key.service()),
-                EventField.of("zone", target.zone()),
-                EventField.of("cheap", target.cheap()),
-                EventField.of("count", target.count()),
-                EventField.of("present", runningCount),
-                EventField.of("fencing", holder.fencing()),
-                EventField.of("outcome", outcome));
     }
 
     private record OrderKey(ServiceName service, FleetTarget target) {}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/StageReconciler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/StageReconciler.java
@@ -38,6 +38,7 @@
     private final ReplicaRegistry replicas;
     private final FleetReconciler fleet;
     private final StageOrdering ordering;
+    private final DutyCallLog log;
     private final OrderThrottle<UpstreamId> engineThrottle;
     private final OrderThrottle<ServiceName> serviceThrottle;
     private final Map<UpstreamId, EngineStage> orderedStages = new HashMap<>();
@@ -48,6 +49,7 @@
         this.replicas = replicas;
         this.fleet = fleet;
         this.ordering = ordering;
+        this.log = new DutyCallLog(LOG, clock);
         this.engineThrottle = new OrderThrottle<>(clock);
         this.serviceThrottle = new OrderThrottle<>(clock);
     }
@@ -86,22 +88,17 @@
 
     private void order(DutyHolder holder, ReplicaEntry engine, EngineStage stage) throws InterruptedException {
         engineThrottle.block(engine.id(), REPEAT_DELAY);
-        String outcome;
+        DutyCallLog.Entry line = log.begin(
+                "stage_ordered", holder, replicas.sinceRead(engine.id()), EventField.of("upstream", engine.id()));
+        EventField[] details = {EventField.of("stage", stage), EventField.of("zone", engine.zone())};
         try {
             boolean accepted = ordering.order(holder, engine, stage);
-            outcome = accepted ? "accepted" : "refused";
             if (accepted) {
                 orderedStages.put(engine.id(), stage);
             }
+            line.answered(accepted ? "accepted" : "refused", details);
         } catch (PlatformException failure) {
-            outcome = failure.getMessage();
+            line.failed(failure, details);
         }
-        LOG.info(
-                "stage_ordered",
-                EventField.of("upstream", engine.id()),
-                EventField.of("zone", engine.zone()),
-                EventField.of("stage", stage),
-                EventField.of("fencing", holder.fencing()),
-                EventField.of("outcome", outcome));
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/TermNumbers.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/TermNumbers.java
@@ -1,6 +1,7 @@
 package io.banyantally.internal.duty;
 
 import io.banyantally.model.FencingNumber;
+import io.banyantally.platform.StoreEra;
 import io.banyantally.platform.StoreRevision;
 import java.util.Optional;
 
@@ -15,6 +16,11 @@
 
     private TermNumbers() {}
 
+    /** Returns the era of the store to which a number belongs. */
+    static StoreEra era(FencingNumber number) {
+        return new StoreEra(number.value() / REVISIONS_PER_ERA);
+    }
+
     /** Returns the number of a term by the revision of its entry; empty if the era or the revision is too large. */
     static Optional<FencingNumber> of(StoreRevision revision) {
         long era = revision.era().value();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageReporter.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageReporter.java
@@ -3,6 +3,7 @@
 import io.banyantally.internal.deployment.GatewayStoreKeys;
 import io.banyantally.internal.deployment.StoreHealth;
 import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.timeline.EventField;
 import io.banyantally.model.ClientAccountId;
 import io.banyantally.platform.CoordinationStore;
@@ -47,6 +48,7 @@
     private final UsageWindowSink sink;
     private final StoreHealth health;
     private final Duration reportDeadline;
+    private final DutyCallLog log = new DutyCallLog(LOG, MonotonicClock.SYSTEM);
     private final Set<Long> reportedWindows = new HashSet<>();
 
     /**
@@ -151,24 +153,21 @@
     }
 
     private void report(DutyHolder holder, long window, Map<ClientAccountId, Long> counts) throws InterruptedException {
+        DutyCallLog.Entry line =
+                log.begin("usage_reported", holder, ledger.sinceEnd(window), EventField.of("window", window));
+        EventField[] details = {
+            EventField.of("accounts", counts.size()),
+            EventField.of(
+                    "requests",
+                    counts.values().stream().mapToLong(Long::longValue).sum())
+        };
         try {
             sink.report(holder, window, counts);
             reportedWindows.add(window);
-            LOG.info(
-                    "usage_reported",
-                    EventField.of("window", window),
-                    EventField.of("accounts", counts.size()),
-                    EventField.of(
-                            "requests",
-                            counts.values().stream().mapToLong(Long::longValue).sum()),
-                    EventField.of("fencing", holder.fencing()),
-                    EventField.of("age_ms", ledger.sinceEnd(window).toMillis()));
+            line.answered("accepted", details);
         } catch (PlatformException failure) {
             // The sealed counts remain, so a later attempt repeats the same report.
-            LOG.warn(
-                    "usage_report_failed",
-                    EventField.of("window", window),
-                    EventField.of("reason", failure.getMessage()));
+            line.warnFailed("usage_report_failed", failure, details);
         }
     }
 }
