Reject an answer without length whose upload failed

Callers got a part of an answer as whole: an upstream that answered a long upload at once with 200 and no length, and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. If it fails the pending write of the request, the next read returns the end of the stream, and the HTTP client completes a response without length there; the failure of the request, which comes later or is still to come, changed nothing any more. The end point looked at reads only. Responses with a length or chunks are not concerned, nor those whose reset a read reports.

Now the end of a connection ends a response only if its request was sent whole, no read or write has failed, and the other side has ended the connection. A request that is still being sent has 1 s left. Else the answer is broken: 502 if nothing was passed on, a stream without its last chunk otherwise, another upstream where the kind of request allows it.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -20,6 +20,7 @@
 import org.eclipse.jetty.client.InputStreamResponseListener;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpStatus;
@@ -29,6 +30,9 @@
 
     private static final int BUFFER_BYTES = 8192;
 
+    /** How long a request may still be sent after a response that ends with its connection. */
+    private static final Duration REQUEST_END_TIMEOUT = Duration.ofSeconds(1);
+
     private static final EventLog LOG = EventLog.of(HttpExchange.class);
 
     private final HttpCall call;
@@ -177,6 +181,27 @@
                 || response.getHeaders().contains(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
     }
 
+    /**
+     * Throws if a response that ends with its connection may be incomplete. The kernel reports a reset once: if it has
+     * failed a write of the request, the next read returns the end of the stream.
+     */
+    private void checkEndOfConnection() throws IOException {
+        Result result;
+        try {
+            result = listener.await(REQUEST_END_TIMEOUT.toNanos(), TimeUnit.NANOSECONDS);
+        } catch (TimeoutException pending) {
+            throw new IOException(call + ": the connection ended while the request was being sent", pending);
+        } catch (InterruptedException interrupted) {
+            throw new InterruptedIOException("interrupted at the end of a response");
+        }
+        if (result.isFailed()) {
+            throw new IOException(call + ": the request was not sent whole", result.getFailure());
+        }
+        if (!endPoint.map(ResetAwareEndPoint::hasEndedOrderly).orElse(false)) {
+            throw new IOException(call + ": the connection did not end orderly");
+        }
+    }
+
     private ExchangeException failed(String what, Throwable cause) {
         if (cause instanceof ForeignResponseException foreign) {
             return foreign;
@@ -225,6 +250,9 @@
         @Override
         public int read(byte[] bytes, int offset, int length) throws IOException {
             int count = readOrEnd(bytes, offset, length);
+            if (count < 0 && !hasDelimitedBody()) {
+                checkEndOfConnection();
+            }
             if (count > 0) {
                 unreadBytes -= count;
                 endPoint.ifPresent(connected -> connected.contentRead(count));
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/ResetAwareEndPoint.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/ResetAwareEndPoint.java
@@ -35,6 +35,8 @@
 
     private final AtomicLong remainingBytes = new AtomicLong(MAXIMUM_OVERHEAD_BYTES);
     private final AtomicInteger requests = new AtomicInteger();
+    private volatile boolean failed;
+    private volatile boolean endOfStreamRead;
 
     ResetAwareEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
         super(channel, selector, key, scheduler);
@@ -71,6 +73,11 @@
         remainingBytes.addAndGet((long) bytes * BYTES_PER_CONTENT_BYTE);
     }
 
+    /** Returns whether the other side has ended the connection, with no failed read or write before. */
+    boolean hasEndedOrderly() {
+        return endOfStreamRead && !failed;
+    }
+
     /** Returns whether an idle connection has received bytes that belong to no request, or has ended. */
     boolean hasUnexpectedInput() {
         try {
@@ -95,11 +102,25 @@
                             "the response has more than " + MAXIMUM_OVERHEAD_BYTES + " bytes beside its content");
                 }
             } else if (filled < 0) {
+                endOfStreamRead = true;
                 shutdownInput();
             }
             return filled;
+        } catch (IOException failure) {
+            failed = true;
+            throw failure;
         } finally {
             BufferUtil.flipToFlush(buffer, position);
         }
     }
+
+    @Override
+    public boolean flush(ByteBuffer... buffers) throws IOException {
+        try {
+            return super.flush(buffers);
+        } catch (IOException failure) {
+            failed = true;
+            throw failure;
+        }
+    }
 }
