Wait for the former holder's permission at each takeover

What receivers saw: an order with a lower number after one with a higher number, at one engine and within one era of the store. Leases may run out in an outage that is shorter than the time between two calls. The former holder, cut from the store or without responses to its renewals, acts for up to 2.7 s after its last renewal; a new one waited a second, and a time to live more only if a call of its own had failed before its election. An outage that fails none of its calls, or a call whose failure is noticed later, left two holders for up to 1.7 s.

Now the order of the last act of a holder and the first one of its successor does not rest on how the store ends the lease (DutyTimes). A holder acts for 1.2 s after it sent a renewal that succeeded. Nobody else renews after an election, so a new holder waits from its election for 1.2 s and a takeover delay of 1.85 s. A holder that acts has renewed at least a takeover delay after its election, so between two times of one VM with another holder between there are two takeover delays: leaseMs and the time limit of a call. The wait covers a new era of the store as well, because nobody is elected in it before the store's return, so the wait from the knowledge of the era and the one after a failed call go.

Failed and refused calls are repeated after 0.5 s.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -22,6 +22,7 @@
 import io.banyantally.internal.deployment.ReplicaRegistry;
 import io.banyantally.internal.deployment.StoreHealth;
 import io.banyantally.internal.duty.DutyLease;
+import io.banyantally.internal.duty.DutyTimes;
 import io.banyantally.internal.duty.FleetReconciler;
 import io.banyantally.internal.duty.StageReconciler;
 import io.banyantally.internal.duty.UsageLedger;
@@ -138,7 +139,13 @@
         usagePublisher = new UsagePublisher(
                 store, this::storeEra, usage, health, MonotonicClock.SYSTEM, settings.vm(), incarnationText);
         duties = new DutyLease(
-                store, members, health, wallClock, settings.vm(), incarnationText, settings.dutyTimeToLive());
+                store,
+                members,
+                health,
+                wallClock,
+                settings.vm(),
+                incarnationText,
+                DutyTimes.withoutTurnsWithin(settings.dutyTurnTime()));
         MemberEntry own = new MemberEntry(settings.vm(), settings.zone(), settings.callersText(), settings.peersText());
         presence = new MemberPresence(store, this::storeEra, own, health);
         Peer self = new Peer(settings.vm(), incarnation, settings.zone());
--- a/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
+++ b/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
@@ -14,7 +14,7 @@
  * @param peers the listen address for other VMs
  * @param usageWindow the length of a usage window
  * @param usageDueTime the maximum time from the end of a usage window to its report
- * @param dutyTimeToLive the time to live of the duty lease without renewal
+ * @param dutyTurnTime the time within which two holders of the duties must not act in turns
  * @param retryRatio the retry budget of a service over all VMs, in retries per request
  * @param retryExtra additional retries of a service in each window, over all VMs
  * @param retryWindow the sliding window of the retry budget
@@ -28,7 +28,7 @@
         InetSocketAddress peers,
         Duration usageWindow,
         Duration usageDueTime,
-        Duration dutyTimeToLive,
+        Duration dutyTurnTime,
         double retryRatio,
         int retryExtra,
         Duration retryWindow,
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -23,31 +23,26 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.OptionalLong;
 
 /**
  * Elects the VM that carries out the duties, by a key in the store that the lease of the elected VM holds. The era of
- * the store and the revision of the key give the fencing number, which rises with every holder. A holder never revokes
- * its lease, so two terms begin at least one time to live apart and holders cannot alternate faster than that.
+ * the store and the revision of the key give the fencing number, which rises with every holder. After its election a VM
+ * waits until the former holder must have stopped, however the store has ended the lease (see {@link DutyTimes}).
  *
  * <p>A term belongs to one era of the store. When the store has come back from an older copy, leases and entries of
- * before count no more, and nobody acts until the holder of before must have stopped.
+ * before count no more. The wait covers a holder that does not hear of the new era, since nobody is elected in an era
+ * before the store's return.
  */
 public final class DutyLease {
 
-    /** How often to call {@link #refresh}: three times in each time to live. */
-    public static final Duration INTERVAL = Duration.ofSeconds(1);
+    /** How often to call {@link #refresh}. It calls the store for a renewal, or if there is no holder. */
+    public static final Duration INTERVAL = Duration.ofMillis(250);
 
-    /**
-     * How long before its lease expires the holder stops acting, so that calls reach their receivers before the expiry.
-     */
-    static final Duration SAFETY_MARGIN = Duration.ofMillis(800);
+    /** Time between two renewals of the holder. */
+    static final Duration RENEWAL_INTERVAL = Duration.ofMillis(500);
 
-    /**
-     * How long a new holder waits before it acts. A call that the former holder sent at the end of its term may arrive
-     * later than the margin, from a busy VM or over a slow network.
-     */
-    static final Duration TAKEOVER_DELAY = Duration.ofSeconds(1);
+    /** Time without a call to the store after one that failed or came too late. */
+    static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
     private static final EventLog LOG = EventLog.of(DutyLease.class);
 
@@ -57,7 +52,8 @@
     private final WallClock clock;
     private final VmId vm;
     private final String incarnation;
-    private final Duration timeToLive;
+    private final DutyTimes times;
+    private long nextCallAt;
     private int attempts;
     private Optional<LeaseId> lease = Optional.empty();
     private WallClock.Reading leaseRequestedAt;
@@ -70,7 +66,6 @@
      * Creates a lease that is not held.
      *
      * @param incarnation identifies this process among all that ever run on the VM
-     * @param timeToLive how long the lease lasts after its last renewal
      */
     public DutyLease(
             EraCheckedStore store,
@@ -79,15 +74,16 @@
             WallClock clock,
             VmId vm,
             String incarnation,
-            Duration timeToLive) {
+            DutyTimes times) {
         this.store = store;
         this.members = members;
         this.health = health;
         this.clock = clock;
         this.vm = vm;
         this.incarnation = incarnation;
-        this.timeToLive = timeToLive;
+        this.times = times;
         this.leaseRequestedAt = clock.reading();
+        this.nextCallAt = leaseRequestedAt.monotonicNanos();
     }
 
     /** Renews the lease if this VM holds it, and otherwise tries to acquire it. */
@@ -97,9 +93,13 @@
         }
         Optional<StoreItem> entry = members.dutyHolder();
         dropOutdatedLease(entry);
+        term = term.map(current -> current.withEntry(entry));
+        if (monotonicNanos() - nextCallAt < 0) {
+            return;
+        }
         try {
             if (term.isPresent()) {
-                renew(term.get(), entry);
+                renew(term.get());
             } else if (entry.isEmpty()) {
                 acquire(StoreRevision.ABSENT);
             } else {
@@ -110,6 +110,7 @@
             endTerm(isLeaseOfCurrentEra() ? "lapsed" : "store_era");
         } catch (StoreException failure) {
             health.failed("duty lease", failure);
+            nextCallAt = monotonicNanos() + RETRY_DELAY.toNanos();
         }
     }
 
@@ -141,30 +142,9 @@
 
     private boolean isValid(Term current) {
         return isCurrent(current.revision().era())
-                && hasFormerHolderStopped(current)
+                && monotonicNanos() - current.actsFromNanos() >= 0
                 && isEntryPresent(current)
-                && clock.maximumElapsedSince(current.renewedAt()).compareTo(timeToLive.minus(SAFETY_MARGIN)) < 0;
-    }
-
-    /**
-     * Returns whether calls of earlier holders have arrived. The holder of the former era may not know of the present
-     * one, and then acts for its time to live after a renewal that was before the store came back.
-     */
-    private boolean hasFormerHolderStopped(Term current) {
-        return clock.reading().monotonicNanos() - current.actsFromNanos() >= 0
-                && (isCurrent(StoreEra.UNKNOWN) || store.eraKnownFor().compareTo(timeToLive.plus(TAKEOVER_DELAY)) >= 0);
-    }
-
-    /**
-     * Returns the monotonic time from which a new term may act. An outage of the store may end leases before their time,
-     * so a holder whose last renewal was before the outage may act for its time to live.
-     */
-    private long actsFromNanos() {
-        long electedAt = clock.reading().monotonicNanos();
-        OptionalLong failedAt = health.lastFailureAt();
-        long formerStopsAt =
-                failedAt.isEmpty() ? electedAt : Math.max(electedAt, failedAt.getAsLong() + timeToLive.toNanos());
-        return formerStopsAt + TAKEOVER_DELAY.toNanos();
+                && clock.maximumElapsedSince(current.renewedAt()).compareTo(times.permission()) < 0;
     }
 
     /** Returns whether the watch shows no end of a term: neither a later entry, nor none after it has shown the term's. */
@@ -196,15 +176,14 @@
                         .isEmpty();
     }
 
-    private void renew(Term current, Optional<StoreItem> entry) throws StoreException {
-        boolean listed = current.listed()
-                || entry.filter(item -> item.versioned().revision().equals(current.revision()))
-                        .isPresent();
-        WallClock.Reading requestedAt = renewLease();
+    private void renew(Term current) throws StoreException {
+        if (isEntryPresent(current)
+                && monotonicNanos() - current.renewedAt().monotonicNanos() < RENEWAL_INTERVAL.toNanos()) {
+            return;
+        }
         // A successful renewal shows that the lease never expired, so its key remained and no other VM has held the
         // duties.
-        term = Optional.of(new Term(
-                current.number(), current.revision(), current.lease(), current.actsFromNanos(), requestedAt, listed));
+        term = Optional.of(current.withRenewal(renewLease()));
     }
 
     /** Renews the lease and returns when that was requested. Often only one response is lost, so it is repeated once. */
@@ -257,8 +236,8 @@
 
     private void acquire(StoreRevision expected) throws StoreException {
         WallClock.Reading requestedAt = clock.reading();
-        if (lease.isEmpty() || clock.maximumElapsedSince(leaseRequestedAt).compareTo(timeToLive) >= 0) {
-            lease = Optional.of(store.grantLease(timeToLive));
+        if (lease.isEmpty() || clock.maximumElapsedSince(leaseRequestedAt).compareTo(times.timeToLive()) >= 0) {
+            lease = Optional.of(store.grantLease(times.timeToLive()));
             leaseRequestedAt = requestedAt;
         }
         attempts++;
@@ -270,9 +249,11 @@
             startTerm(revision);
         } catch (RevisionConflictException taken) {
             health.answered();
+            nextCallAt = monotonicNanos() + RETRY_DELAY.toNanos();
         } catch (OutcomeUnknownException unknown) {
             // The watch of the key shows whether the write took effect.
             health.failed("take duties", unknown);
+            nextCallAt = monotonicNanos() + RETRY_DELAY.toNanos();
         }
     }
 
@@ -282,11 +263,13 @@
             LOG.warn("fencing_number_too_large", EventField.of("vm", vm), EventField.of("revision", revision));
             return;
         }
+        // A former holder has not renewed after the key was written, which was before now.
+        long actsFromNanos = monotonicNanos() + times.takeoverWait().toNanos();
         WallClock.Reading requestedAt = renewLease();
         if (!revision.era().equals(lease.get().era())) {
             throw new LeaseLapsedException("revision " + revision + " is not of the era of lease " + lease.get());
         }
-        term = Optional.of(new Term(number.get(), revision, lease.get(), actsFromNanos(), requestedAt, false));
+        term = Optional.of(new Term(number.get(), revision, lease.get(), actsFromNanos, requestedAt, false));
         LOG.info(
                 "duties_taken",
                 EventField.of("vm", vm),
@@ -294,6 +277,10 @@
                 EventField.of("revision", revision));
     }
 
+    private long monotonicNanos() {
+        return clock.reading().monotonicNanos();
+    }
+
     private void endTerm(String reason) {
         if (term.isPresent()) {
             LOG.warn(
@@ -320,5 +307,17 @@
             LeaseId lease,
             long actsFromNanos,
             WallClock.Reading renewedAt,
-            boolean listed) {}
+            boolean listed) {
+
+        Term withRenewal(WallClock.Reading newRenewedAt) {
+            return new Term(number, revision, lease, actsFromNanos, newRenewedAt, listed);
+        }
+
+        Term withEntry(Optional<StoreItem> entry) {
+            boolean nowListed = listed
+                    || entry.filter(item -> item.versioned().revision().equals(revision))
+                            .isPresent();
+            return new Term(number, revision, lease, actsFromNanos, renewedAt, nowListed);
+        }
+    }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutySimulation.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutySimulation.java
@@ -31,6 +31,8 @@
 
     private static final int LONGEST_FAULT_MILLIS = 6000;
 
+    private static final int LONGEST_LEASE_LOSS_MILLIS = 2000;
+
     /** Within this time a drill may be followed by another. */
     private static final int SERIES_MILLIS = 1000;
 
@@ -41,6 +43,7 @@
     private final Deque<FakeCoordinationStore.Copy> copies = new ArrayDeque<>();
     private final DutyActs acts = new DutyActs();
     private long storeBackAt;
+    private long leasesEndAt = Long.MAX_VALUE;
     private long nextDrillAt = Long.MAX_VALUE;
 
     DutySimulation(long seed) {
@@ -71,13 +74,36 @@
         }
     }
 
+    /** Ends all leases when another VM acts for the first time, which is then cut from the store. */
+    void runWithTermsThatEndEarly(Duration time) {
+        FencingNumber ended = FencingNumber.NONE;
+        for (long step = 0; step < time.toMillis() / STEP_MILLIS; step++) {
+            step();
+            for (SimulatedDutyVm vm : vms) {
+                if (vm.mayAct().filter(acts.highest()::equals).isPresent()
+                        && acts.highest().isAfter(ended)) {
+                    ended = acts.highest();
+                    vm.cutFor(duration());
+                    endLeasesAfter(0);
+                }
+            }
+        }
+    }
+
     /** Ends all faults. */
     void heal() {
         vms.forEach(SimulatedDutyVm::heal);
         storeBackAt = now();
+        leasesEndAt = Long.MAX_VALUE;
         nextDrillAt = Long.MAX_VALUE;
     }
 
+    /** Lets the store be away for a time, at whose end all leases have ended; no call may fail in a time of 0. */
+    void endLeasesAfter(long awayMillis) {
+        storeBackAt = Math.max(storeBackAt, now() + awayMillis);
+        leasesEndAt = storeBackAt;
+    }
+
     /** Brings the store back from a copy that is up to six seconds old. */
     void drill() {
         int age = random.nextInt(copies.size());
@@ -91,6 +117,10 @@
     private void step() {
         clock.advance(Duration.ofMillis(STEP_MILLIS));
         store.setDown(now() < storeBackAt);
+        if (now() >= leasesEndAt) {
+            leasesEndAt = Long.MAX_VALUE;
+            store.lapseAllLeases();
+        }
         copies.addLast(store.copy());
         if (copies.size() > COPIES) {
             copies.removeFirst();
@@ -129,6 +159,12 @@
         if (begins()) {
             storeBackAt = now() + duration();
         }
+        if (begins()) {
+            if (random.nextBoolean()) {
+                target().cutFor(duration());
+            }
+            endLeasesAfter(random.nextBoolean() ? 0 : random.nextLong(LONGEST_LEASE_LOSS_MILLIS));
+        }
         if (begins()) {
             store.discardHistory();
         }
