--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/StoreHealth.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/StoreHealth.java
@@ -58,11 +58,6 @@
         return reachable;
     }
 
-    /** Returns when a call last failed, in monotonic nanoseconds; empty if none has. */
-    public synchronized OptionalLong lastFailureAt() {
-        return failedAt;
-    }
-
     /** Returns whether a call has failed since a time, in monotonic nanoseconds. */
     public synchronized boolean hasFailedSince(long time) {
         return failedAt.isPresent() && failedAt.getAsLong() - time >= 0;
