Reset a call that is given up without an end of its output

What a receiver saw: a call with permission that its sender had given up arrived whole, with an orderly end, after the time limit. Also an order that a cut link held up looked complete.

Cause: Jetty shuts the output of a connection down before it closes it, and the close, with a linger time of 0, takes effect when the selector's thread runs. In between the receiver gets the end of the stream instead of a reset, and may go on to read what the sender's kernel holds.

The output is no longer shut down while a close is to reset the connection, and the sender returns from such a call once the channel is closed (200 ms at most; the selector's thread closes it). A call that was not sent is still closed in order. This bounds the calls of all duties, usage and orders of upstreams too.

abandonedCallIsResetWithoutAnEndOfItsOutput, new: before, "expected: <reset> but was: <orderly>" at once.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -159,11 +159,11 @@
                 resetUnlessAnswered(request, connection);
             }
             if (!call.permission().isGranted()) {
-                exchange.close();
+                closeUnused(connection, exchange);
                 throw new NothingSentException(call + " was not sent: the send permission was denied");
             }
             if (deadline - System.nanoTime() <= 0) {
-                exchange.close();
+                closeUnused(connection, exchange);
                 throw new NothingSentException(call + " was not sent within its time limit");
             }
             setTimeouts(
@@ -195,6 +195,11 @@
         });
     }
 
+    private static void closeUnused(Connection connection, HttpExchange exchange) {
+        ResetAwareEndPoint.of(connection).ifPresent(endPoint -> endPoint.setResetOnClose(false));
+        exchange.close();
+    }
+
     private Connection connect(HttpCall call, Request request, long deadline)
             throws NothingSentException, InterruptedException {
         CompletableFuture<Connection> connecting =
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -203,6 +203,7 @@
         }
         if (connection != null) {
             connection.close();
+            endPoint.ifPresent(ResetAwareEndPoint::awaitReset);
         }
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/ResetAwareEndPoint.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/ResetAwareEndPoint.java
@@ -7,9 +7,11 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
@@ -28,6 +30,11 @@
      */
     private static final int MAXIMUM_OVERHEAD_BYTES = 64 * 1024;
 
+    /** The selector's thread closes the channel within milliseconds, and later only if it gets no processor time. */
+    private static final Duration RESET_LIMIT = Duration.ofMillis(200);
+
+    private static final Duration RESET_CHECK_INTERVAL = Duration.ofNanos(200_000);
+
     /** A chunk with one byte of content has six bytes. */
     private static final int BYTES_PER_CONTENT_BYTE = 6;
 
@@ -35,6 +42,7 @@
 
     private final AtomicLong remainingBytes = new AtomicLong(MAXIMUM_OVERHEAD_BYTES);
     private final AtomicInteger requests = new AtomicInteger();
+    private volatile boolean resetOnClose;
 
     ResetAwareEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
         super(channel, selector, key, scheduler);
@@ -56,6 +64,7 @@
 
     /** Sets whether closing the connection resets it and discards what it has not delivered. */
     void setResetOnClose(boolean reset) {
+        resetOnClose = reset;
         try {
             getChannel().setOption(StandardSocketOptions.SO_LINGER, reset ? 0 : -1);
         } catch (IOException closed) {
@@ -66,6 +75,24 @@
         }
     }
 
+    /** Waits until a closed connection is reset, since the channel is closed by the selector's thread. */
+    void awaitReset() {
+        long until = System.nanoTime() + RESET_LIMIT.toNanos();
+        while (resetOnClose
+                && (getChannel().isOpen() || getChannel().isRegistered())
+                && System.nanoTime() - until < 0) {
+            LockSupport.parkNanos(RESET_CHECK_INTERVAL.toNanos());
+        }
+    }
+
+    /** An end of the output before the reset would make the receiver take the request for complete. */
+    @Override
+    protected void doShutdownOutput() {
+        if (!resetOnClose) {
+            super.doShutdownOutput();
+        }
+    }
+
     /** Raises the limit after content was read. */
     void contentRead(int bytes) {
         remainingBytes.addAndGet((long) bytes * BYTES_PER_CONTENT_BYTE);
--- a/modules/banyantally/src/test/java/io/banyantally/internal/adapter/CallWithPermissionTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/adapter/CallWithPermissionTest.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -75,6 +76,32 @@
         }
     }
 
+    /** Guards against a receiver that takes the bytes before the reset for a complete call. */
+    @Test
+    void abandonedCallIsResetWithoutAnEndOfItsOutput() throws Exception {
+        CompletableFuture<String> end = CompletableFuture.supplyAsync(this::readToTheEnd);
+
+        assertThrows(ExchangeException.class, () -> client.send(call(16, () -> true), 1024));
+
+        assertEquals("reset", end.get(5, TimeUnit.SECONDS));
+    }
+
+    private String readToTheEnd() {
+        try (Socket accepted = receiver.accept()) {
+            accepted.setSoTimeout(5000);
+            byte[] buffer = new byte[8192];
+            int count = 0;
+            while (count >= 0) {
+                count = accepted.getInputStream().read(buffer);
+            }
+            return "orderly";
+        } catch (SocketTimeoutException none) {
+            return "none";
+        } catch (IOException reset) {
+            return "reset";
+        }
+    }
+
     /** Guards against a reset of a call that was answered, which could discard its response on the way. */
     @Test
     void connectionOfACompletedCallIsClosedInOrder() throws Exception {
