Order an engine only after it has answered on the same connection

Cause: an order was written to any engine whose kernel took the connection. An engine that stands still reads the order when it goes on, after the term of its sender and also after a reset, and reads the orders of two terms that wait for it in either order. The same class as before: a call was taken for ended when its sender had given it up.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -148,6 +148,24 @@
         }
     }
 
+    /** Opens a connection for requests that one thread sends in a row; the caller closes it. */
+    public OwnConnection connect(InetSocketAddress server, Duration timeLimit)
+            throws NothingSentException, InterruptedException {
+        HttpCall any = HttpCall.read(server, "/", timeLimit);
+        return new OwnConnection(this, connect(any, request(any), System.nanoTime() + timeLimit.toNanos()));
+    }
+
+    /** Sends a request on a connection that the caller owns. */
+    HttpReply send(HttpCall call, Connection connection, int maximumBytes)
+            throws ExchangeException, InterruptedException {
+        Request request = request(call);
+        try (HttpExchange exchange = new HttpExchange(call, request)) {
+            long deadline = System.nanoTime() + call.timeLimit().toNanos();
+            begin(call, request, exchange, connection, deadline, call.timeLimit());
+            return exchange.readWhole(maximumBytes);
+        }
+    }
+
     private HttpExchange begin(HttpCall call, long deadline, Duration totalTimeout)
             throws ExchangeException, InterruptedException {
         Request request = request(call);
@@ -155,22 +173,7 @@
         if (call.ownConnection()) {
             Connection connection = connect(call, request, deadline);
             exchange.setOwnConnection(connection);
-            if (call.needsPermission()) {
-                resetUnlessAnswered(request, connection);
-            }
-            if (!call.permission().isGranted()) {
-                closeUnused(connection, exchange);
-                throw new NothingSentException(call + " was not sent: the send permission was denied");
-            }
-            if (deadline - System.nanoTime() <= 0) {
-                closeUnused(connection, exchange);
-                throw new NothingSentException(call + " was not sent within its time limit");
-            }
-            setTimeouts(
-                    request,
-                    call,
-                    totalTimeout.isZero() ? totalTimeout : Duration.ofNanos(deadline - System.nanoTime()));
-            connection.send(request, exchange.listener());
+            begin(call, request, exchange, connection, deadline, totalTimeout);
         } else {
             setTimeouts(request, call, totalTimeout);
             request.send(exchange.listener());
@@ -178,6 +181,30 @@
         return exchange;
     }
 
+    private static void begin(
+            HttpCall call,
+            Request request,
+            HttpExchange exchange,
+            Connection connection,
+            long deadline,
+            Duration totalTimeout)
+            throws NothingSentException {
+        if (call.needsPermission()) {
+            resetUnlessAnswered(request, connection);
+        }
+        if (!call.permission().isGranted()) {
+            closeUnused(connection, exchange);
+            throw new NothingSentException(call + " was not sent: the send permission was denied");
+        }
+        if (deadline - System.nanoTime() <= 0) {
+            closeUnused(connection, exchange);
+            throw new NothingSentException(call + " was not sent within its time limit");
+        }
+        setTimeouts(
+                request, call, totalTimeout.isZero() ? totalTimeout : Duration.ofNanos(deadline - System.nanoTime()));
+        connection.send(request, exchange.listener());
+    }
+
     private static void setTimeouts(Request request, HttpCall call, Duration totalTimeout) {
         if (totalTimeout.isZero()) {
             request.idleTimeout(TimeoutMillis.of(call.timeLimit()), TimeUnit.MILLISECONDS);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/StageReconciler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/StageReconciler.java
@@ -12,9 +12,11 @@
 import io.banyantally.model.UpstreamId;
 import io.banyantally.platform.DutyHolder;
 import io.banyantally.platform.PlatformException;
+import io.banyantally.platform.StageOrderOutcome;
 import io.banyantally.platform.StageOrdering;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.Predicate;
 
@@ -92,11 +94,11 @@
                 "stage_ordered", holder, replicas.sinceRead(engine.id()), EventField.of("upstream", engine.id()));
         EventField[] details = {EventField.of("stage", stage), EventField.of("zone", engine.zone())};
         try {
-            boolean accepted = ordering.order(holder, engine, stage);
-            if (accepted) {
+            StageOrderOutcome outcome = ordering.order(holder, engine, stage);
+            if (outcome.isInForce()) {
                 orderedStages.put(engine.id(), stage);
             }
-            line.answered(accepted ? "accepted" : "refused", details);
+            line.answered(outcome.name().toLowerCase(Locale.ROOT), details);
         } catch (PlatformException failure) {
             line.failed(failure, details);
         }
--- a/modules/banyantally/src/main/java/io/banyantally/platform/StageOrdering.java
+++ b/modules/banyantally/src/main/java/io/banyantally/platform/StageOrdering.java
@@ -8,12 +8,11 @@
 public interface StageOrdering {
 
     /**
-     * Orders an engine to switch to a stage.
+     * Orders an engine to switch to a stage, if it answers at this moment.
      *
-     * @return false if the engine refused, such as during the execution of another order
-     * @throws InterfaceUnavailableException if the order was not accepted
+     * @throws InterfaceUnavailableException if the order was not sent or not accepted
      * @throws InterfaceOutcomeUnknownException if the order may have been accepted, or may be executed later
      */
-    boolean order(DutyHolder holder, ReplicaEntry engine, EngineStage stage)
+    StageOrderOutcome order(DutyHolder holder, ReplicaEntry engine, EngineStage stage)
             throws PlatformException, InterruptedException;
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/FleetReconcilerTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/FleetReconcilerTest.java
@@ -21,6 +21,7 @@
 import io.banyantally.platform.CoordinationStore.StoreItem;
 import io.banyantally.platform.CoordinationStore.StoreListing;
 import io.banyantally.platform.DutyHolder;
+import io.banyantally.platform.StageOrderOutcome;
 import io.banyantally.platform.StoreKey;
 import io.banyantally.platform.StoreRevision;
 import io.banyantally.platform.VersionedValue;
@@ -117,7 +118,7 @@
     void engineThatIsGivenBackGetsNoStageOrder() throws InterruptedException {
         List<String> stageOrders = new ArrayList<>();
         StageReconciler stages = new StageReconciler(
-                registry, reconciler, (holder, engine, stage) -> stageOrders.add(engine.id() + " " + stage), clock);
+                registry, reconciler, (holder, engine, stage) -> accept(stageOrders, engine, stage), clock);
         setRunning(2, 1, 4, 2);
 
         stages.run(HOLDER, engineConfiguration());
@@ -130,7 +131,7 @@
     void engineWithoutASubstituteGetsItsStageOrder() throws InterruptedException {
         List<String> stageOrders = new ArrayList<>();
         StageReconciler stages = new StageReconciler(
-                registry, reconciler, (holder, engine, stage) -> stageOrders.add(engine.id() + " " + stage), clock);
+                registry, reconciler, (holder, engine, stage) -> accept(stageOrders, engine, stage), clock);
         setRunning(0, 0, 0, 2);
 
         stages.run(HOLDER, engineConfiguration());
@@ -138,6 +139,11 @@
         assertEquals(List.of("dear-regular-1 DECODE"), stageOrders);
     }
 
+    private static StageOrderOutcome accept(List<String> orders, ReplicaEntry engine, EngineStage stage) {
+        orders.add(engine.id() + " " + stage);
+        return StageOrderOutcome.ACCEPTED;
+    }
+
     private static ActiveConfiguration engineConfiguration() {
         return new ActiveConfiguration(new DeploymentConfiguration(
                 1,
