--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -228,6 +228,7 @@
         }
         if (connection != null) {
             connection.close();
+            endPoint.ifPresent(ResetAwareEndPoint::awaitReset);
         }
     }
 
