Take statuses outside 200 to 599 for no answer

Callers got the statuses 600, 700 and 999 of an upstream as its answer, and a 503 that promises that the request has not run if such an answer had X-Not-Executed. Its other headers counted too: an upstream that answered 600 with Server-Leaving got no request any more. A final 199 became a signed 505: its body is no valid response, and the HTTP client then replaces the status of the response that the gateway still reads.

Cause: only interim statuses were refused, each caller compared the others with those it knows, and the status was read from the client's response and not as it was received.

Now FinalStatus says which statuses a final response may have. The HTTP client of all calls (sends, prefills, repeats, releases, store, platform) ends a response with another one before its connection can return to the pool, and OrderConnection refuses it. The request may have run, nothing of the answer counts, and the upstream has one failure. An exchange keeps the status and headers as received.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/AdapterHttpClient.java
@@ -24,7 +24,6 @@
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -143,11 +142,21 @@
     /** Jetty takes a second interim (1xx) response for the final one and would return the connection to the pool. */
     private static void closeAfterInterimResponse(Result result) {
         Connection used = result.getRequest().getConnection();
-        if (used != null && HttpStatus.isInformational(result.getResponse().getStatus())) {
+        if (used != null && !FinalStatus.isValid(result.getResponse().getStatus())) {
             used.close();
         }
     }
 
+    /**
+     * Closes the connection of a response that cannot be final, before it can return to the pool. Protocol handlers
+     * receive the interim responses that another one may follow.
+     */
+    private static void abortUnlessFinal(HttpCall call, Response received) {
+        if (!FinalStatus.isValid(received.getStatus())) {
+            CompletableFuture<Boolean> _ = received.abort(FinalStatus.failure(call, received.getStatus()));
+        }
+    }
+
     private HttpExchange begin(HttpCall call, long deadline, Duration totalTimeout)
             throws ExchangeException, InterruptedException {
         Request request = request(call);
@@ -230,6 +239,7 @@
                 fields.put(HttpHeader.CONNECTION, "close");
             }
         });
+        request.onResponseHeaders(received -> abortUnlessFinal(call, received));
         if (!call.ownConnection()) {
             request.onResponseSuccess(this::recordKeepAlive);
         }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -41,6 +41,7 @@
     private final AtomicBoolean sendStarted = new AtomicBoolean();
     private volatile Optional<ResetAwareEndPoint> endPoint = Optional.empty();
     private volatile int earlierRequests;
+    private volatile Optional<Head> head = Optional.empty();
     private Connection connection;
     private Response response;
     private boolean complete;
@@ -54,20 +55,21 @@
             endPoint = ResetAwareEndPoint.of(started.getConnection());
             endPoint.ifPresent(connected -> earlierRequests = connected.beginRequest());
         });
-        request.onResponseHeaders(this::closeIfForeign);
+        request.onResponseHeaders(this::receiveHead);
     }
 
     /** Closes the connection of a response that belongs to another request, before it can return to the pool. */
-    private void closeIfForeign(Response received) {
-        mismatch(received).ifPresent(reason -> {
-            CompletableFuture<Boolean> _ = received.abort(new ForeignResponseException(call, reason));
-        });
-    }
-
-    private Optional<String> mismatch(Response received) {
-        return HttpStatus.isInformational(received.getStatus())
-                ? Optional.empty()
-                : call.responseCheck().mismatch(headerFields(received));
+    private void receiveHead(Response received) {
+        if (head.isPresent()) {
+            return;
+        }
+        Head first = new Head(received.getStatus(), headerFields(received));
+        head = Optional.of(first);
+        if (FinalStatus.isValid(first.status())) {
+            call.responseCheck().mismatch(first.headers()).ifPresent(reason -> {
+                CompletableFuture<Boolean> _ = received.abort(new ForeignResponseException(call, reason));
+            });
+        }
     }
 
     InputStreamResponseListener listener() {
@@ -93,11 +95,11 @@
             abort(failure);
             throw failed("timed out waiting for a response", failure);
         }
-        if (HttpStatus.isInformational(status())) {
+        if (!FinalStatus.isValid(status())) {
             closeConnection();
-            throw new IncompleteResponseException(call + ": status " + status() + " is not a final response");
+            throw FinalStatus.failure(call, status());
         }
-        Optional<String> mismatch = mismatch(response);
+        Optional<String> mismatch = call.responseCheck().mismatch(headers());
         if (mismatch.isPresent()) {
             throw new ForeignResponseException(call, mismatch.get());
         }
@@ -113,12 +115,12 @@
 
     /** Returns the status code of the response; valid after {@link #awaitHeaders}. */
     public int status() {
-        return response.getStatus();
+        return head.orElseThrow().status();
     }
 
     /** Returns the headers of the response; valid after {@link #awaitHeaders}. */
     public List<HeaderField> headers() {
-        return headerFields(response);
+        return head.orElseThrow().headers();
     }
 
     private static List<HeaderField> headerFields(Response received) {
@@ -231,6 +233,9 @@
         }
     }
 
+    /** The status and headers as received; Jetty replaces the status when further bytes are no valid response. */
+    private record Head(int status, List<HeaderField> headers) {}
+
     /** Reports the number of content bytes to the connection, which limits the other bytes of a response. */
     private final class CountingInputStream extends FilterInputStream {
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/OrderConnection.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/OrderConnection.java
@@ -26,7 +26,6 @@
 public final class OrderConnection implements AutoCloseable {
 
     private static final int CONTINUE = 100;
-    private static final int FIRST_FINAL_STATUS = 200;
     private static final int NO_CONTENT = 204;
 
     private final Socket socket;
@@ -144,7 +143,10 @@
         ServiceAnswer answer;
         do {
             answer = parser.read(socket.getInputStream(), this::setReadTimeout);
-        } while (answer.status() < FIRST_FINAL_STATUS);
+        } while (FinalStatus.isInterim(answer.status()));
+        if (!FinalStatus.isValid(answer.status())) {
+            throw new IOException("status " + answer.status() + " is not that of a final response");
+        }
         if (answer.status() != NO_CONTENT && answer.headers().stream().noneMatch(OrderConnection::delimitsBody)) {
             throw new IOException(
                     "the response has neither Content-Length nor Transfer-Encoding, so its end is unknown");
