Detect a reset that follows the end of an answer

Callers got a part of an answer without length as whole when its upstream closed the connection with unread bytes of the request, and the request fitted into the buffers of the kernel.

Cause: such a close may end the stream first and reset the connection after it (a Java server does). The reads then return the end of the stream and never the reset, and all writes of the request have succeeded.

Now a connection whose end ends the response to a request with a body stays open for 20 ms after the end of its stream; the response is whole if no reset has arrived by then. Answers to requests without a body, and those with a length, with chunks or without a body, do not wait.

Ruled out: a reset without an end of the stream before it (a close in Python, SO_LINGER 0); the next read reports it. A reset later than 20 ms after an orderly end stays unseen.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -66,6 +66,9 @@
         Head first = new Head(received.getStatus(), headerFields(received));
         head = Optional.of(first);
         if (FinalStatus.isValid(first.status())) {
+            if (call.body().length > 0 && !hasDelimitedBody(received)) {
+                endPoint.ifPresent(ResetAwareEndPoint::expectEndOfResponse);
+            }
             call.responseCheck().mismatch(first.headers()).ifPresent(reason -> {
                 CompletableFuture<Boolean> _ = received.abort(new ForeignResponseException(call, reason));
             });
@@ -152,7 +155,7 @@
         if (response == null) {
             awaitHeaders();
         }
-        if (!hasDelimitedBody()) {
+        if (!hasDelimitedBody(response)) {
             throw new IncompleteResponseException(
                     call + ": the response has neither Content-Length nor chunked encoding, so its end is unknown");
         }
@@ -175,12 +178,12 @@
         return new HttpReply(status(), headers(), bytes.toByteArray());
     }
 
-    private boolean hasDelimitedBody() {
+    private boolean hasDelimitedBody(Response received) {
         return request.getMethod().equals("HEAD")
                 || status() == HttpStatus.NO_CONTENT_204
                 || status() == HttpStatus.NOT_MODIFIED_304
-                || response.getHeaders().contains(HttpHeader.CONTENT_LENGTH)
-                || response.getHeaders().contains(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
+                || received.getHeaders().contains(HttpHeader.CONTENT_LENGTH)
+                || received.getHeaders().contains(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
     }
 
     /**
@@ -188,20 +191,19 @@
      * failed a write of the request, the next read returns the end of the stream.
      */
     private void checkEndOfConnection() throws IOException {
-        Result result;
         try {
-            result = listener.await(REQUEST_END_TIMEOUT.toNanos(), TimeUnit.NANOSECONDS);
+            Result result = listener.await(REQUEST_END_TIMEOUT.toNanos(), TimeUnit.NANOSECONDS);
+            if (result.isFailed()) {
+                throw new IOException(call + ": the request was not sent whole", result.getFailure());
+            }
+            if (endPoint.isEmpty() || !endPoint.get().hasEndedOrderly()) {
+                throw new IOException(call + ": the connection did not end orderly");
+            }
         } catch (TimeoutException pending) {
             throw new IOException(call + ": the connection ended while the request was being sent", pending);
         } catch (InterruptedException interrupted) {
             throw new InterruptedIOException("interrupted at the end of a response");
         }
-        if (result.isFailed()) {
-            throw new IOException(call + ": the request was not sent whole", result.getFailure());
-        }
-        if (!endPoint.map(ResetAwareEndPoint::hasEndedOrderly).orElse(false)) {
-            throw new IOException(call + ": the connection did not end orderly");
-        }
     }
 
     private ExchangeException failed(String what, Throwable cause) {
@@ -255,7 +257,7 @@
         @Override
         public int read(byte[] bytes, int offset, int length) throws IOException {
             int count = readOrEnd(bytes, offset, length);
-            if (count < 0 && !hasDelimitedBody()) {
+            if (count < 0 && !hasDelimitedBody(response)) {
                 checkEndOfConnection();
             }
             if (count > 0) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/ResetAwareEndPoint.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/ResetAwareEndPoint.java
@@ -6,8 +6,13 @@
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.io.Connection;
@@ -31,12 +36,19 @@
     /** A chunk with one byte of content has six bytes. */
     private static final int BYTES_PER_CONTENT_BYTE = 6;
 
+    /** A reset that the other side's close causes follows the end of its stream within a round trip. */
+    private static final long RESET_DELAY_MILLIS = 20;
+
+    private static final long RESET_CHECK_LIMIT_MILLIS = 1000;
+
     private static final EventLog LOG = EventLog.of(ResetAwareEndPoint.class);
 
     private final AtomicLong remainingBytes = new AtomicLong(MAXIMUM_OVERHEAD_BYTES);
     private final AtomicInteger requests = new AtomicInteger();
     private volatile boolean failed;
     private volatile boolean endOfStreamRead;
+    private volatile boolean endsResponse;
+    private final CompletableFuture<Boolean> resetAfterEnd = new CompletableFuture<>();
 
     ResetAwareEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
         super(channel, selector, key, scheduler);
@@ -73,9 +85,40 @@
         remainingBytes.addAndGet((long) bytes * BYTES_PER_CONTENT_BYTE);
     }
 
-    /** Returns whether the other side has ended the connection, with no failed read or write before. */
-    boolean hasEndedOrderly() {
-        return endOfStreamRead && !failed;
+    /** Keeps the connection after the end of its stream until a reset would have arrived. */
+    void expectEndOfResponse() {
+        endsResponse = true;
+    }
+
+    /**
+     * Returns whether the other side has ended the connection, with no failed read or write before and no reset after
+     * it: a close with unread bytes of the request may first end the stream.
+     */
+    boolean hasEndedOrderly() throws InterruptedException {
+        if (!endOfStreamRead || failed) {
+            return false;
+        }
+        if (!endsResponse) {
+            return true;
+        }
+        try {
+            return !resetAfterEnd.get(RESET_CHECK_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException unknown) {
+            return false;
+        }
+    }
+
+    private void checkForReset() {
+        boolean reset = true;
+        try (Selector selector = Selector.open()) {
+            // A connected channel is selected for a connect operation if it has an error pending.
+            getChannel().register(selector, SelectionKey.OP_CONNECT);
+            reset = selector.selectNow() > 0;
+        } catch (IOException closed) {
+            LOG.warn("reset_unknown", EventField.of("reason", closed.toString()));
+        } finally {
+            resetAfterEnd.complete(reset);
+        }
     }
 
     /** Returns whether an idle connection has received bytes that belong to no request, or has ended. */
@@ -103,6 +146,9 @@
                 }
             } else if (filled < 0) {
                 endOfStreamRead = true;
+                if (endsResponse) {
+                    var _ = getScheduler().schedule(this::checkForReset, RESET_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+                }
                 shutdownInput();
             }
             return filled;
@@ -114,6 +160,19 @@
         }
     }
 
+    @Override
+    public void doClose() {
+        if (endsResponse && endOfStreamRead) {
+            var _ = resetAfterEnd.whenComplete((_, _) -> closeChannel());
+        } else {
+            closeChannel();
+        }
+    }
+
+    private void closeChannel() {
+        super.doClose();
+    }
+
     @Override
     public boolean flush(ByteBuffer... buffers) throws IOException {
         try {
