--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -41,6 +41,7 @@
     private final AtomicBoolean sendStarted = new AtomicBoolean();
     private volatile Optional<ResetAwareEndPoint> endPoint = Optional.empty();
     private volatile int earlierRequests;
+    private volatile Optional<Head> head = Optional.empty();
     private Connection connection;
     private Response response;
     private boolean complete;
@@ -54,20 +55,24 @@
             endPoint = ResetAwareEndPoint.of(started.getConnection());
             endPoint.ifPresent(connected -> earlierRequests = connected.beginRequest());
         });
-        request.onResponseHeaders(this::closeIfForeign);
+        request.onResponseHeaders(this::receiveHead);
     }
 
     /** Closes the connection of a response that belongs to another request, before it can return to the pool. */
-    private void closeIfForeign(Response received) {
-        mismatch(received).ifPresent(reason -> {
-            CompletableFuture<Boolean> _ = received.abort(new ForeignResponseException(call, reason));
-        });
-    }
-
-    private Optional<String> mismatch(Response received) {
-        return HttpStatus.isInformational(received.getStatus())
-                ? Optional.empty()
-                : call.responseCheck().mismatch(headerFields(received));
+    private void receiveHead(Response received) {
+        if (head.isPresent()) {
+            return;
+        }
+        Head first = new Head(received.getStatus(), headerFields(received));
+        head = Optional.of(first);
+        if (FinalStatus.isValid(first.status())) {
+            if (call.body().length > 0 && !hasDelimitedBody(received)) {
+                endPoint.ifPresent(ResetAwareEndPoint::expectEndOfResponse);
+            }
+            call.responseCheck().mismatch(first.headers()).ifPresent(reason -> {
+                CompletableFuture<Boolean> _ = received.abort(new ForeignResponseException(call, reason));
+            });
+        }
     }
 
     InputStreamResponseListener listener() {
@@ -93,11 +98,11 @@
             abort(failure);
             throw failed("timed out waiting for a response", failure);
         }
-        if (HttpStatus.isInformational(status())) {
+        if (!FinalStatus.isValid(status())) {
             closeConnection();
-            throw new IncompleteResponseException(call + ": status " + status() + " is not a final response");
+            throw FinalStatus.failure(call, status());
         }
-        Optional<String> mismatch = mismatch(response);
+        Optional<String> mismatch = call.responseCheck().mismatch(headers());
         if (mismatch.isPresent()) {
             throw new ForeignResponseException(call, mismatch.get());
         }
@@ -113,12 +118,12 @@
 
     /** Returns the status code of the response; valid after {@link #awaitHeaders}. */
     public int status() {
-        return response.getStatus();
+        return head.orElseThrow().status();
     }
 
     /** Returns the headers of the response; valid after {@link #awaitHeaders}. */
     public List<HeaderField> headers() {
-        return headerFields(response);
+        return head.orElseThrow().headers();
     }
 
     private static List<HeaderField> headerFields(Response received) {
@@ -150,7 +155,7 @@
         if (response == null) {
             awaitHeaders();
         }
-        if (!hasDelimitedBody()) {
+        if (!hasDelimitedBody(response)) {
             throw new IncompleteResponseException(
                     call + ": the response has neither Content-Length nor chunked encoding, so its end is unknown");
         }
@@ -173,12 +178,12 @@
         return new HttpReply(status(), headers(), bytes.toByteArray());
     }
 
-    private boolean hasDelimitedBody() {
+    private boolean hasDelimitedBody(Response received) {
         return request.getMethod().equals("HEAD")
                 || status() == HttpStatus.NO_CONTENT_204
                 || status() == HttpStatus.NOT_MODIFIED_304
-                || response.getHeaders().contains(HttpHeader.CONTENT_LENGTH)
-                || response.getHeaders().contains(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
+                || received.getHeaders().contains(HttpHeader.CONTENT_LENGTH)
+                || received.getHeaders().contains(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
     }
 
     /**
@@ -186,20 +191,19 @@
      * failed a write of the request, the next read returns the end of the stream.
      */
     private void checkEndOfConnection() throws IOException {
-        Result result;
         try {
-            result = listener.await(REQUEST_END_TIMEOUT.toNanos(), TimeUnit.NANOSECONDS);
+            Result result = listener.await(REQUEST_END_TIMEOUT.toNanos(), TimeUnit.NANOSECONDS);
+            if (result.isFailed()) {
+                throw new IOException(call + ": the request was not sent whole", result.getFailure());
+            }
+            if (endPoint.isEmpty() || !endPoint.get().hasEndedOrderly()) {
+                throw new IOException(call + ": the connection did not end orderly");
+            }
         } catch (TimeoutException pending) {
             throw new IOException(call + ": the connection ended while the request was being sent", pending);
         } catch (InterruptedException interrupted) {
             throw new InterruptedIOException("interrupted at the end of a response");
         }
-        if (result.isFailed()) {
-            throw new IOException(call + ": the request was not sent whole", result.getFailure());
-        }
-        if (!endPoint.map(ResetAwareEndPoint::hasEndedOrderly).orElse(false)) {
-            throw new IOException(call + ": the connection did not end orderly");
-        }
     }
 
     private ExchangeException failed(String what, Throwable cause) {
@@ -232,6 +236,9 @@
         }
     }
 
+    /** The status and headers as received; Jetty replaces the status when further bytes are no valid response. */
+    private record Head(int status, List<HeaderField> headers) {}
+
     /** Reports the number of content bytes to the connection, which limits the other bytes of a response. */
     private final class CountingInputStream extends FilterInputStream {
 
@@ -251,7 +258,7 @@
         @Override
         public int read(byte[] bytes, int offset, int length) throws IOException {
             int count = readOrEnd(bytes, offset, length);
-            if (count < 0 && !hasDelimitedBody()) {
+            if (count < 0 && !hasDelimitedBody(response)) {
                 checkEndOfConnection();
             }
             if (count > 0) {
