Share a generator between scope owners that several threads may use

All scope owners of an entry daemon draw the jitter of their calls from the generator of `AuthorityEnvironment`, each in a thread of its own, and `RandomGenerator.getDefault()` returns one that is not made for several threads: two owners could draw the same jitter and call the key-value service at the same time. Found by reading, while looking for the cause of the same fault in `LeastLoadedPlacement`; no effect on callers has been seen. It is a `java.util.Random` now, which several threads may use.

AuthorityEnvironmentTest failed before: 180,360 of 200,000 draws of four threads were distinct. It passes now, with HeldScopeTest.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/authority/AuthorityEnvironment.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/authority/AuthorityEnvironment.java
@@ -3,6 +3,7 @@
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.time.Sleeper;
 import io.banyantally.internal.timeline.Timeline;
+import java.util.Random;
 import java.util.concurrent.ThreadFactory;
 import java.util.random.RandomGenerator;
 
@@ -10,7 +11,8 @@
  * Dependencies that all scope owners of one process share.
  *
  * @param threads creates one thread for each owner and each running task
- * @param random draws the jitter that keeps candidates from calling the key-value service at the same time
+ * @param random draws the jitter that keeps candidates from calling the key-value service at the same time; all owners
+ *     use it in threads of their own
  */
 public record AuthorityEnvironment(
         AuthoritySettings settings,
@@ -28,6 +30,6 @@
                 Sleeper.SYSTEM,
                 timeline,
                 Thread.ofVirtual().name("authority-", 0).factory(),
-                RandomGenerator.getDefault());
+                new Random());
     }
 }
