Fetch a newer configuration from a peer than the store has

Callers of a process that started between the return of the store from an older copy and the operator's next write saw withdrawn keys work and added routes answered with 404, while all other VMs had the newest version. A VM that the store turned away over the return kept the older one, too.

The cause: a process takes what it reads first, and only the store told it of versions. Ruled out: a running VM does not go back, as it takes documents by version only (routes, keys and limits, over the return and the rewrite: ConfigurationAfterReturnTest#routesKeysAndLimitsDoNotGoBackOverTheReturn passes before the change).

VMs now tell each other the version in force with the exchange of work. A VM that starts compares what it has read with the first peer that answers, before it takes effect, for 1.5 s at most, and fetches the document if that of the peer is newer. The live VMs may be missing in the copy, so a VM waits for those that have left usage counts as well. Later, a newer version of a peer is left to the store for 0.4 to 0.8 s and then fetched. Documents go only to VMs that ask, compressed, 2 MB a second from each VM.

VersionReader is moved out of ConfigurationHolderTest unchanged, except that text may follow the version.

A VM that reaches no peer in the first 1.5 s, or whose peers are not in the copy and have left no counts, has the older configuration until one of them connects. One that is cut off from all peers keeps it.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -27,7 +27,9 @@
 import io.banyantally.internal.duty.UsageLedger;
 import io.banyantally.internal.duty.UsagePublisher;
 import io.banyantally.internal.duty.UsageReporter;
+import io.banyantally.internal.exchange.ConfigurationExchange;
 import io.banyantally.internal.exchange.LimitFleet;
+import io.banyantally.internal.exchange.ListedPeers;
 import io.banyantally.internal.exchange.RelayedStore;
 import io.banyantally.internal.exchange.WorkExchange;
 import io.banyantally.internal.forwarding.BufferMemory;
@@ -48,15 +50,11 @@
 import io.banyantally.internal.time.WallClock;
 import io.banyantally.internal.timeline.EventField;
 import io.banyantally.model.Incarnation;
-import io.banyantally.model.VmId;
 import io.banyantally.platform.DutyHolder;
 import io.banyantally.platform.StoreEra;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.SplittableRandom;
@@ -114,6 +112,8 @@
     private final GatewayServer server;
     private final EnginePlacement engines = new EnginePlacement(new SplittableRandom());
     private final TcpPeerNetwork peers;
+    private final ListedPeers listedPeers;
+    private final ConfigurationExchange configurations;
     private final WorkExchange exchange;
     private final UpstreamLimits limits;
     private final RelayedStore watchedStore;
@@ -145,7 +145,11 @@
         LimitFleet limitFleet = new LimitFleet(
                 () -> members.members().stream().map(MemberEntry::vm).toList(), MonotonicClock.SYSTEM);
         limits = new UpstreamLimits(limitFleet::sharers, MonotonicClock.SYSTEM, new Random(), metrics);
-        exchange = new WorkExchange(self, peers, tracks, limits, limitFleet, MonotonicClock.SYSTEM, metrics);
+        listedPeers = new ListedPeers(settings.vm(), members, store, peers);
+        configurations = new ConfigurationExchange(
+                configuration, peers, listedPeers, MonotonicClock.SYSTEM, Sleeper.SYSTEM, metrics);
+        exchange = new WorkExchange(
+                self, peers, tracks, limits, limitFleet, configurations, MonotonicClock.SYSTEM, metrics);
         watchedStore = new RelayedStore(store, self, peers, MonotonicClock.SYSTEM, metrics);
         client = AdapterHttpClient.start(UPSTREAM_CLIENT_SETTINGS);
         LeastLoadedPlacement placement = new LeastLoadedPlacement(new SplittableRandom());
@@ -184,7 +188,7 @@
      * @throws StartFailedException if the gateway cannot listen at one of its addresses
      */
     public void start() throws StartFailedException {
-        follow(platform.keys().configuration().path(), PrefixWatcher.SHORT_WATCH, configuration);
+        follow(platform.keys().configuration().path(), PrefixWatcher.SHORT_WATCH, configurations);
         follow(platform.keys().replicaPrefix(), PrefixWatcher.SHORT_WATCH, replicas);
         follow(GatewayStoreKeys.LIVE_PREFIX, PrefixWatcher.LONG_WATCH, members);
         follow(CrashStoreKeys.PREFIX, PrefixWatcher.LONG_WATCH, crashes);
@@ -203,6 +207,7 @@
         tasks.startWithJitter("crash-reports", CrashReporter.CLEARANCE_INTERVAL, crashReporter::restoreReports);
         tasks.startWithJitter("duty-lease", DutyLease.INTERVAL, duties::refresh);
         tasks.start("work-exchange", exchange::interval, exchange::exchange);
+        tasks.start("configuration-exchange", ConfigurationExchange.INTERVAL, configurations::fetchNewer);
         tasks.start("upkeep", MAINTENANCE_INTERVAL, this::runMaintenance);
         tasks.start("probe-callers", GatewayServer.probeInterval(), server::probeCallers);
         tasks.start("late-heads", GatewayServer.HEADER_CHECK_INTERVAL, server::closeSlowHeaderConnections);
@@ -267,14 +272,7 @@
     private void runMaintenance() {
         replicas.dropLapsed();
         tracks.retain(replicas.all());
-        Map<VmId, InetSocketAddress> known = new HashMap<>();
-        members.members().forEach(member -> known.put(member.vm(), address(member.peers())));
-        peers.setKnownPeers(known);
-    }
-
-    private static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        listedPeers.connect();
     }
 
     /** Returns whether this VM accepts callers: it has a configuration and is not draining. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberList.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/MemberList.java
@@ -38,6 +38,11 @@
         return view.members().at(clock.nanoTime());
     }
 
+    /** Returns whether the store has been listed, so that an empty list means that there are no VMs. */
+    public boolean isListed() {
+        return view.members().era().isPresent();
+    }
+
     /** Returns the item that names the holder of the duties; empty if there is none. */
     public Optional<StoreItem> dutyHolder() {
         return view.dutyHolder();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -66,6 +66,7 @@
     private final UpstreamTracks tracks;
     private final UpstreamLimits limits;
     private final LimitFleet fleet;
+    private final ConfigurationExchange configurations;
     private final MonotonicClock clock;
     private final Set<VmId> pendingPeers = ConcurrentHashMap.newKeySet();
     private final Counter unanswered;
@@ -80,6 +81,7 @@
             UpstreamTracks tracks,
             UpstreamLimits limits,
             LimitFleet fleet,
+            ConfigurationExchange configurations,
             MonotonicClock clock,
             MetricRegistry metrics) {
         this.self = self;
@@ -88,6 +90,7 @@
         this.tracks = tracks;
         this.limits = limits;
         this.fleet = fleet;
+        this.configurations = configurations;
         this.clock = clock;
         this.unanswered = metrics.counter("work_exchange.unanswered");
         this.requests = metrics.counter("work_exchange.requests");
@@ -101,7 +104,7 @@
     private void handle(Topic topic, Function<VmId, WorkMessage> answer) {
         peers.handle(topic, (sender, payload) -> {
             handled.inc();
-            receive(sender.vm(), CODEC.decode(payload));
+            receive(sender.vm(), sender.vm(), CODEC.decode(payload));
             return CODEC.encode(answer.apply(sender.vm()));
         });
     }
@@ -152,7 +155,7 @@
     private void requestWork(VmId peer, Topic topic, byte[] message, VmId owner) {
         requests.inc();
         try {
-            receive(owner, CODEC.decode(peers.request(peer, topic, message, TIMEOUT)));
+            receive(peer, owner, CODEC.decode(peers.request(peer, topic, message, TIMEOUT)));
         } catch (PeerException unreachable) {
             // The peer's last message is used until it is too old.
             unanswered.inc();
@@ -188,10 +191,11 @@
                 work.add(new UpstreamWork(track.entry().id().value(), atUpstream.requests(), atUpstream.millis()));
             }
         }
-        return new WorkMessage(work, limits.uses(included), fleet.heardVms(included));
+        return new WorkMessage(work, limits.uses(included), fleet.heardVms(included), configurations.version());
     }
 
-    private void receive(VmId owner, WorkMessage message) {
+    private void receive(VmId sender, VmId owner, WorkMessage message) {
+        message.configuration().ifPresent(version -> configurations.recordHeard(sender, version));
         fleet.recordHeard(owner, message.vms());
         limits.receive(owner, message.limits());
         Map<String, UpstreamWork> byUpstream = new HashMap<>();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkMessage.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkMessage.java
@@ -2,19 +2,22 @@
 
 import io.banyantally.internal.placement.LimitUse;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The work that VMs have at upstreams; upstreams without work are left out.
  *
  * @param limits the use of upstreams that have named a limit
  * @param vms the number of VMs whose work and use are added
+ * @param configuration the version of the configuration that the sender has in force; absent if it has none
  */
-record WorkMessage(List<UpstreamWork> work, List<LimitUse> limits, int vms) {
+record WorkMessage(List<UpstreamWork> work, List<LimitUse> limits, int vms, Optional<Long> configuration) {
 
     WorkMessage {
         work = List.copyOf(work);
         // Absent in messages of an earlier version.
         limits = limits == null ? List.of() : List.copyOf(limits);
+        configuration = configuration == null ? Optional.empty() : configuration;
     }
 
     /**
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ConfigurationHolderTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ConfigurationHolderTest.java
@@ -4,17 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.banyantally.deployment.DeploymentConfiguration;
-import io.banyantally.deployment.DocumentReader;
-import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.RequestKind;
-import io.banyantally.deployment.UnreadableDocumentException;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreKey;
 import io.banyantally.testing.Deployments;
 import io.banyantally.testing.FakeCoordinationStore;
 import io.banyantally.testing.ManualClock;
 import io.banyantally.testing.StoreFeed;
+import io.banyantally.testing.VersionReader;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
@@ -99,20 +96,4 @@
         store.write(KEY, version.getBytes(StandardCharsets.UTF_8));
         feed.deliver();
     }
-
-    private static final class VersionReader implements DocumentReader {
-        @Override
-        public DeploymentConfiguration configuration(byte[] document) throws UnreadableDocumentException {
-            try {
-                return Deployments.configuration(Long.parseLong(new String(document, StandardCharsets.UTF_8)));
-            } catch (NumberFormatException malformed) {
-                throw new UnreadableDocumentException("not a version", malformed);
-            }
-        }
-
-        @Override
-        public ReplicaEntry replica(StoreKey key, byte[] document) throws UnreadableDocumentException {
-            throw new UnreadableDocumentException("not used");
-        }
-    }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
@@ -7,7 +7,9 @@
 import io.banyantally.deployment.EngineStage;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.ResponseMetadata;
+import io.banyantally.internal.deployment.ConfigurationHolder;
 import io.banyantally.internal.peer.Peer;
+import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.placement.Candidate;
 import io.banyantally.internal.placement.LimitUse;
 import io.banyantally.internal.placement.UpstreamLimits;
@@ -15,9 +17,11 @@
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.Incarnation;
 import io.banyantally.model.VmId;
+import io.banyantally.platform.StoreKey;
 import io.banyantally.testing.Deployments;
 import io.banyantally.testing.FakePeerHub;
 import io.banyantally.testing.ManualClock;
+import io.banyantally.testing.VersionReader;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -201,7 +205,12 @@
             self = new Peer(new VmId(name), Incarnation.draw(), new AvailabilityZone(zone));
             fleet = new LimitFleet(() -> vms, clock);
             limits = new UpstreamLimits(fleet::sharers, clock, new SplittableRandom(1), metrics);
-            exchange = new WorkExchange(self, hub.join(self), tracks, limits, fleet, clock, metrics);
+            PeerNetwork network = hub.join(self);
+            ConfigurationHolder holder =
+                    new ConfigurationHolder(new StoreKey("operator/configuration"), new VersionReader());
+            ConfigurationExchange configurations =
+                    new ConfigurationExchange(holder, network, new FixedPeers(0), clock, time -> {}, metrics);
+            exchange = new WorkExchange(self, network, tracks, limits, fleet, configurations, clock, metrics);
         }
 
         void exchangeIfDue() {
