Follow the configuration after a document with values out of range

After a configuration whose idleTimeoutMs was 1e300, a VM took that document and no later one for the rest of its life. After one with the version 1e300, it ignored all later ones. The users' store accepts valid documents only, so callers have not seen this.

The cause: durations of any size were read, and their arithmetic overflowed in the listener, whose exception ended the task that follows the prefix. A version beyond the range of a long became the largest long.

A listener that throws gets a new listing after a pause; the same holds for upstreams, VMs and crash reports.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixWatcher.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixWatcher.java
@@ -78,10 +78,23 @@
                 position = Optional.of(advance(position));
             } catch (InterruptedException stopped) {
                 Thread.currentThread().interrupt();
+            } catch (RuntimeException failure) {
+                // A listener that fails at one change must get the later ones.
+                LOG.error("watch_listener_failed", failure, EventField.of("prefix", prefix));
+                position = Optional.empty();
+                pauseUnlessInterrupted();
             }
         }
     }
 
+    private void pauseUnlessInterrupted() {
+        try {
+            pause(RETRY_DELAY);
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private StoreRevision advance(Optional<StoreRevision> position) throws InterruptedException {
         Optional<StoreRevision> from = position;
         Duration wait = watchTimeout;
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/PrefixWatcherTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/PrefixWatcherTest.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -88,6 +89,26 @@
         assertEquals(List.of("a/1", "a/2", "a/3"), recorder.lastListing());
     }
 
+    /** Guards against a VM without any further change, after one that its listener could not handle. */
+    @Test
+    void goesOnAfterAFailureOfTheListener() throws InterruptedException {
+        AtomicInteger failures = new AtomicInteger();
+        recorder.beforeChange = () -> {
+            if (failures.getAndIncrement() == 0) {
+                throw new IllegalStateException("a change that can't be handled");
+            }
+        };
+        thread.start();
+        await(() -> recorder.listings() == 1);
+        store.write("a/1", new byte[] {1});
+        await(() -> failures.get() == 1);
+
+        store.write("a/2", new byte[] {2});
+
+        await(() -> recorder.listings() == 2);
+        assertTrue(recorder.lastListing().contains("a/1"));
+    }
+
     /** Guards against a task that still runs after the shutdown, and against logging a false outage of the store. */
     @Test
     void interruptEndsTheTask() throws InterruptedException {
@@ -108,6 +129,7 @@
 
     private static final class Recorder implements PrefixListener {
         private final List<StoreListing> listings = new ArrayList<>();
+        private volatile Runnable beforeChange = () -> {};
         private int changes;
 
         @Override
@@ -117,6 +139,7 @@
 
         @Override
         public synchronized void changed(StoreChanges received) {
+            beforeChange.run();
             changes += received.changes().size();
         }
 
