Log when a term of the duties may act and how it ended

The log named the election and the end of a term, so an on-call engineer could not tell from it whether a VM had acted, nor for how long after its last renewal. duties_taken names the time until the VM may act and how long it has known the era, duties_begun the moment from which it may act (late_ms: up to the 250 ms between two looks, more after a call to a slow store), duties_lost the age of the last renewal and whether the term had acted.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyLease.java
@@ -23,6 +23,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Elects the VM that carries out the duties, by a key in the store that the lease of the elected VM holds. The era of
@@ -57,6 +58,7 @@
     private int attempts;
     private Optional<LeaseId> lease = Optional.empty();
     private WallClock.Reading leaseRequestedAt;
+    private Optional<FencingNumber> loggedAsActing = Optional.empty();
 
     // Read without the lock, which a call to a slow store holds.
     private volatile boolean stopped;
@@ -94,6 +96,7 @@
         Optional<StoreItem> entry = members.dutyHolder();
         dropOutdatedLease(entry);
         term = term.map(current -> current.withEntry(entry));
+        logBeginOfActing();
         if (monotonicNanos() - nextCallAt < 0) {
             return;
         }
@@ -274,7 +277,26 @@
                 "duties_taken",
                 EventField.of("vm", vm),
                 EventField.of("fencing", number.get()),
-                EventField.of("revision", revision));
+                EventField.of("revision", revision),
+                EventField.of("acts_in_ms", millisUntil(actsFromNanos)),
+                EventField.of("era_known_ms", store.eraKnownFor().toMillis()));
+    }
+
+    private long millisUntil(long monotonicNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(monotonicNanos - monotonicNanos());
+    }
+
+    private void logBeginOfActing() {
+        if (term.isPresent()
+                && loggedAsActing.filter(term.get().number()::equals).isEmpty()
+                && isValid(term.get())) {
+            loggedAsActing = Optional.of(term.get().number());
+            LOG.info(
+                    "duties_begun",
+                    EventField.of("vm", vm),
+                    EventField.of("fencing", term.get().number()),
+                    EventField.of("late_ms", -millisUntil(term.get().actsFromNanos())));
+        }
     }
 
     private long monotonicNanos() {
@@ -287,7 +309,12 @@
                     "duties_lost",
                     EventField.of("vm", vm),
                     EventField.of("fencing", term.get().number()),
-                    EventField.of("reason", reason));
+                    EventField.of("reason", reason),
+                    EventField.of(
+                            "renewed_ms",
+                            clock.maximumElapsedSince(term.get().renewedAt()).toMillis()),
+                    EventField.of(
+                            "acts_in_ms", Math.max(0, millisUntil(term.get().actsFromNanos()))));
         }
         term = Optional.empty();
         lease = Optional.empty();
