Wait at the start only for VMs that have served requests

A fleet whose VMs all started for the first time took 1.5 s longer to be ready: each VM publishes usage counts before it has a configuration, so each waited for others that were waiting as well. Now VMs whose entries are not listed count only if their usage counts have requests in them.

ConfigurationAfterReturnTest serves a request at each VM before the copy is taken, since the counts of a VM without any say nothing now.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ListedPeers.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ListedPeers.java
@@ -1,7 +1,9 @@
 package io.banyantally.internal.exchange;
 
+import io.banyantally.internal.adapter.WireFormat;
 import io.banyantally.internal.deployment.GatewayStoreKeys;
 import io.banyantally.internal.deployment.MemberList;
+import io.banyantally.internal.duty.WindowCounts;
 import io.banyantally.internal.logging.EventLog;
 import io.banyantally.internal.peer.TcpPeerNetwork;
 import io.banyantally.internal.timeline.EventField;
@@ -9,6 +11,7 @@
 import io.banyantally.platform.CoordinationStore;
 import io.banyantally.platform.CoordinationStore.StoreItem;
 import io.banyantally.platform.StoreException;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
@@ -34,7 +37,7 @@
         this.peers = peers;
     }
 
-    /** The entries of live VMs may have ended while the store was away, so VMs that have counted usage count too. */
+    /** The entries of live VMs may have ended while the store was away, so VMs that have counted requests count too. */
     @Override
     public OptionalLong count() {
         if (!members.isListed()) {
@@ -50,9 +53,8 @@
         if (counting.isEmpty()) {
             try {
                 counting = Optional.of(store.list(GatewayStoreKeys.USAGE_PREFIX).items().stream()
-                        .map(StoreItem::key)
-                        .filter(GatewayStoreKeys::isUsageCounts)
-                        .map(GatewayStoreKeys::vmOfUsageCounts)
+                        .filter(item -> GatewayStoreKeys.isUsageCounts(item.key()) && hasRequests(item))
+                        .map(item -> GatewayStoreKeys.vmOfUsageCounts(item.key()))
                         .filter(vm -> !vm.equals(self.value()))
                         .distinct()
                         .count());
@@ -64,6 +66,17 @@
         return OptionalLong.of(counting.get());
     }
 
+    private static boolean hasRequests(StoreItem item) {
+        try {
+            return !WireFormat.decode(item.value(), WindowCounts.class)
+                    .byWindow()
+                    .isEmpty();
+        } catch (IOException unreadable) {
+            LOG.error("usage_unreadable", unreadable, EventField.of("key", item.key()));
+            return false;
+        }
+    }
+
     @Override
     public void connect() {
         Map<VmId, InetSocketAddress> known = new HashMap<>();
