Start sealing after windows that any live VM knows to be reported

The cause: the start of sealing rested on times only, and neither a clock nor an older copy says what was reported. VMs now tell each other the newest reported window with the exchange of work, from before its report is sent, and the start is after the newest that its writer knows. A VM that knows none and has listed the usage in no former era takes the window five seconds after its clock, which is the difference of clocks that is allowed for. That costs such a VM one more window after a return. The first start of sealing of a deployment stays as it was.

Not covered: no VM that knows the report is alive, and the writer's clock is more than five seconds behind; a report that was told to nobody, because its sender ended within an interval of the exchange.

The new tests are startOfSealingIsNotBeforeWindowsWhoseReportIsKnown (12 s behind) and everyVmOfALargeFleetKnowsTheReportedWindows (40 VMs, 500 ms). windowThatEndsAfterTheReturnIsReported now lets the first VM tell the second what it has reported, as the exchange does; its bound is the same.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -24,6 +24,7 @@
 import io.banyantally.internal.duty.DutyLease;
 import io.banyantally.internal.duty.DutyTimes;
 import io.banyantally.internal.duty.FleetReconciler;
+import io.banyantally.internal.duty.ReportedWindows;
 import io.banyantally.internal.duty.StageReconciler;
 import io.banyantally.internal.duty.UsageLedger;
 import io.banyantally.internal.duty.UsagePublisher;
@@ -107,6 +108,7 @@
     private final UpstreamTracks tracks = new UpstreamTracks(MonotonicClock.SYSTEM);
     private final EraCheckedStore store;
     private final UsageLedger usage;
+    private final ReportedWindows reportedWindows = new ReportedWindows();
     private final DutyLease duties;
     private final MemberPresence presence;
     private final UsagePublisher usagePublisher;
@@ -157,7 +159,15 @@
         configurations = new ConfigurationExchange(
                 configuration, peers, listedPeers, MonotonicClock.SYSTEM, Sleeper.SYSTEM, metrics);
         exchange = new WorkExchange(
-                self, peers, tracks, limits, limitFleet, configurations, MonotonicClock.SYSTEM, metrics);
+                self,
+                peers,
+                tracks,
+                limits,
+                limitFleet,
+                configurations,
+                reportedWindows,
+                MonotonicClock.SYSTEM,
+                metrics);
         watchedStore = new RelayedStore(store, self, peers, MonotonicClock.SYSTEM, metrics);
         client = AdapterHttpClient.start(UPSTREAM_CLIENT_SETTINGS);
         LeastLoadedPlacement placement = new LeastLoadedPlacement(ThreadLocalRandom::current);
@@ -229,8 +239,8 @@
     }
 
     private void startDuties() {
-        UsageReporter reporter =
-                new UsageReporter(store, this::storeEra, usage, platform.usage(), health, settings.usageDueTime());
+        UsageReporter reporter = new UsageReporter(
+                store, this::storeEra, usage, platform.usage(), health, settings.usageDueTime(), reportedWindows);
         FleetReconciler fleet =
                 new FleetReconciler(replicas, platform.replicaOrdering(), engines::refusedShare, MonotonicClock.SYSTEM);
         StageReconciler stages = new StageReconciler(replicas, fleet, platform.stageOrdering(), MonotonicClock.SYSTEM);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageLedger.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageLedger.java
@@ -43,7 +43,12 @@
 
     /** Returns the number of the current window. */
     public long currentWindow() {
-        return Math.floorDiv(clock.millis(), windowMillis);
+        return windowIn(Duration.ZERO);
+    }
+
+    /** Returns the number of the window in which the time after {@code time} is. */
+    long windowIn(Duration time) {
+        return Math.floorDiv(clock.millis() + time.toMillis(), windowMillis);
     }
 
     /** Returns the time since the end of a window; negative while it is open. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageListing.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageListing.java
@@ -68,6 +68,13 @@
                 .map(SealingStart::firstWindow);
     }
 
+    /** Returns whether windows were sealed in an era before that of the listing. */
+    boolean hasFormerStart() {
+        return read(GatewayStoreKeys.SEALING_START, SealingStart.class)
+                .filter(start -> !start.era().equals(era))
+                .isPresent();
+    }
+
     /** Returns the revision of an item; {@link StoreRevision#ABSENT} if it is not listed. */
     StoreRevision revision(StoreKey key) {
         StoreItem item = items.get(key);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageReporter.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageReporter.java
@@ -49,6 +49,7 @@
     private final StoreHealth health;
     private final Duration reportDeadline;
     private final DutyCallLog log = new DutyCallLog(LOG, MonotonicClock.SYSTEM);
+    private final ReportedWindows reported;
     private final Set<Long> reportedWindows = new HashSet<>();
 
     /**
@@ -56,6 +57,7 @@
      *
      * @param era returns the newest era of the store that is known
      * @param reportDeadline how long after its end a window may still be reported
+     * @param reported the newest window that any VM has reported, as far as this VM knows
      */
     public UsageReporter(
             CoordinationStore store,
@@ -63,14 +65,16 @@
             UsageLedger ledger,
             UsageWindowSink sink,
             StoreHealth health,
-            Duration reportDeadline) {
+            Duration reportDeadline,
+            ReportedWindows reported) {
         this.store = store;
         this.era = era;
         this.ledger = ledger;
-        this.sealer = new UsageSealer(store, ledger, health);
+        this.sealer = new UsageSealer(store, ledger, health, reported);
         this.sink = sink;
         this.health = health;
         this.reportDeadline = reportDeadline;
+        this.reported = reported;
     }
 
     /** Reports the windows whose counts are final and that are not reported yet, while the holder may act. */
@@ -161,6 +165,7 @@
                     "requests",
                     counts.values().stream().mapToLong(Long::longValue).sum())
         };
+        reported.record(window);
         try {
             sink.report(holder, window, counts);
             reportedWindows.add(window);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageSealer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/UsageSealer.java
@@ -31,6 +31,9 @@
     /** Sealed windows and counts of ended processes are deleted after this time. */
     static final Duration RETENTION = Duration.ofSeconds(60);
 
+    /** Clocks of VMs differ by less than this. */
+    static final Duration CLOCK_DIFFERENCE = Duration.ofSeconds(5);
+
     /** Limit of deletions in one transaction; the store accepts at most 32 entries. */
     private static final int MAXIMUM_DELETIONS_PER_TRANSACTION = 24;
 
@@ -39,13 +42,16 @@
     private final CoordinationStore store;
     private final UsageLedger ledger;
     private final StoreHealth health;
+    private final ReportedWindows reported;
     private final TreeMap<Long, SealedCounts> known = new TreeMap<>();
+    private Optional<StoreEra> firstListed = Optional.empty();
 
     /** Creates a sealer that knows no sealed windows. */
-    UsageSealer(CoordinationStore store, UsageLedger ledger, StoreHealth health) {
+    UsageSealer(CoordinationStore store, UsageLedger ledger, StoreHealth health, ReportedWindows reported) {
         this.store = store;
         this.ledger = ledger;
         this.health = health;
+        this.reported = reported;
     }
 
     /** Returns whether a window was sealed here in an era before {@code era} and is not written in that one yet. */
@@ -61,11 +67,12 @@
      * empty if another VM has just written it.
      */
     Optional<Long> firstWindow(UsageListing listing) throws StoreException {
+        firstListed = Optional.of(firstListed.orElse(listing.era()));
         Optional<Long> written = listing.firstWindow();
         if (written.isPresent()) {
             return written;
         }
-        SealingStart start = new SealingStart(listing.era(), currentWindowOfVms(listing));
+        SealingStart start = new SealingStart(listing.era(), firstUnreportedWindow(listing));
         StoreKey key = GatewayStoreKeys.SEALING_START;
         try {
             store.apply(putAt(key, listing.revision(key), WireFormat.encode(start)));
@@ -80,9 +87,21 @@
         return Optional.of(start.firstWindow());
     }
 
-    /** Returns the current window, or a later one if the clock of this VM is behind those of most VMs. */
-    private long currentWindowOfVms(UsageListing listing) {
-        long own = ledger.currentWindow();
+    /** Returns the current window, or a later one after those that may have been reported in a former era. */
+    private long firstUnreportedWindow(UsageListing listing) {
+        OptionalLong newest = reported.newest();
+        if (newest.isPresent()) {
+            return Math.max(currentWindowOfVms(ledger.currentWindow(), listing), newest.getAsLong() + 1);
+        }
+        // A VM that was there in no former era may have missed the last reports, and the copy is older than they are.
+        boolean mayHaveMissedReports =
+                listing.hasFormerStart() && !listing.era().isAfter(firstListed.orElse(listing.era()));
+        Duration margin = mayHaveMissedReports ? CLOCK_DIFFERENCE : Duration.ZERO;
+        return currentWindowOfVms(ledger.windowIn(margin), listing);
+    }
+
+    /** Returns a window, or a later one if the clock of this VM is behind those of most VMs. */
+    private long currentWindowOfVms(long own, UsageListing listing) {
         List<Long> others = listing.newestByVm().stream()
                 .map(WindowCounts::writtenIn)
                 .sorted()
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import io.banyantally.internal.duty.ReportedWindows;
 import io.banyantally.internal.exchange.WorkMessage.UpstreamWork;
 import io.banyantally.internal.peer.MessagePackCodec;
 import io.banyantally.internal.peer.Peer;
@@ -19,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
@@ -67,6 +69,7 @@
     private final UpstreamLimits limits;
     private final LimitFleet fleet;
     private final ConfigurationExchange configurations;
+    private final ReportedWindows reported;
     private final MonotonicClock clock;
     private final Set<VmId> pendingPeers = ConcurrentHashMap.newKeySet();
     private final Counter unanswered;
@@ -82,6 +85,7 @@
             UpstreamLimits limits,
             LimitFleet fleet,
             ConfigurationExchange configurations,
+            ReportedWindows reported,
             MonotonicClock clock,
             MetricRegistry metrics) {
         this.self = self;
@@ -91,6 +95,7 @@
         this.limits = limits;
         this.fleet = fleet;
         this.configurations = configurations;
+        this.reported = reported;
         this.clock = clock;
         this.unanswered = metrics.counter("work_exchange.unanswered");
         this.requests = metrics.counter("work_exchange.requests");
@@ -191,11 +196,18 @@
                 work.add(new UpstreamWork(track.entry().id().value(), atUpstream.requests(), atUpstream.millis()));
             }
         }
-        return new WorkMessage(work, limits.uses(included), fleet.heardVms(included), configurations.version());
+        OptionalLong window = reported.newest();
+        return new WorkMessage(
+                work,
+                limits.uses(included),
+                fleet.heardVms(included),
+                configurations.version(),
+                window.isPresent() ? Optional.of(window.getAsLong()) : Optional.empty());
     }
 
     private void receive(VmId sender, VmId owner, WorkMessage message) {
         message.configuration().ifPresent(version -> configurations.recordHeard(sender, version));
+        message.reportedWindow().ifPresent(reported::record);
         fleet.recordHeard(owner, message.vms());
         limits.receive(owner, message.limits());
         Map<String, UpstreamWork> byUpstream = new HashMap<>();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkMessage.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkMessage.java
@@ -10,14 +10,21 @@
  * @param limits the use of upstreams that have named a limit
  * @param vms the number of VMs whose work and use are added
  * @param configuration the version of the configuration that the sender has in force; absent if it has none
+ * @param reportedWindow the newest usage window that the sender knows to be reported; absent if it knows none
  */
-record WorkMessage(List<UpstreamWork> work, List<LimitUse> limits, int vms, Optional<Long> configuration) {
+record WorkMessage(
+        List<UpstreamWork> work,
+        List<LimitUse> limits,
+        int vms,
+        Optional<Long> configuration,
+        Optional<Long> reportedWindow) {
 
     WorkMessage {
         work = List.copyOf(work);
         // Absent in messages of an earlier version.
         limits = limits == null ? List.of() : List.copyOf(limits);
         configuration = configuration == null ? Optional.empty() : configuration;
+        reportedWindow = reportedWindow == null ? Optional.empty() : reportedWindow;
     }
 
     /**
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsageReportEraTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsageReportEraTest.java
@@ -116,6 +116,7 @@
         Copy copy = store.copy();
         pass(Duration.ofMillis(7500));
         first.report();
+        first.tell(second);
         store.returnOlder(copy);
         first.serve(2);
         second.report();
@@ -180,6 +181,28 @@
         assertEquals(List.of(3L), sink.reportsOf(0));
     }
 
+    /** Guards against a second report by a VM that knows of the first one, and whose clock is far behind. */
+    @Test
+    void startOfSealingIsNotBeforeWindowsWhoseReportIsKnown() throws InterruptedException {
+        first.serve(3);
+        pass(Duration.ofMillis(4500), first);
+        Copy copy = store.copy();
+        pass(Duration.ofSeconds(3), first);
+        first.report();
+        Vm behind = new Vm("vm-3", -12_000);
+        first.tell(behind);
+        store.returnOlder(copy);
+
+        pass(Duration.ofSeconds(5), behind);
+        behind.serve(1);
+        for (int round = 0; round < 30; round++) {
+            behind.report();
+            pass(Duration.ofMillis(500), behind);
+        }
+
+        assertEquals(List.of(3L), sink.reportsOf(0));
+    }
+
     /** Guards against a second report after a holder whose clock is ahead has deleted the seal as too old. */
     @Test
     void holderWhoseClockIsAheadDoesNotDeleteSealsOfReportableWindows() throws InterruptedException {
@@ -230,6 +253,7 @@
         private final UsageLedger ledger;
         private final UsagePublisher publisher;
         private final UsageReporter reporter;
+        private final ReportedWindows reported = new ReportedWindows();
 
         Vm(String name) {
             this(name, 0);
@@ -243,7 +267,7 @@
             StoreHealth health = new StoreHealth(clock);
             Supplier<StoreEra> era = () -> checked.era().orElse(StoreEra.UNKNOWN);
             publisher = new UsagePublisher(checked, era, ledger, health, clock, vm, "lifetime " + System.nanoTime());
-            reporter = new UsageReporter(checked, era, ledger, sink, health, REPORT_DEADLINE);
+            reporter = new UsageReporter(checked, era, ledger, sink, health, REPORT_DEADLINE, reported);
         }
 
         void serve(int requests) {
@@ -253,6 +277,11 @@
             publisher.publish(1);
         }
 
+        /** Tells another VM the newest reported window, as the exchange of work does. */
+        void tell(Vm other) {
+            reported.newest().ifPresent(other.reported::record);
+        }
+
         void report() throws InterruptedException {
             reporter.run(new DutyHolder(vm, new FencingNumber(4), () -> true));
         }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsageReporterTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsageReporterTest.java
@@ -163,7 +163,7 @@
             EraCheckedStore checked = new EraCheckedStore(store, clock);
             Supplier<StoreEra> era = () -> checked.era().orElse(StoreEra.UNKNOWN);
             publisher = new UsagePublisher(checked, era, ledger, health, clock, new VmId(name), "lifetime-of-" + name);
-            reporter = new UsageReporter(checked, era, ledger, sink, health, REPORT_DEADLINE);
+            reporter = new UsageReporter(checked, era, ledger, sink, health, REPORT_DEADLINE, new ReportedWindows());
         }
 
         void serve(int requests) {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
@@ -8,6 +8,7 @@
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.ResponseMetadata;
 import io.banyantally.internal.deployment.ConfigurationHolder;
+import io.banyantally.internal.duty.ReportedWindows;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.placement.Candidate;
@@ -28,6 +29,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -98,6 +100,17 @@
         }
     }
 
+    /** Guards against a holder that reports a window again, since it does not know that another VM has reported it. */
+    @Test
+    void everyVmOfALargeFleetKnowsTheReportedWindows() throws InterruptedException {
+        List<Vm> fleet = startFleet(40);
+        fleet.getLast().reported.record(7);
+
+        runFor(Duration.ofMillis(500), fleet);
+
+        fleet.forEach(vm -> assertEquals(OptionalLong.of(7), vm.reported.newest()));
+    }
+
     /** Guards against messages that grow with the square of the fleet. */
     @ParameterizedTest
     @ValueSource(ints = {20, 40, 95})
@@ -196,6 +209,7 @@
         private final LimitFleet fleet;
         private final UpstreamLimits limits;
         private final WorkExchange exchange;
+        private final ReportedWindows reported = new ReportedWindows();
 
         private final MetricRegistry metrics = new MetricRegistry();
         private final Peer self;
@@ -210,7 +224,7 @@
                     new ConfigurationHolder(new StoreKey("operator/configuration"), new VersionReader());
             ConfigurationExchange configurations =
                     new ConfigurationExchange(holder, network, new FixedPeers(0), clock, time -> {}, metrics);
-            exchange = new WorkExchange(self, network, tracks, limits, fleet, configurations, clock, metrics);
+            exchange = new WorkExchange(self, network, tracks, limits, fleet, configurations, reported, clock, metrics);
         }
 
         void exchangeIfDue() {
