Ask few peers for a configuration that none of them can send

A VM that starts while its peers have a newer configuration of more than 1 MB compressed, or are busy sending it, asked every connected peer again each 20 ms for 1.5 s: 1,500 questions among 20 peers.

It now asks three peers in a round and waits 100 ms between rounds, or 20 ms while no peer is connected.

ConfigurationExchangeTest#documentThatIsTooLargeIsAskedForAFewTimes: 1,500 questions before, at most 60 allowed, which it keeps after the change (14 of 14 tests of the class pass).

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ConfigurationExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ConfigurationExchange.java
@@ -137,7 +137,7 @@
             listed.connect();
             peer = compareOnce(known, starting);
             if (peer.isEmpty() && starting.size() < expectedPeers()) {
-                sleeper.sleep(CONNECT_INTERVAL);
+                sleeper.sleep(peers.peers().isEmpty() ? CONNECT_INTERVAL : INTERVAL);
             }
         }
         LOG.info(
@@ -148,18 +148,22 @@
                 EventField.of("waited_ms", clock.since(startedAt).toMillis()));
     }
 
-    /** Asks the connected peers in turn; returns one that has told its version, and adds those without one. */
+    /** Asks some connected peers in turn; returns one that has told its version, and adds those without one. */
     private Optional<VmId> compareOnce(Optional<Long> known, Set<VmId> starting) {
-        for (Peer peer : shuffledPeers()) {
+        List<VmId> asked = shuffledPeers().stream()
+                .map(Peer::vm)
+                .filter(vm -> !starting.contains(vm))
+                .limit(PEERS_OF_A_ROUND)
+                .toList();
+        for (VmId vm : asked) {
             if (starting.size() >= expectedPeers()) {
                 break;
             }
-            Optional<ConfigurationAnswer> answer =
-                    starting.contains(peer.vm()) ? Optional.empty() : ask(peer.vm(), known);
+            Optional<ConfigurationAnswer> answer = ask(vm, known);
             if (answer.isPresent() && answer.get().version().isEmpty()) {
-                starting.add(peer.vm());
+                starting.add(vm);
             } else if (answer.isPresent() && isComplete(answer.get(), known)) {
-                return Optional.of(peer.vm());
+                return Optional.of(vm);
             }
         }
         return Optional.empty();
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/ConfigurationExchangeTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/ConfigurationExchangeTest.java
@@ -123,6 +123,25 @@
         assertTrue(questions.get() <= ConfigurationExchange.MAXIMUM_STARTING_PEERS, questions + " questions");
     }
 
+    /** Guards against a start that asks all peers again and again for a document that none of them can send. */
+    @Test
+    void documentThatIsTooLargeIsAskedForAFewTimes() throws StoreException {
+        byte[] noise = new byte[1_200_000];
+        new Random(1).nextBytes(noise);
+        String document = "7 " + Base64.getEncoder().encodeToString(noise);
+        AtomicInteger questions = new AtomicInteger();
+        for (int index = 0; index < 20; index++) {
+            startedVm("vm-" + index, document).countQuestions(questions);
+        }
+        write("3");
+        Vm starting = new Vm("vm-20", 20);
+
+        starting.feed.deliver();
+
+        assertEquals(List.of(3L), starting.versions);
+        assertTrue(questions.get() <= 60, questions + " questions");
+    }
+
     /** Guards against a VM that keeps the older configuration because its peers connected too late. */
     @Test
     void newerVersionThatIsHeardOfLaterIsFetched() throws StoreException {
