Limit the time of a start whose peers connect late and are silent

A process whose peers connect just before the limit of its start and do not answer was not ready for 3.06 s, where 1.5 s and one question are meant: a round of three questions ran to its end, and the number of expected peers was asked of the store after the limit. Both now end at the limit; by then one question of 0.5 s may be open.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ConfigurationExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ConfigurationExchange.java
@@ -131,12 +131,10 @@
         long startedAt = clock.nanoTime();
         Set<VmId> starting = new HashSet<>();
         Optional<VmId> peer = Optional.empty();
-        while (peer.isEmpty()
-                && starting.size() < expectedPeers()
-                && clock.since(startedAt).compareTo(START_LIMIT) < 0) {
+        while (peer.isEmpty() && isComparing(startedAt, starting)) {
             listed.connect();
-            peer = compareOnce(known, starting);
-            if (peer.isEmpty() && starting.size() < expectedPeers()) {
+            peer = compareOnce(known, starting, startedAt);
+            if (peer.isEmpty() && isComparing(startedAt, starting)) {
                 sleeper.sleep(peers.peers().isEmpty() ? CONNECT_INTERVAL : INTERVAL);
             }
         }
@@ -148,15 +146,22 @@
                 EventField.of("waited_ms", clock.since(startedAt).toMillis()));
     }
 
-    /** Asks some connected peers in turn; returns one that has told its version, and adds those without one. */
-    private Optional<VmId> compareOnce(Optional<Long> known, Set<VmId> starting) {
+    private boolean isComparing(long startedAt, Set<VmId> starting) {
+        return clock.since(startedAt).compareTo(START_LIMIT) < 0 && starting.size() < expectedPeers();
+    }
+
+    /**
+     * Asks some connected peers in turn until the limit; returns one that has told its version, and adds those without
+     * one.
+     */
+    private Optional<VmId> compareOnce(Optional<Long> known, Set<VmId> starting, long startedAt) {
         List<VmId> asked = shuffledPeers().stream()
                 .map(Peer::vm)
                 .filter(vm -> !starting.contains(vm))
                 .limit(PEERS_OF_A_ROUND)
                 .toList();
         for (VmId vm : asked) {
-            if (starting.size() >= expectedPeers()) {
+            if (!isComparing(startedAt, starting)) {
                 break;
             }
             Optional<ConfigurationAnswer> answer = ask(vm, known);
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/ConfigurationExchangeTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/ConfigurationExchangeTest.java
@@ -8,6 +8,10 @@
 import io.banyantally.internal.deployment.ActiveConfiguration;
 import io.banyantally.internal.deployment.ConfigurationHolder;
 import io.banyantally.internal.peer.Peer;
+import io.banyantally.internal.peer.PeerException;
+import io.banyantally.internal.peer.PeerNetwork;
+import io.banyantally.internal.peer.PeerRequestHandler;
+import io.banyantally.internal.peer.Topic;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.Incarnation;
 import io.banyantally.model.VmId;
@@ -81,6 +85,37 @@
                 starting.waited + " until the start");
     }
 
+    /** Guards against a start that silent peers delay for longer than the limit and one question. */
+    @Test
+    void silentPeersThatConnectLateDelayTheStartByALimitedTime() throws StoreException {
+        write("3");
+        for (int index = 0; index < 3; index++) {
+            new Vm("vm-" + index, 3);
+        }
+        Vm starting = new Vm("vm-3", 3);
+        starting.connectedAt = ConfigurationExchange.START_LIMIT.minusMillis(50);
+        long startedAt = clock.nanoTime();
+
+        starting.feed.deliver();
+
+        Duration passed = clock.since(startedAt);
+        assertTrue(passed.compareTo(ConfigurationExchange.START_LIMIT.plusMillis(550)) <= 0, passed + " at the start");
+    }
+
+    /** Guards against an older configuration that one process that could reach no peer passes on to the next one. */
+    @Test
+    void peerThatHasComparedWithNobodyDoesNotVouchForAnOlderConfiguration() throws StoreException {
+        startedVm("vm-1", "7");
+        startedVm("vm-2", "3");
+        for (int index = 3; index < 23; index++) {
+            Vm starting = new Vm("vm-" + index, 2);
+
+            starting.feed.deliver();
+
+            assertEquals(List.of(7L), starting.versions, starting.id.value());
+        }
+    }
+
     /** Guards against VMs that wait for each other after all of them have failed. */
     @Test
     void fleetWhoseVmsAllStartDoesNotWait() throws StoreException {
@@ -274,13 +309,14 @@
         private final StoreFeed feed;
         private Duration waited = Duration.ZERO;
         private AtomicInteger questions = new AtomicInteger();
+        private Duration connectedAt = Duration.ZERO;
 
         Vm(String name, long peers) {
             id = new VmId(name);
             Peer self = new Peer(id, Incarnation.draw(), new AvailabilityZone("zone-a"));
             exchange = new ConfigurationExchange(
                     holder,
-                    new CountingNetwork(hub.join(self), () -> questions.incrementAndGet()),
+                    lateAndSilent(new CountingNetwork(hub.join(self), () -> questions.incrementAndGet())),
                     new FixedPeers(OptionalLong.of(peers)),
                     clock,
                     this::sleep,
@@ -293,6 +329,31 @@
             questions = counter;
         }
 
+        /** Returns a network that, with a time of connecting, has no peers before it and gets no answers. */
+        private PeerNetwork lateAndSilent(PeerNetwork network) {
+            long createdAt = clock.nanoTime();
+            return new PeerNetwork() {
+                @Override
+                public void handle(Topic topic, PeerRequestHandler handler) {
+                    network.handle(topic, handler);
+                }
+
+                @Override
+                public byte[] request(VmId peer, Topic topic, byte[] payload, Duration timeout) throws PeerException {
+                    if (connectedAt.isZero()) {
+                        return network.request(peer, topic, payload, timeout);
+                    }
+                    clock.advance(timeout);
+                    throw new PeerException("no answer");
+                }
+
+                @Override
+                public List<Peer> peers() {
+                    return clock.since(createdAt).compareTo(connectedAt) < 0 ? List.of() : network.peers();
+                }
+            };
+        }
+
         private void sleep(Duration time) {
             waited = waited.plus(time);
             clock.advance(time);
