Count a late last call in the time between turns of holders

If the store ends two leases early in a row, a former holder acted again 3.7 s after the end of its permission. Its last call may arrive 1.7 s after it was permitted, so the two could be 2 s apart at the receiver, inside leaseMs. The takeover delay covered the time limit of that call and not its delay on the way.

The delay is now half of leaseMs, the time limit and the delay on the way (2.35 s; 1.85 s before), which makes the longest time without a holder 0.5 s longer by design: 5.8 s after a kill, 3.8 s after an outage that ended leases.

DutyActs asks for the delay as well.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyTimes.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/DutyTimes.java
@@ -33,8 +33,8 @@
      * next one, so from the end of A's permission two takeover delays pass.
      */
     public static DutyTimes withoutTurnsWithin(Duration turnTime) {
-        Duration forTurns = turnTime.plus(CALL_TIMEOUT).dividedBy(2);
         Duration forLastCall = CALL_TIMEOUT.plus(DELAY_ON_THE_WAY);
+        Duration forTurns = turnTime.plus(forLastCall).dividedBy(2);
         return new DutyTimes(
                 TIME_TO_LIVE,
                 TIME_TO_LIVE.minus(SAFETY_MARGIN),
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyActs.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyActs.java
@@ -14,9 +14,6 @@
     /** Holders must not take turns within this time ({@code leaseMs}). */
     static final long TURN_MILLIS = 3000;
 
-    /** The last call of a holder may arrive this long after it was permitted. */
-    private static final long CALL_TIMEOUT_MILLIS = 700;
-
     /** The last call of a holder may be open for 700 ms, and be delayed on the way for a second. */
     private static final long CALL_MILLIS = 1700;
 
@@ -42,7 +39,7 @@
         if (!sameHolder && now - lastActAt < CALL_MILLIS) {
             violations.add(now + " ms: " + vm + " acts " + (now - lastActAt) + " ms after " + holder);
         }
-        if (!sameHolder && lastActs.containsKey(vm) && now - lastActs.get(vm) < TURN_MILLIS + CALL_TIMEOUT_MILLIS) {
+        if (!sameHolder && lastActs.containsKey(vm) && now - lastActs.get(vm) < TURN_MILLIS + CALL_MILLIS) {
             violations.add(now + " ms: " + vm + " acts again after " + holder + " and " + lastActs.get(vm) + " ms");
         }
         holder = Optional.of(vm);
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyTimesTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/DutyTimesTest.java
@@ -36,6 +36,21 @@
         assertTrue(between.compareTo(CALL_TIMEOUT.plusSeconds(1)) >= 0, "between both: " + between);
     }
 
+    /** Guards against turns of two holders where the last call of the former one is a second longer on the way. */
+    @Test
+    void formerHolderActsAgainOnlyAfterTheTurnTimeOfALateCall() {
+        Duration turnTime = Duration.ofSeconds(3);
+        DutyTimes times = DutyTimes.withoutTurnsWithin(turnTime);
+        Duration earliestElectionOfA = times.takeoverWait().minus(times.permission());
+
+        Duration between = earliestElectionOfA
+                .plus(times.takeoverWait())
+                .minus(times.permission())
+                .minus(CALL_TIMEOUT.plusSeconds(1));
+
+        assertTrue(between.compareTo(turnTime) >= 0, "between both: " + between);
+    }
+
     /** Guards against terms that end because one renewal and its time limit of a second went by without a response. */
     @Test
     void leaseOutlastsARenewalWithoutAResponse() {
