List a second report by a VM that has missed the last one

Found and shown by a review: the margin for differences of clocks applies to a VM that knows no reported window, and not to one that knows an older one. Not mended: a margin for every VM costs one more window after each return, and by reading windowThatEndsAfterTheReturnIsReported would fail.

--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsageReportEraTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/UsageReportEraTest.java
@@ -203,6 +203,31 @@
         assertEquals(List.of(3L), sink.reportsOf(0));
     }
 
+    /** Guards against a second report by a VM that knows of an earlier report only, and whose clock is behind. */
+    @Test
+    void startOfSealingIsNotBeforeReportsThatFollowTheNewestKnown() throws InterruptedException {
+        first.serve(1);
+        pass(Duration.ofMillis(7500), first);
+        first.report();
+        Vm behind = new Vm("vm-3", -4000);
+        first.tell(behind);
+        first.serve(3);
+        pass(Duration.ofSeconds(2), first);
+        Copy copy = store.copy();
+        pass(Duration.ofSeconds(3), first);
+        first.report();
+        assertEquals(List.of(3L), sink.reportsOf(1));
+        store.returnOlder(copy);
+
+        behind.serve(1);
+        for (int round = 0; round < 20; round++) {
+            behind.report();
+            pass(Duration.ofMillis(500), behind);
+        }
+
+        assertEquals(List.of(3L), sink.reportsOf(1).stream().distinct().toList());
+    }
+
     /** Guards against a second report after a holder whose clock is ahead has deleted the seal as too old. */
     @Test
     void holderWhoseClockIsAheadDoesNotDeleteSealsOfReportableWindows() throws InterruptedException {
