Accept a fraction as the number of additional retries

Cause: 'budgetExtraRetries' was read as a whole number of 32 bits, but the settings give bounds as whole numbers or fractions. Change: the limit of retries is a decimal number. Result: BootSettingsTest#additionalRetriesMayBeAFraction fails before the change and passes after it; RetryAllowanceTest passes.

--- a/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
+++ b/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
@@ -30,7 +30,7 @@
         Duration usageDueTime,
         Duration dutyTurnTime,
         double retryRatio,
-        int retryExtra,
+        double retryExtra,
         Duration retryWindow,
         Duration gracePeriod,
         Duration addressLifetime) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/RetryAllowance.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/RetryAllowance.java
@@ -49,7 +49,7 @@
         Window window = window(service);
         window.removeExpired(window.requests);
         window.removeExpired(window.retries);
-        double allowed = USED_FRACTION * (limit.ratio() * window.requests.size() + limit.extra() / (double) mostVms);
+        double allowed = USED_FRACTION * (limit.ratio() * window.requests.size() + limit.extra() / mostVms);
         if (window.retries.size() + 1 > allowed) {
             return false;
         }
@@ -76,7 +76,7 @@
      * @param extra additional retries in each window
      * @param window the length of the sliding window
      */
-    public record RetryLimit(double ratio, int extra, Duration window) {}
+    public record RetryLimit(double ratio, double extra, Duration window) {}
 
     private final class Window {
         private final ArrayDeque<Long> requests = new ArrayDeque<>();
