Write usage of a large fleet in batches and list members less often

Cause: in a fleet of 84 VMs each VM writes its usage two to three times in a window of 5 s, some 40 calls a second, and each of 84 VMs that start ends the watches of all VMs that do not know each other yet. Ruled out: fewer writes (a crash of many VMs would lose a whole window), one key for a zone (a late write could replace final counts). Change: from 17 VMs on, conditional writes of single keys go through one VM of the zone, which applies those of 400 ms in one transaction of at most 16; a VM whose write was not applied writes itself. Member changes that follow within 400 ms are read together.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -29,11 +29,13 @@
 import io.banyantally.internal.duty.UsageLedger;
 import io.banyantally.internal.duty.UsagePublisher;
 import io.banyantally.internal.duty.UsageReporter;
+import io.banyantally.internal.exchange.BatchedStore;
 import io.banyantally.internal.exchange.ConfigurationExchange;
 import io.banyantally.internal.exchange.LimitFleet;
 import io.banyantally.internal.exchange.ListedPeers;
 import io.banyantally.internal.exchange.RelayedStore;
 import io.banyantally.internal.exchange.WorkExchange;
+import io.banyantally.internal.exchange.ZoneDelegates;
 import io.banyantally.internal.forwarding.BufferMemory;
 import io.banyantally.internal.forwarding.ForwardingServices;
 import io.banyantally.internal.forwarding.GatewayServer;
@@ -62,6 +64,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * A gateway process. It forwards callers' requests to upstreams according to the operator's configuration. While it
@@ -138,8 +141,6 @@
         configuration = new ConfigurationHolder(platform.keys().configuration(), documents);
         replicas = new ReplicaRegistry(documents, health, MonotonicClock.SYSTEM);
         usage = new UsageLedger(wallClock, settings.usageWindow());
-        usagePublisher = new UsagePublisher(
-                store, this::storeEra, usage, health, MonotonicClock.SYSTEM, settings.vm(), incarnationText);
         duties = new DutyLease(
                 store,
                 members,
@@ -152,6 +153,14 @@
         presence = new MemberPresence(store, this::storeEra, own, health);
         Peer self = new Peer(settings.vm(), incarnation, settings.zone());
         peers = new TcpPeerNetwork(self, PEER_SITE, settings.peers(), MonotonicClock.SYSTEM);
+        usagePublisher = new UsagePublisher(
+                new BatchedStore(store, self, peers, MonotonicClock.SYSTEM, Sleeper.SYSTEM, metrics),
+                this::storeEra,
+                usage,
+                health,
+                MonotonicClock.SYSTEM,
+                settings.vm(),
+                incarnationText);
         LimitFleet limitFleet = new LimitFleet(
                 () -> members.members().stream().map(MemberEntry::vm).toList(), MonotonicClock.SYSTEM);
         limits = new UpstreamLimits(limitFleet::sharers, MonotonicClock.SYSTEM, new Random(), metrics);
@@ -206,10 +215,11 @@
      * @throws StartFailedException if the gateway cannot listen at one of its addresses
      */
     public void start() throws StartFailedException {
-        follow(platform.keys().configuration().path(), PrefixWatcher.SHORT_WATCH, configurations);
-        follow(platform.keys().replicaPrefix(), PrefixWatcher.SHORT_WATCH, replicas);
-        follow(GatewayStoreKeys.LIVE_PREFIX, PrefixWatcher.LONG_WATCH, members);
-        follow(CrashStoreKeys.PREFIX, PrefixWatcher.LONG_WATCH, crashes);
+        Supplier<Duration> immediate = () -> PrefixWatcher.BATCHING_DELAY;
+        follow(platform.keys().configuration().path(), PrefixWatcher.SHORT_WATCH, configurations, immediate);
+        follow(platform.keys().replicaPrefix(), PrefixWatcher.SHORT_WATCH, replicas, immediate);
+        follow(GatewayStoreKeys.LIVE_PREFIX, PrefixWatcher.LONG_WATCH, members, this::longBatchingDelay);
+        follow(CrashStoreKeys.PREFIX, PrefixWatcher.LONG_WATCH, crashes, immediate);
         try {
             peers.start();
             server.start();
@@ -233,8 +243,15 @@
         LOG.info("started", EventField.of("vm", settings.vm()), EventField.of("callers", settings.callersText()));
     }
 
-    private void follow(String prefix, Duration watchTime, PrefixListener listener) {
-        PrefixWatcher follower = new PrefixWatcher(watchedStore, prefix, watchTime, listener, health, Sleeper.SYSTEM);
+    private Duration longBatchingDelay() {
+        return members.members().size() < ZoneDelegates.MINIMUM_VMS
+                ? PrefixWatcher.BATCHING_DELAY
+                : PrefixWatcher.LARGE_FLEET_BATCHING_DELAY;
+    }
+
+    private void follow(String prefix, Duration watchTime, PrefixListener listener, Supplier<Duration> batchingDelay) {
+        PrefixWatcher follower =
+                new PrefixWatcher(watchedStore, prefix, watchTime, listener, health, Sleeper.SYSTEM, batchingDelay);
         tasks.startOnce("follow " + prefix, follower);
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixWatcher.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixWatcher.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
 
 /**
  * Keeps a listener up to date with all items under a prefix, by one listing and then watches, each from the revision of
@@ -37,7 +38,13 @@
     static final Duration CATCH_UP_WATCH = Duration.ZERO;
 
     /** Delay after a change, so that changes in quick succession take one call; the store limits the rate of calls. */
-    static final Duration BATCHING_DELAY = Duration.ofMillis(40);
+    public static final Duration BATCHING_DELAY = Duration.ofMillis(40);
+
+    /**
+     * The same in a large fleet, for changes that may be known later. All VMs of a starting fleet write their entries
+     * within a second or two, and each change ends the watches of all VMs that do not know each other yet.
+     */
+    public static final Duration LARGE_FLEET_BATCHING_DELAY = Duration.ofMillis(400);
 
     /** Delay before the first retry, short because the call may have failed only with its connection. */
     static final Duration FIRST_RETRY_DELAY = Duration.ofMillis(25);
@@ -53,6 +60,7 @@
     private final PrefixListener listener;
     private final StoreHealth health;
     private final Sleeper sleeper;
+    private final Supplier<Duration> batchingDelay;
 
     /** Creates a watcher; {@link #run} runs until its thread is interrupted. */
     public PrefixWatcher(
@@ -62,12 +70,29 @@
             PrefixListener listener,
             StoreHealth health,
             Sleeper sleeper) {
+        this(store, prefix, watchTimeout, listener, health, sleeper, () -> BATCHING_DELAY);
+    }
+
+    /**
+     * Creates a watcher.
+     *
+     * @param batchingDelay returns the delay after a change
+     */
+    public PrefixWatcher(
+            CoordinationStore store,
+            String prefix,
+            Duration watchTimeout,
+            PrefixListener listener,
+            StoreHealth health,
+            Sleeper sleeper,
+            Supplier<Duration> batchingDelay) {
         this.store = store;
         this.prefix = prefix;
         this.watchTimeout = watchTimeout;
         this.listener = listener;
         this.health = health;
         this.sleeper = sleeper;
+        this.batchingDelay = batchingDelay;
     }
 
     @Override
@@ -135,7 +160,7 @@
         }
         listener.caughtUp();
         if (changed) {
-            sleeper.sleep(BATCHING_DELAY);
+            sleeper.sleep(batchingDelay.get());
         }
         return changes.revision();
     }
