Place by expected completion and tell other VMs of refusals

Cause: an engine that refuses (a pending order, a full queue) seems idle and attracts the requests of all VMs; each VM avoided it for 150 ms by itself, and places about three requests a second in a fleet of 84. The fourth figure of the load header was not used. Change: avoidance that doubles up to 800 ms and is told to other VMs with the exchange of work; the pace of upstreams counts in placement and is shared as well. Without the figure a cost equals the load. Result: RefusalBackoffTest, PaceTest, three new cases of WorkExchangeTest (40 VMs), LeastLoadedPlacementTest and LoadBoundTest pass. LoadBoundTest compares costs in place of loads, which are the same where no figure is reported.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -9,6 +9,7 @@
 import io.banyantally.internal.peer.PeerException;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.peer.Topic;
+import io.banyantally.internal.placement.Pace;
 import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.internal.placement.UpstreamTracks;
@@ -23,6 +24,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -181,19 +183,33 @@
     /** Returns the work of this VM and of the peers that {@code included} accepts, summed by upstream. */
     private WorkMessage workOf(Predicate<VmId> included) {
         long now = clock.nanoTime();
-        return message(track -> track.workWithPeers(included, now), included);
+        return message(track -> track.workWithPeers(included, now), track -> track.knownAvoidance(now), included, now);
     }
 
     private WorkMessage ownWork() {
-        return message(UpstreamTrack::ownWork, vm -> false);
+        long now = clock.nanoTime();
+        return message(UpstreamTrack::ownWork, track -> track.ownAvoidance(now), vm -> false, now);
     }
 
-    private WorkMessage message(Function<UpstreamTrack, UpstreamTrack.Work> workAt, Predicate<VmId> included) {
+    private WorkMessage message(
+            Function<UpstreamTrack, UpstreamTrack.Work> workAt,
+            Function<UpstreamTrack, Duration> avoidanceOf,
+            Predicate<VmId> included,
+            long now) {
         List<UpstreamWork> work = new ArrayList<>();
         for (UpstreamTrack track : tracks.all()) {
             UpstreamTrack.Work atUpstream = workAt.apply(track);
-            if (atUpstream.requests() > 0) {
-                work.add(new UpstreamWork(track.entry().id().value(), atUpstream.requests(), atUpstream.millis()));
+            long refusingMillis = avoidanceOf.apply(track).toMillis();
+            Optional<Pace.Report> pace = track.reportedPace(now);
+            if (atUpstream.requests() > 0 || refusingMillis > 0 || pace.isPresent()) {
+                work.add(new UpstreamWork(
+                        track.entry().id().value(),
+                        atUpstream.requests(),
+                        atUpstream.millis(),
+                        refusingMillis,
+                        pace.map(Pace.Report::percent).orElse(0),
+                        pace.map(report -> Duration.ofNanos(now - report.at()).toMillis())
+                                .orElse(0L)));
             }
         }
         OptionalLong window = reported.newest();
@@ -216,6 +232,13 @@
         for (UpstreamTrack track : tracks.all()) {
             UpstreamWork work = byUpstream.get(track.entry().id().value());
             track.setPeerWork(owner, work == null ? 0 : work.requests(), work == null ? 0 : work.millis(), now);
+            if (work != null) {
+                track.setPeerSight(
+                        Duration.ofMillis(work.refusingMillis()),
+                        work.workTime(now),
+                        ThreadLocalRandom.current().nextDouble(),
+                        now);
+            }
         }
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkMessage.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkMessage.java
@@ -1,8 +1,10 @@
 package io.banyantally.internal.exchange;
 
 import io.banyantally.internal.placement.LimitUse;
+import io.banyantally.internal.placement.Pace;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The work that VMs have at upstreams; upstreams without work are left out.
@@ -32,6 +34,24 @@
      *
      * @param requests the number of requests there
      * @param millis the time that the requests keep the upstream busy, in milliseconds
+     * @param refusingMillis how much longer the upstream is avoided because it has refused requests; 0 if it is not
+     * @param workTimePercent the time that work takes there in percent of the usual time; 0 if not reported lately
+     * @param workTimeAgeMillis how long ago the upstream reported that
      */
-    record UpstreamWork(String upstream, int requests, double millis) {}
+    record UpstreamWork(
+            String upstream,
+            int requests,
+            double millis,
+            long refusingMillis,
+            int workTimePercent,
+            long workTimeAgeMillis) {
+
+        /** Returns the time that work takes at the upstream, on the clock of this process. */
+        Optional<Pace.Report> workTime(long now) {
+            return workTimePercent <= 0
+                    ? Optional.empty()
+                    : Optional.of(new Pace.Report(
+                            workTimePercent, now - TimeUnit.MILLISECONDS.toNanos(Math.max(0, workTimeAgeMillis))));
+        }
+    }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
@@ -72,7 +72,7 @@
                         return new PrefillOutcome.Cached(new PrefilledCache(engine, response.handle()));
                     }
                 }
-                track.recordRefusal(services.clock().nanoTime());
+                track.recordRefusal(startedAt, services.clock().nanoTime());
                 track.health().recordInconclusive();
                 return PrefillOutcome.FAILED;
             }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -87,7 +87,7 @@
             track.recordEnd(choice.work(), startedAt);
             caller.clearDisconnectAction();
         }
-        recordOutcome(track, outcome);
+        recordOutcome(track, outcome, startedAt);
         recordPrompt(upstream, outcome);
         log.add("upstream" + sends, upstream.id());
         log.addPlacement("placed" + sends, choice);
@@ -107,7 +107,7 @@
                 .collect(Collectors.joining("/"));
     }
 
-    private void recordOutcome(UpstreamTrack track, SendOutcome outcome) {
+    private void recordOutcome(UpstreamTrack track, SendOutcome outcome, long startedAt) {
         switch (outcome) {
             case SendOutcome.Delivered delivered -> services.tracks().succeeded(track);
             case SendOutcome.CompleteResponse response -> {
@@ -131,7 +131,7 @@
                 if (refused.reason().equals("not_connected") || refused.reason().equals("other_instance")) {
                     services.recordFailure(track, refused.reason());
                 } else {
-                    track.recordRefusal(services.clock().nanoTime());
+                    track.recordRefusal(startedAt, services.clock().nanoTime());
                     track.health().recordInconclusive();
                 }
             }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/Candidate.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/Candidate.java
@@ -17,6 +17,7 @@
  * @param observedWaitMillis how long requests of this process wait at the upstream, in milliseconds
  * @param slotMillis the moving mean of how long requests of this process occupy a slot, in milliseconds; 0 if none has
  *     ended
+ * @param pace the time that work takes at the upstream now divided by the usual time; 1 if it does not report it
  * @param refusing whether the upstream has refused a request a moment ago
  * @param trusted whether the upstream is healthy enough to get a request now
  */
@@ -31,5 +32,6 @@
         long loadAgeNanos,
         double observedWaitMillis,
         double slotMillis,
+        double pace,
         boolean refusing,
         boolean trusted) {}
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
@@ -81,6 +81,12 @@
     /** The weight of one prompt in the moving share of refused ones; a VM places about 50 prompts a second. */
     private static final double REFUSED_SHARE_SMOOTHING = 0.02;
 
+    /**
+     * What the pace of an idle engine counts for, as a fraction of its slots: its tokens take longer although no other
+     * request is there.
+     */
+    private static final double IDLE_COST = 0.5;
+
     private final RandomGenerator random;
     private double refusedShare;
 
@@ -137,7 +143,7 @@
             return refuseWithoutSlot(demand, engines);
         }
         Candidate least = inTime.stream()
-                .min(Comparator.comparingDouble(engine -> occupancy(engine)
+                .min(Comparator.comparingDouble(engine -> decodingCost(engine)
                         + (cacheZone.isPresent()
                                         && !cacheZone
                                                 .get()
@@ -221,7 +227,7 @@
     private static double slotWaitMillis(Candidate engine) {
         double slots = engine.entry().slots();
         double requestsAhead = Math.max(0, occupancy(engine) * slots - slots + 1);
-        return Math.max(engine.observedWaitMillis(), requestsAhead / slots * engine.slotMillis());
+        return Math.max(engine.observedWaitMillis(), requestsAhead / slots * engine.slotMillis() * engine.pace());
     }
 
     private Placement.Decision.Refuse refuseWithoutSlot(Placement.Demand demand, List<Candidate> engines) {
@@ -265,6 +271,11 @@
         return engine.outstandingWork() + engine.peerWork();
     }
 
+    /** Returns the occupancy of an engine, weighted by the time that its work takes. */
+    private static double decodingCost(Candidate engine) {
+        return (occupancy(engine) + IDLE_COST) * engine.pace() - IDLE_COST;
+    }
+
     /** Returns the fraction of an engine's slots that is occupied; more than 1 if requests wait for a slot. */
     private static double occupancy(Candidate engine) {
         return (engine.outstanding() + Math.max(engine.peerRequests(), otherVmRequests(engine)))
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
@@ -9,7 +9,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Chooses the upstream with the least load, in a large service among a few that are drawn at random.
+ * Chooses the upstream with the earliest expected completion, in a large service among a few that are drawn at random.
+ * Where upstreams do not report how long work takes, that is the one with the least load.
  *
  * <p>Designed for plain services: short requests of similar cost on few slots, sent by several VMs that do not see each
  * other's requests. The requests of this process count in full; those of others are taken from peers and from
@@ -85,7 +86,7 @@
                 continue;
             }
             Optional<Candidate> drawn = upstreams.candidate(index);
-            if (drawn.isPresent() && fault(drawn.get(), demand) == NO_FAULT && load(drawn.get()) < FULL) {
+            if (drawn.isPresent() && fault(drawn.get(), demand) == NO_FAULT && cost(drawn.get()) < FULL) {
                 free++;
                 least.add(drawn.get());
             }
@@ -140,6 +141,24 @@
         return (candidate.outstanding() + otherVmRequests) / candidate.entry().slots();
     }
 
+    /**
+     * Returns the expected completion of a request at an upstream, on a scale on which it equals the load at an upstream
+     * where work takes the usual time: a request that waits for a slot, or whose work takes longer, completes later.
+     */
+    static double cost(Candidate candidate) {
+        return cost(candidate, candidate.pace());
+    }
+
+    /** Returns the least cost until the next report: the pace of an older report comes closer to the usual one. */
+    static double leastCost(Candidate candidate) {
+        return cost(candidate, Math.min(1, candidate.pace()));
+    }
+
+    private static double cost(Candidate candidate, double pace) {
+        double load = load(candidate);
+        return pace * Math.max(FULL, load) - FULL + Math.min(FULL, load);
+    }
+
     /** The least loaded of the candidates seen so far, of which those without a fault come first. */
     private final class Least {
         private final Demand demand;
@@ -164,7 +183,7 @@
 
         void add(Candidate candidate) {
             int itsFault = fault(candidate, demand);
-            double itsLoad = load(candidate);
+            double itsLoad = cost(candidate);
             int order = itsFault != fault ? Integer.compare(itsFault, fault) : Double.compare(itsLoad, load);
             if (chosen.isEmpty() || order < 0) {
                 ties = 0;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
@@ -28,15 +28,18 @@
     /** The weight of one request in the moving mean of slot times; the mix of requests changes within seconds. */
     private static final double SLOT_TIME_SMOOTHING = 0.1;
 
-    /** How long an upstream is avoided after it refused a request; its queue or a pending order takes some time. */
-    private static final Duration REFUSAL_AVOIDANCE_TIME = Duration.ofMillis(150);
-
     /** How fast a queue is assumed to drain while others may still add to it, in milliseconds of work a millisecond. */
     private static final double DRAIN_RATE = 1.0;
 
     /** Older work of a peer is not counted; a peer without messages for longer is disconnected or down. */
     private static final Duration MAXIMUM_PEER_WORK_AGE = Duration.ofMillis(500);
 
+    /**
+     * VMs return to an upstream that others have seen refuse at random times in this part of the time left, so that the
+     * first one to return finds out for all.
+     */
+    private static final double RETURN_SPREAD = 0.5;
+
     private static final double NANOS_PER_MILLI = 1_000_000;
 
     private final ReplicaEntry entry;
@@ -52,8 +55,11 @@
     private double measuredWait;
     private double slotMillis;
     private long measuredAt;
-    private long refusedAt;
-    private boolean everRefused;
+    private final RefusalBackoff refusals = new RefusalBackoff();
+    private long peersAvoidUntil;
+    private long returnAt;
+    private boolean peersRefused;
+    private final Pace pace = new Pace();
     private volatile LoadBound bound = LoadBound.NONE;
 
     UpstreamTrack(ReplicaEntry entry) {
@@ -84,6 +90,7 @@
      * waits.
      */
     public synchronized void recordAnswerBegun(long sentAt) {
+        refusals.recordAccepted();
         unansweredSendTimes.remove(sentAt);
         bound = LoadBound.NONE;
     }
@@ -110,15 +117,15 @@
         bound = LoadBound.NONE;
     }
 
-    /** Records that the upstream refused a request without running it. */
-    public synchronized void recordRefusal(long now) {
-        refusedAt = now;
-        everRefused = true;
+    /** Records that the upstream refused a request, sent at {@code sentAt}, without running it. */
+    public synchronized void recordRefusal(long sentAt, long now) {
+        refusals.recordRefusal(sentAt, now);
     }
 
     /** Records the load that the upstream reported with an answer. */
     public synchronized void recordLoad(ReportedLoad reported, long now) {
         load = Optional.of(reported);
+        reported.workTimePercent().ifPresent(percent -> pace.record(percent, now));
         outstandingAtLoad = outstanding;
         loadAt = now;
         bound = LoadBound.NONE;
@@ -127,6 +134,7 @@
     /** Records a complete answer from the upstream itself. Returns whether it made the upstream healthy again. */
     public synchronized boolean recordSuccess() {
         failureShare -= failureShare * FAILURE_SMOOTHING;
+        refusals.recordAccepted();
         return health.recordSuccess();
     }
 
@@ -152,6 +160,51 @@
         }
     }
 
+    /**
+     * Sets what another VM has seen of the upstream.
+     *
+     * @param refusing how much longer the other VM avoids it because of refusals
+     * @param workTime the time that work took there, as the upstream last reported to other VMs
+     * @param spread a random number from 0 to 1
+     */
+    public synchronized void setPeerSight(Duration refusing, Optional<Pace.Report> workTime, double spread, long now) {
+        long until = now + refusing.toNanos();
+        if (refusing.isPositive() && (!peersRefused || until - peersAvoidUntil > 0)) {
+            peersRefused = true;
+            peersAvoidUntil = until;
+            returnAt = until + (long) (refusing.toNanos() * RETURN_SPREAD * spread);
+            bound = LoadBound.NONE;
+        }
+        workTime.ifPresent(report -> {
+            pace.record(report);
+            bound = LoadBound.NONE;
+        });
+    }
+
+    /** Returns how much longer this process avoids the upstream because of refusals that it has got itself. */
+    public synchronized Duration ownAvoidance(long now) {
+        return Duration.ofNanos(Math.max(0, refusals.remainingNanos(now)));
+    }
+
+    /**
+     * Returns how much longer VMs avoid the upstream because of refusals that this process or others have got. The random
+     * delay of this process is left out, since it would add up while VMs tell each other.
+     */
+    public synchronized Duration knownAvoidance(long now) {
+        long own = refusals.remainingNanos(now);
+        return Duration.ofNanos(Math.max(0, peersRefused ? Math.max(own, peersAvoidUntil - now) : own));
+    }
+
+    /** Returns the time that work takes at the upstream, as it has last reported; empty if not lately. */
+    public synchronized Optional<Pace.Report> reportedPace(long now) {
+        return pace.recentReport(now);
+    }
+
+    private long refusingUntil(long now) {
+        long own = now + refusals.remainingNanos(now);
+        return peersRefused && returnAt - own > 0 ? returnAt : own;
+    }
+
     /** Returns the work that this process has at the upstream. */
     public synchronized Work ownWork() {
         return new Work(outstanding, outstandingWork);
@@ -172,7 +225,7 @@
 
     /** Returns the inputs of a placement decision at {@code now}, with the newest entry of the upstream. */
     synchronized Candidate candidate(ReplicaEntry newest, long now) {
-        boolean refusing = everRefused && now - refusedAt < REFUSAL_AVOIDANCE_TIME.toNanos();
+        boolean refusing = refusingUntil(now) - now > 0;
         Work withPeers = workWithPeers(vm -> true, now);
         return new Candidate(
                 newest,
@@ -185,6 +238,7 @@
                 now - loadAt,
                 observedWaitMillis(now),
                 slotMillis,
+                pace.factor(now),
                 refusing,
                 health.accepts(now));
     }
@@ -197,7 +251,7 @@
                 || candidate.refusing()
                 || !candidate.trusted()
                 || candidate.observedWaitMillis() > 0) {
-            bound = boundOf(candidate, itsLoad, now);
+            bound = boundOf(candidate, LeastLoadedPlacement.leastCost(candidate), now);
         }
         return candidate;
     }
@@ -212,7 +266,7 @@
         }
         if (candidate.refusing()) {
             fault += LeastLoadedPlacement.REFUSING;
-            until = earlier(until, refusedAt + REFUSAL_AVOIDANCE_TIME.toNanos());
+            until = earlier(until, refusingUntil(now));
         }
         long waitsUntil = now + (long) (candidate.observedWaitMillis() * NANOS_PER_MILLI);
         return new LoadBound(candidate.entry(), fault, itsLoad, waitsUntil, until);
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
@@ -1,11 +1,13 @@
 package io.banyantally.internal.exchange;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
 import io.banyantally.deployment.EngineStage;
 import io.banyantally.deployment.ReplicaEntry;
+import io.banyantally.deployment.ReportedLoad;
 import io.banyantally.deployment.ResponseMetadata;
 import io.banyantally.internal.deployment.ConfigurationHolder;
 import io.banyantally.internal.duty.ReportedWindows;
@@ -14,6 +16,7 @@
 import io.banyantally.internal.placement.Candidate;
 import io.banyantally.internal.placement.LimitUse;
 import io.banyantally.internal.placement.UpstreamLimits;
+import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.Incarnation;
@@ -29,6 +32,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -141,6 +145,46 @@
         }
     }
 
+    /** Guards against an engine that refuses everything and gets requests of each VM until that VM is refused itself. */
+    @Test
+    void everyVmOfALargeFleetAvoidsAnUpstreamThatRefusedOne() throws InterruptedException {
+        List<Vm> fleet = startFleet(40);
+        UpstreamTrack refused = fleet.getFirst().tracks.of(ENGINE);
+        for (int refusal = 0; refusal < 4; refusal++) {
+            refused.recordRefusal(clock.nanoTime(), clock.nanoTime());
+        }
+
+        runFor(Duration.ofMillis(300), fleet);
+
+        fleet.forEach(vm -> assertTrue(vm.candidate().refusing(), vm.self.toString()));
+    }
+
+    /** Guards against VMs that tell each other of a refusal for ever: they must return to an upstream that is well. */
+    @Test
+    void refusalsAreForgottenByAllVms() throws InterruptedException {
+        List<Vm> fleet = startFleet(40);
+        fleet.getFirst().tracks.of(ENGINE).recordRefusal(clock.nanoTime(), clock.nanoTime());
+
+        runFor(Duration.ofSeconds(1), fleet);
+
+        fleet.forEach(vm -> assertFalse(vm.candidate().refusing(), vm.self.toString()));
+    }
+
+    /** Guards against a slow upstream that each VM has to find out by itself. */
+    @Test
+    void everyVmOfALargeFleetKnowsTheReportedPace() throws InterruptedException {
+        List<Vm> fleet = startFleet(40);
+        runFor(Duration.ofMillis(100), fleet);
+        fleet.getFirst()
+                .tracks
+                .of(ENGINE)
+                .recordLoad(new ReportedLoad(1, 0, 16, OptionalInt.of(400)), clock.nanoTime());
+
+        runFor(Duration.ofMillis(300), fleet);
+
+        fleet.forEach(vm -> assertTrue(vm.candidate().pace() > 2, vm.self + " " + vm.candidate()));
+    }
+
     /** Starts VMs in four zones, with the two of each test removed. */
     private List<Vm> startFleet(int vms) {
         hub.remove(first.self.vm());
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/LeastLoadedPlacementTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/LeastLoadedPlacementTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.banyantally.deployment.ReplicaEntry;
+import io.banyantally.deployment.ReportedLoad;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.testing.Deployments;
 import io.banyantally.testing.ManualClock;
@@ -17,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutorService;
@@ -74,6 +76,30 @@
         sent.values().forEach(count -> assertTrue(count > REQUESTS / 4, sent.toString()));
     }
 
+    /** Guards against an idle upstream at a third of its speed that gets the same share as its fast neighbours. */
+    @Test
+    void upstreamThatReportsLongerWorkGetsAFewRequests() {
+        UpstreamTrack slow = tracks.of(upstreams.getFirst());
+        Map<UpstreamId, Integer> sent = new HashMap<>();
+        for (int request = 0; request < REQUESTS; request++) {
+            slow.recordLoad(new ReportedLoad(0, 0, 6, OptionalInt.of(300)), clock.nanoTime());
+            sent.merge(decided().id(), 1, Integer::sum);
+        }
+        assertEquals(null, sent.get(upstreams.getFirst().id()), sent.toString());
+
+        // Half of the fast upstreams' requests wait: the slow one completes a request earlier now.
+        for (ReplicaEntry fast : upstreams.subList(1, 3)) {
+            IntStream.range(0, 18).forEach(index -> tracks.of(fast).recordSent(1, clock.nanoTime()));
+        }
+        assertEquals(upstreams.getFirst().id(), decided().id());
+    }
+
+    private ReplicaEntry decided() {
+        return assertInstanceOf(Placement.Decision.Send.class, placement.decide(DEMAND, tracks.candidates(upstreams)))
+                .candidate()
+                .entry();
+    }
+
     /** Guards against a generator that several threads use at once, whose draws repeat. */
     @Test
     void noThreadDrawsFromTheGeneratorOfAnother() throws Exception {
