Size large fleets by the recent peak of their load

Ruled out: following the present load (an upstream takes 4 s to start, longer than a peak lasts). Change: ZoneCount: the peak of the last 30 s, what the loss of a zone would take, at least 8 in a zone, the maximum while prompts are refused. Deployments with at most 8 in a zone are served as before.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -258,8 +258,8 @@
     private void startDuties() {
         UsageReporter reporter = new UsageReporter(
                 store, this::storeEra, usage, platform.usage(), health, settings.usageDueTime(), reportedWindows);
-        FleetReconciler fleet =
-                new FleetReconciler(replicas, platform.replicaOrdering(), engines::refusedShare, MonotonicClock.SYSTEM);
+        FleetReconciler fleet = new FleetReconciler(
+                replicas, platform.replicaOrdering(), engines::refusedShare, tracks::requestsAt, MonotonicClock.SYSTEM);
         StageReconciler stages = new StageReconciler(replicas, fleet, platform.stageOrdering(), MonotonicClock.SYSTEM);
         tasks.start("usage-reports", UsageReporter.INTERVAL, () -> {
             reporter.restoreSealed();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetReconciler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetReconciler.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 
 /** Reconciles the number of running upstreams with {@link FleetTargets} by ordering from the platform. */
 public final class FleetReconciler {
@@ -49,16 +50,32 @@
     private final OrderThrottle<OrderKey> throttle;
     private final DutyCallLog log;
     private final DoubleSupplier refusedShare;
+    private final ToIntFunction<ReplicaEntry> requestsAt;
+    private final MonotonicClock clock;
+    private final Map<ServiceName, ZoneCount> zoneCounts = new HashMap<>();
+
+    /** Also read by {@link #givenBack}, on other threads than that of the orders. */
+    private final Map<ServiceName, Integer> countInZone = new ConcurrentHashMap<>();
+
     private final Map<ServiceName, Set<AvailabilityZone>> soldOutZones = new HashMap<>();
 
     /** Also read by {@link #givenBack}, on other threads than that of the orders. */
     private final Map<ServiceName, Set<AvailabilityZone>> replacementZones = new ConcurrentHashMap<>();
 
     /**
-     * Creates a reconciler without orders; {@code refusedShare} returns the share of prompts that are refused, 0 to 1.
+     * Creates a reconciler without orders.
+     *
+     * @param refusedShare returns the share of prompts that are refused, 0 to 1
+     * @param requestsAt returns the requests that all VMs have at an upstream, as far as known
      */
     public FleetReconciler(
-            ReplicaRegistry replicas, ReplicaOrdering ordering, DoubleSupplier refusedShare, MonotonicClock clock) {
+            ReplicaRegistry replicas,
+            ReplicaOrdering ordering,
+            DoubleSupplier refusedShare,
+            ToIntFunction<ReplicaEntry> requestsAt,
+            MonotonicClock clock) {
+        this.requestsAt = requestsAt;
+        this.clock = clock;
         this.refusedShare = refusedShare;
         this.replicas = replicas;
         this.ordering = ordering;
@@ -80,7 +97,8 @@
         if (running.isEmpty()) {
             return;
         }
-        List<FleetTarget> targets = FleetTargets.of(rule, zonesToReplace(service, running));
+        List<FleetTarget> targets =
+                FleetTargets.of(rule, zonesToReplace(service, running), countInZone(service, running, rule));
         for (FleetTarget target : targets) {
             int runningCount = count(running, target);
             boolean orderNeeded = runningCount < target.count() || isGivenBack(running, target, targets);
@@ -97,13 +115,25 @@
      */
     Predicate<ReplicaEntry> givenBack(ServiceName service, ScalingRule rule) {
         List<ReplicaEntry> running = replicas.accepting(service);
-        List<FleetTarget> targets = FleetTargets.of(rule, replacementZones.getOrDefault(service, Set.of()));
+        List<FleetTarget> targets = FleetTargets.of(
+                rule,
+                replacementZones.getOrDefault(service, Set.of()),
+                countInZone.getOrDefault(service, rule.maximum()));
         List<FleetTarget> exceeded = targets.stream()
                 .filter(target -> isGivenBack(running, target, targets))
                 .toList();
         return upstream -> exceeded.stream().anyMatch(target -> target.includes(upstream));
     }
 
+    private int countInZone(ServiceName service, List<ReplicaEntry> running, ScalingRule rule) {
+        boolean refusing = refusedShare.getAsDouble() > REFUSED_SHARE_TO_REPLACE;
+        int count = zoneCounts
+                .computeIfAbsent(service, name -> new ZoneCount())
+                .next(running, rule, requestsAt, refusing, clock.nanoTime());
+        countInZone.put(service, count);
+        return count;
+    }
+
     /** Regular upstreams are given back only when reclaimable ones serve in their place. */
     private static boolean isGivenBack(List<ReplicaEntry> running, FleetTarget target, List<FleetTarget> targets) {
         return count(running, target) > target.count() && (target.cheap() || hasSubstitutes(running, target, targets));
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetTargets.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/FleetTargets.java
@@ -27,18 +27,28 @@
      * @param replaced the zones in which regular upstreams replace reclaimable ones that were reclaimed
      */
     public static List<FleetTarget> of(ScalingRule rule, Set<AvailabilityZone> replaced) {
+        return of(rule, replaced, rule.maximum());
+    }
+
+    /**
+     * Returns the target counts for a number of upstreams in each zone.
+     *
+     * @param inZone the upstreams of both kinds together in each zone, at most the configured maximum
+     */
+    static List<FleetTarget> of(ScalingRule rule, Set<AvailabilityZone> replaced, int inZone) {
         List<FleetTarget> targets = new ArrayList<>();
         List<Map.Entry<AvailabilityZone, Double>> zones = rule.zonePrices().entrySet().stream()
                 .sorted(Map.Entry.<AvailabilityZone, Double>comparingByValue()
                         .thenComparing(Map.Entry.comparingByKey(Comparator.comparing(AvailabilityZone::value))))
                 .toList();
         for (Map.Entry<AvailabilityZone, Double> zone : zones) {
-            int regular = rule.cheapPrice().isEmpty() ? rule.maximum() : zone.equals(zones.getFirst()) ? 1 : 0;
-            int cheap = rule.cheapPrice().isPresent() ? Math.max(rule.maximum() - regular, 0) : 0;
+            int regular = rule.cheapPrice().isEmpty() ? inZone : zone.equals(zones.getFirst()) ? 1 : 0;
+            int cheap = rule.cheapPrice().isPresent() ? Math.max(inZone - regular, 0) : 0;
             targets.add(new FleetTarget(zone.getKey(), true, cheap));
             // The maximum applies to both kinds together, so one place stays free for a reclaimable upstream to return.
-            int regularWithReplacements =
-                    replaced.contains(zone.getKey()) ? Math.max(regular, rule.maximum() - 1) : regular;
+            int regularWithReplacements = replaced.contains(zone.getKey())
+                    ? Math.max(regular, Math.min(inZone, rule.maximum() - 1))
+                    : regular;
             targets.add(new FleetTarget(zone.getKey(), false, regularWithReplacements));
         }
         return targets;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTracks.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTracks.java
@@ -73,6 +73,11 @@
         return entries.stream().map(entry -> of(entry).candidate(entry, now)).toList();
     }
 
+    /** Returns the requests that this process and its peers have at an upstream, as far as known. */
+    public int requestsAt(ReplicaEntry upstream) {
+        return of(upstream).workWithPeers(vm -> true, clock.nanoTime()).requests();
+    }
+
     /** Records a failure, and ejects the upstream if it failed too often and enough others remain. */
     public void failed(UpstreamTrack track, List<ReplicaEntry> service, String reason) {
         if (!track.recordFailure()) {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/FleetReconcilerTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/FleetReconcilerTest.java
@@ -68,6 +68,7 @@
                 return !cheap || !soldOut;
             },
             () -> refusedShare,
+            upstream -> 0,
             clock);
 
     /** Guards against refusing callers until reclaimable upstreams are available again. */
