Tell other VMs only of upstreams whose pace differs

Cause: messages of the exchange named every upstream with a recent report, also what a VM had only heard; a delegate of 28 VMs handles 280 messages a second. Change: own reports only from a VM, and those that differ from the usual time by a quarter at least. Result: PaceTest, WorkExchangeTest and LoadBoundTest pass.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -183,24 +183,35 @@
     /** Returns the work of this VM and of the peers that {@code included} accepts, summed by upstream. */
     private WorkMessage workOf(Predicate<VmId> included) {
         long now = clock.nanoTime();
-        return message(track -> track.workWithPeers(included, now), track -> track.knownAvoidance(now), included, now);
+        return message(
+                track -> track.workWithPeers(included, now),
+                track -> track.knownAvoidance(now),
+                track -> track.paceReport(now),
+                included,
+                now);
     }
 
     private WorkMessage ownWork() {
         long now = clock.nanoTime();
-        return message(UpstreamTrack::ownWork, track -> track.ownAvoidance(now), vm -> false, now);
+        return message(
+                UpstreamTrack::ownWork,
+                track -> track.ownAvoidance(now),
+                track -> track.ownPaceReport(now),
+                vm -> false,
+                now);
     }
 
     private WorkMessage message(
             Function<UpstreamTrack, UpstreamTrack.Work> workAt,
             Function<UpstreamTrack, Duration> avoidanceOf,
+            Function<UpstreamTrack, Optional<Pace.Report>> paceOf,
             Predicate<VmId> included,
             long now) {
         List<UpstreamWork> work = new ArrayList<>();
         for (UpstreamTrack track : tracks.all()) {
             UpstreamTrack.Work atUpstream = workAt.apply(track);
             long refusingMillis = avoidanceOf.apply(track).toMillis();
-            Optional<Pace.Report> pace = track.reportedPace(now);
+            Optional<Pace.Report> pace = paceOf.apply(track);
             if (atUpstream.requests() > 0 || refusingMillis > 0 || pace.isPresent()) {
                 work.add(new UpstreamWork(
                         track.entry().id().value(),
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/Pace.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/Pace.java
@@ -17,16 +17,21 @@
 
     private static final double USUAL_PERCENT = 100;
 
+    /** Smaller differences from the usual time are not told to other VMs, to keep their messages small. */
+    private static final int MINIMUM_DIFFERENCE_PERCENT = 25;
+
     private Optional<Report> last = Optional.empty();
+    private Optional<Report> own = Optional.empty();
 
     Pace() {}
 
     void record(int percent, long now) {
-        record(new Report(percent, now));
+        own = Optional.of(new Report(percent, now));
+        recordOfPeer(own.get());
     }
 
-    /** Records a report unless a later one is known. */
-    void record(Report report) {
+    /** Records a report that another VM has got, unless a later one is known. */
+    void recordOfPeer(Report report) {
         if (last.isEmpty() || report.at() - last.get().at() > 0) {
             last = Optional.of(report);
         }
@@ -41,8 +46,19 @@
         return 1 + (last.get().percent() / USUAL_PERCENT - 1) * weight;
     }
 
-    Optional<Report> recentReport(long now) {
-        return last.filter(report -> now - report.at() < RECENT.toNanos());
+    /** Returns the last report of any VM; empty if it is old, or if work takes about the usual time. */
+    Optional<Report> notable(long now) {
+        return last.filter(report -> isNotable(report, now));
+    }
+
+    /** Returns the last report that this VM has got; empty if it is old, or if work takes about the usual time. */
+    Optional<Report> ownNotable(long now) {
+        return own.filter(report -> isNotable(report, now));
+    }
+
+    private static boolean isNotable(Report report, long now) {
+        return now - report.at() < RECENT.toNanos()
+                && Math.abs(report.percent() - USUAL_PERCENT) >= MINIMUM_DIFFERENCE_PERCENT;
     }
 
     /**
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
@@ -176,7 +176,7 @@
             bound = LoadBound.NONE;
         }
         workTime.ifPresent(report -> {
-            pace.record(report);
+            pace.recordOfPeer(report);
             bound = LoadBound.NONE;
         });
     }
@@ -195,9 +195,14 @@
         return Duration.ofNanos(Math.max(0, peersRefused ? Math.max(own, peersAvoidUntil - now) : own));
     }
 
-    /** Returns the time that work takes at the upstream, as it has last reported; empty if not lately. */
-    public synchronized Optional<Pace.Report> reportedPace(long now) {
-        return pace.recentReport(now);
+    /** Returns the pace that the upstream has lately reported to this process, if other VMs should know it. */
+    public synchronized Optional<Pace.Report> ownPaceReport(long now) {
+        return pace.ownNotable(now);
+    }
+
+    /** Returns the pace that the upstream has lately reported to any VM, if others should know it. */
+    public synchronized Optional<Pace.Report> paceReport(long now) {
+        return pace.notable(now);
     }
 
     private long refusingUntil(long now) {
