Avoid engines that carry out a stage order

Refusals took up to 1 s, longer than the avoidance, so that all VMs returned before the next refusal was known. Ruled out: a report before each send, which is priced; entries, which still name the former stage. Change: an upstream is avoided for at least as long as a refusal took, is on probation afterwards, and is avoided for the time of the stage change by the VM that ordered it, which tells the others.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -260,7 +260,12 @@
                 store, this::storeEra, usage, platform.usage(), health, settings.usageDueTime(), reportedWindows);
         FleetReconciler fleet = new FleetReconciler(
                 replicas, platform.replicaOrdering(), engines::refusedShare, tracks::requestsAt, MonotonicClock.SYSTEM);
-        StageReconciler stages = new StageReconciler(replicas, fleet, platform.stageOrdering(), MonotonicClock.SYSTEM);
+        StageReconciler stages = new StageReconciler(
+                replicas,
+                fleet,
+                platform.stageOrdering(),
+                (engine, time) -> tracks.of(engine).avoid(time, MonotonicClock.SYSTEM.nanoTime()),
+                MonotonicClock.SYSTEM);
         tasks.start("usage-reports", UsageReporter.INTERVAL, () -> {
             reporter.restoreSealed();
             runIfHolder(reporter::run);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/StageReconciler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/StageReconciler.java
@@ -40,14 +40,25 @@
     private final ReplicaRegistry replicas;
     private final FleetReconciler fleet;
     private final StageOrdering ordering;
+    private final EngineChangeListener changes;
     private final DutyCallLog log;
     private final OrderThrottle<UpstreamId> engineThrottle;
     private final OrderThrottle<ServiceName> serviceThrottle;
     private final Map<UpstreamId, EngineStage> orderedStages = new HashMap<>();
 
-    /** Creates a reconciler that has ordered nothing; {@code fleet} knows the engines that are given back. */
+    /**
+     * Creates a reconciler that has ordered nothing.
+     *
+     * @param fleet knows the engines that are given back
+     * @param changes is told of engines that carry out an order and refuse requests meanwhile
+     */
     public StageReconciler(
-            ReplicaRegistry replicas, FleetReconciler fleet, StageOrdering ordering, MonotonicClock clock) {
+            ReplicaRegistry replicas,
+            FleetReconciler fleet,
+            StageOrdering ordering,
+            EngineChangeListener changes,
+            MonotonicClock clock) {
+        this.changes = changes;
         this.replicas = replicas;
         this.fleet = fleet;
         this.ordering = ordering;
@@ -63,19 +74,19 @@
                 Predicate<ReplicaEntry> givenBack = service.scaling()
                         .map(rule -> fleet.givenBack(service.name(), rule))
                         .orElse(engine -> false);
-                run(holder, service.name(), givenBack);
+                run(holder, service.name(), service.engine().get().stageChangeTime(), givenBack);
             }
         }
     }
 
-    private void run(DutyHolder holder, ServiceName service, Predicate<ReplicaEntry> givenBack)
+    private void run(DutyHolder holder, ServiceName service, Duration changeTime, Predicate<ReplicaEntry> givenBack)
             throws InterruptedException {
         Map<ReplicaEntry, EngineStage> stageChanges = StageTargets.changes(
                 replicas.accepting(service).stream().map(this::withOrderedStage).toList(), givenBack);
         for (Map.Entry<ReplicaEntry, EngineStage> change : stageChanges.entrySet()) {
             ReplicaEntry engine = change.getKey();
             if (engineThrottle.isDue(engine.id()) && holder.permission().isGranted()) {
-                order(holder, engine, change.getValue());
+                order(holder, engine, change.getValue(), changeTime);
                 serviceThrottle.block(service, CHANGE_DELAY);
                 return;
             }
@@ -88,7 +99,8 @@
         return stage == null || engineThrottle.isDue(engine.id()) ? engine : engine.withStage(stage);
     }
 
-    private void order(DutyHolder holder, ReplicaEntry engine, EngineStage stage) throws InterruptedException {
+    private void order(DutyHolder holder, ReplicaEntry engine, EngineStage stage, Duration changeTime)
+            throws InterruptedException {
         engineThrottle.block(engine.id(), REPEAT_DELAY);
         DutyCallLog.Entry line = log.begin(
                 "stage_ordered", holder, replicas.sinceRead(engine.id()), EventField.of("upstream", engine.id()));
@@ -98,6 +110,9 @@
             if (outcome.isInForce()) {
                 orderedStages.put(engine.id(), stage);
             }
+            if (outcome == StageOrderOutcome.ACCEPTED || outcome == StageOrderOutcome.BUSY) {
+                changes.begun(engine, changeTime);
+            }
             line.answered(outcome.name().toLowerCase(Locale.ROOT), details);
         } catch (PlatformException failure) {
             line.failed(failure, details);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
@@ -90,7 +90,7 @@
      * waits.
      */
     public synchronized void recordAnswerBegun(long sentAt) {
-        refusals.recordAccepted();
+        recordAccepted();
         unansweredSendTimes.remove(sentAt);
         bound = LoadBound.NONE;
     }
@@ -122,6 +122,18 @@
         refusals.recordRefusal(sentAt, now);
     }
 
+    private void recordAccepted() {
+        refusals.recordAccepted();
+        peersRefused = false;
+        bound = LoadBound.NONE;
+    }
+
+    /** Avoids the upstream for a time in which it is known to refuse requests. */
+    public synchronized void avoid(Duration time, long now) {
+        refusals.avoid(time, now);
+        bound = LoadBound.NONE;
+    }
+
     /** Records the load that the upstream reported with an answer. */
     public synchronized void recordLoad(ReportedLoad reported, long now) {
         load = Optional.of(reported);
@@ -134,7 +146,7 @@
     /** Records a complete answer from the upstream itself. Returns whether it made the upstream healthy again. */
     public synchronized boolean recordSuccess() {
         failureShare -= failureShare * FAILURE_SMOOTHING;
-        refusals.recordAccepted();
+        recordAccepted();
         return health.recordSuccess();
     }
 
@@ -205,6 +217,12 @@
         return pace.notable(now);
     }
 
+    private boolean isOnProbation(long now) {
+        long sinceReturn = now - returnAt;
+        return refusals.isOnProbation(now)
+                || (peersRefused && sinceReturn >= 0 && sinceReturn < RefusalBackoff.PROBATION.toNanos());
+    }
+
     private long refusingUntil(long now) {
         long own = now + refusals.remainingNanos(now);
         return peersRefused && returnAt - own > 0 ? returnAt : own;
@@ -230,8 +248,8 @@
 
     /** Returns the inputs of a placement decision at {@code now}, with the newest entry of the upstream. */
     synchronized Candidate candidate(ReplicaEntry newest, long now) {
-        boolean refusing = refusingUntil(now) - now > 0;
         Work withPeers = workWithPeers(vm -> true, now);
+        boolean refusing = refusingUntil(now) - now > 0 || (isOnProbation(now) && withPeers.requests() > 0);
         return new Candidate(
                 newest,
                 outstanding,
@@ -271,7 +289,7 @@
         }
         if (candidate.refusing()) {
             fault += LeastLoadedPlacement.REFUSING;
-            until = earlier(until, refusingUntil(now));
+            until = earlier(until, refusingUntil(now) - now > 0 ? refusingUntil(now) : now);
         }
         long waitsUntil = now + (long) (candidate.observedWaitMillis() * NANOS_PER_MILLI);
         return new LoadBound(candidate.entry(), fault, itsLoad, waitsUntil, until);
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/FleetReconcilerTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/FleetReconcilerTest.java
@@ -53,6 +53,7 @@
     private final ReplicaRegistry registry =
             new ReplicaRegistry(new ReplicasByIdReader(), new StoreHealth(clock), clock);
     private final List<String> orders = new ArrayList<>();
+    private final List<String> changing = new ArrayList<>();
     private final ActiveConfiguration configuration = new ActiveConfiguration(new DeploymentConfiguration(
             1,
             List.of(),
@@ -119,12 +120,17 @@
     void engineThatIsGivenBackGetsNoStageOrder() throws InterruptedException {
         List<String> stageOrders = new ArrayList<>();
         StageReconciler stages = new StageReconciler(
-                registry, reconciler, (holder, engine, stage) -> accept(stageOrders, engine, stage), clock);
+                registry,
+                reconciler,
+                (holder, engine, stage) -> accept(stageOrders, engine, stage),
+                (engine, time) -> changing.add(engine.id() + " " + time.toSeconds()),
+                clock);
         setRunning(2, 1, 4, 2);
 
         stages.run(HOLDER, engineConfiguration());
 
         assertEquals(List.of("dear-cheap-3 DECODE"), stageOrders);
+        assertEquals(List.of("dear-cheap-3 3"), changing, "other VMs are not told that the engine refuses requests");
     }
 
     /** Guards against one stage only while regular engines run because there are no others. */
@@ -132,7 +138,11 @@
     void engineWithoutASubstituteGetsItsStageOrder() throws InterruptedException {
         List<String> stageOrders = new ArrayList<>();
         StageReconciler stages = new StageReconciler(
-                registry, reconciler, (holder, engine, stage) -> accept(stageOrders, engine, stage), clock);
+                registry,
+                reconciler,
+                (holder, engine, stage) -> accept(stageOrders, engine, stage),
+                (engine, time) -> changing.add(engine.id() + " " + time.toSeconds()),
+                clock);
         setRunning(0, 0, 0, 2);
 
         stages.run(HOLDER, engineConfiguration());
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/RefusalBackoffTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/RefusalBackoffTest.java
@@ -37,6 +37,24 @@
         assertEquals(Duration.ofMillis(150), refuseAt(3000, 3000));
     }
 
+    /** Guards against a refusal that is known for a shorter time than it takes to come, as requests go on meanwhile. */
+    @Test
+    void avoidanceLastsAsLongAsTheRefusalTook() {
+        assertEquals(Duration.ofMillis(500), refuseAt(0, 500));
+    }
+
+    /** Guards against many requests at once to an upstream that still refuses, and against a probation without end. */
+    @Test
+    void upstreamIsOnProbationUntilItAcceptsOrForASecond() {
+        backoff.avoid(Duration.ofSeconds(3), 0);
+        assertEquals(false, backoff.isOnProbation(nanos(2999)));
+        assertEquals(true, backoff.isOnProbation(nanos(3000)));
+        assertEquals(false, backoff.isOnProbation(nanos(4000)));
+
+        backoff.recordAccepted();
+        assertEquals(false, backoff.isOnProbation(nanos(3000)));
+    }
+
     private Duration refuseAt(long sentAtMillis, long nowMillis) {
         backoff.recordRefusal(nanos(sentAtMillis), nanos(nowMillis));
         return Duration.ofNanos(backoff.remainingNanos(nanos(nowMillis)));
