Keep the work of peers only where they have some

Cause: a delegate of 28 VMs builds 280 sums a second, and each visited all VMs of the zone at each of 60 upstreams; 301 of 600 samples of its execution were in UpstreamTrack#workWithPeers. Change: a VM without work at an upstream is not kept there; the count of VMs that were heard creates no objects for each of them.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/LimitFleet.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/LimitFleet.java
@@ -5,6 +5,7 @@
 import io.banyantally.model.VmId;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
@@ -57,12 +58,18 @@
 
     /** Returns of how many VMs the sends are known, this one included, counting only peers that are accepted. */
     synchronized int heardVms(Predicate<VmId> included) {
-        heardByPeer.values().removeIf(heard -> clock.since(heard.at()).compareTo(HEARD_TIME) >= 0);
-        return 1
-                + heardByPeer.entrySet().stream()
-                        .filter(peer -> included.test(peer.getKey()))
-                        .mapToInt(peer -> peer.getValue().vms())
-                        .sum();
+        long now = clock.nanoTime();
+        int vms = 1;
+        // A delegate calls this for each message of its zone, so it creates no objects for each peer.
+        for (Iterator<Map.Entry<VmId, Heard>> entries = heardByPeer.entrySet().iterator(); entries.hasNext(); ) {
+            Map.Entry<VmId, Heard> peer = entries.next();
+            if (now - peer.getValue().at() >= HEARD_TIME.toNanos()) {
+                entries.remove();
+            } else if (included.test(peer.getKey())) {
+                vms += peer.getValue().vms();
+            }
+        }
+        return vms;
     }
 
     /** Returns the VMs that share the limits, at most 100 ms old. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
@@ -152,9 +152,12 @@
 
     /**
      * Sets the work that another VM has at the upstream; {@code millis} is the time that it keeps the upstream busy.
+     * VMs without work are not kept: most of a large fleet have none at a given upstream, and each sum visits all kept.
      */
     public synchronized void setPeerWork(VmId peer, int requests, double millis, long now) {
-        PeerWork former = peerWorkByVm.put(peer, new PeerWork(requests, millis, now));
+        PeerWork former = requests == 0 && millis == 0
+                ? peerWorkByVm.remove(peer)
+                : peerWorkByVm.put(peer, new PeerWork(requests, millis, now));
         if (former != null && requests < former.requests()) {
             bound = LoadBound.NONE;
         }
