Encode messages of the exchange without reflection

Cause: a delegate encodes and decodes 280 messages a second; with all fields of 30 upstreams spelled out these are some 3 KB each, and the mapping by Jackson took 125 of 600 samples of its execution. Change: WorkMessageCodec packs the same maps and leaves out numbers that are 0 and empty optional fields, which earlier versions read as such. Result: WorkMessageCodecTest, which compares with the mapping by Jackson in both directions, and WorkExchangeTest pass.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -4,7 +4,6 @@
 import com.codahale.metrics.MetricRegistry;
 import io.banyantally.internal.duty.ReportedWindows;
 import io.banyantally.internal.exchange.WorkMessage.UpstreamWork;
-import io.banyantally.internal.peer.MessagePackCodec;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.PeerException;
 import io.banyantally.internal.peer.PeerNetwork;
@@ -56,7 +55,6 @@
     private static final Topic PAIR_TOPIC = new Topic("gateway.work");
     private static final Topic MEMBER_TOPIC = new Topic("gateway.work.member");
     private static final Topic ZONE_TOPIC = new Topic("gateway.work.zone");
-    private static final MessagePackCodec<WorkMessage> CODEC = MessagePackCodec.of(WorkMessage.class);
 
     /** The sender under which the work of all other VMs is kept, as last received from a delegate. */
     private static final VmId ALL_OTHERS = new VmId("all-other-vms");
@@ -111,8 +109,8 @@
     private void handle(Topic topic, Function<VmId, WorkMessage> answer) {
         peers.handle(topic, (sender, payload) -> {
             handled.inc();
-            receive(sender.vm(), sender.vm(), CODEC.decode(payload));
-            return CODEC.encode(answer.apply(sender.vm()));
+            receive(sender.vm(), sender.vm(), WorkMessageCodec.decode(payload));
+            return WorkMessageCodec.encode(answer.apply(sender.vm()));
         });
     }
 
@@ -126,17 +124,17 @@
         List<Peer> connected = peers.peers();
         if (connected.size() + 1 < ZoneDelegates.MINIMUM_VMS) {
             interval = pairInterval(connected.size());
-            byte[] message = CODEC.encode(ownWork());
+            byte[] message = WorkMessageCodec.encode(ownWork());
             connected.stream().map(Peer::vm).forEach(peer -> requestFromHigherId(peer, PAIR_TOPIC, message));
             return;
         }
         Optional<VmId> delegate = delegates.ofOwnZone();
         if (delegate.isPresent()) {
             interval = MEMBER_INTERVAL;
-            requestInBackground(delegate.get(), MEMBER_TOPIC, CODEC.encode(ownWork()), ALL_OTHERS);
+            requestInBackground(delegate.get(), MEMBER_TOPIC, WorkMessageCodec.encode(ownWork()), ALL_OTHERS);
         } else {
             interval = DELEGATE_INTERVAL;
-            byte[] message = CODEC.encode(workOf(ownZone()));
+            byte[] message = WorkMessageCodec.encode(workOf(ownZone()));
             delegates.ofOtherZones().forEach(peer -> requestFromHigherId(peer, ZONE_TOPIC, message));
         }
     }
@@ -162,7 +160,7 @@
     private void requestWork(VmId peer, Topic topic, byte[] message, VmId owner) {
         requests.inc();
         try {
-            receive(peer, owner, CODEC.decode(peers.request(peer, topic, message, TIMEOUT)));
+            receive(peer, owner, WorkMessageCodec.decode(peers.request(peer, topic, message, TIMEOUT)));
         } catch (PeerException unreachable) {
             // The peer's last message is used until it is too old.
             unanswered.inc();
