Add the cost of the way between zones to placement

Placement ignored zones but for a fixed penalty on the generation after a prefill. ZoneCost prices bytes between zones by one setting, 0 by default; ZoneSpill decides which share of plain requests leaves the zone.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -43,11 +43,14 @@
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.TcpPeerNetwork;
 import io.banyantally.internal.placement.EnginePlacement;
+import io.banyantally.internal.placement.EngineZones;
 import io.banyantally.internal.placement.LeastLoadedPlacement;
 import io.banyantally.internal.placement.RetryAllowance;
 import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamNotices;
 import io.banyantally.internal.placement.UpstreamTracks;
+import io.banyantally.internal.placement.ZoneCost;
+import io.banyantally.internal.placement.ZoneSpill;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.time.PeriodicTasks;
 import io.banyantally.internal.time.Sleeper;
@@ -117,7 +120,7 @@
     private final UsagePublisher usagePublisher;
     private final AdapterHttpClient client;
     private final GatewayServer server;
-    private final EnginePlacement engines = new EnginePlacement(new SplittableRandom());
+    private final EnginePlacement engines;
     private final TcpPeerNetwork peers;
     private final ListedPeers listedPeers;
     private final ConfigurationExchange configurations;
@@ -179,7 +182,10 @@
                 metrics);
         watchedStore = new RelayedStore(store, self, peers, MonotonicClock.SYSTEM, metrics);
         client = AdapterHttpClient.start(UPSTREAM_CLIENT_SETTINGS);
-        LeastLoadedPlacement placement = new LeastLoadedPlacement(ThreadLocalRandom::current);
+        ZoneCost zoneCost = new ZoneCost(settings.zone(), settings.zoneMegabyteMillis());
+        engines = new EnginePlacement(new SplittableRandom(), new EngineZones(zoneCost, metrics));
+        LeastLoadedPlacement placement = new LeastLoadedPlacement(
+                ThreadLocalRandom::current, new ZoneSpill(zoneCost, MonotonicClock.SYSTEM, metrics));
         RetryAllowance retries = new RetryAllowance(
                 MonotonicClock.SYSTEM,
                 settings.retryLimit(),
--- a/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
+++ b/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
@@ -20,6 +20,8 @@
  * @param retryWindow the sliding window of the retry budget
  * @param gracePeriod the time from the stop signal until the process is killed
  * @param addressLifetime how long callers cache the addresses of VMs
+ * @param zoneMegabyteMillis the milliseconds of a caller's time that sending a million bytes between zones is worth; 0
+ *     if placement ignores zones
  */
 public record GatewaySettings(
         VmId vm,
@@ -33,7 +35,8 @@
         double retryExtra,
         Duration retryWindow,
         Duration gracePeriod,
-        Duration addressLifetime) {
+        Duration addressLifetime,
+        double zoneMegabyteMillis) {
 
     /**
      * From the last response to a request accepted during a graceful shutdown to the kill; the last usage is written
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamChooser.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamChooser.java
@@ -1,5 +1,6 @@
 package io.banyantally.internal.forwarding;
 
+import io.banyantally.deployment.EngineRule;
 import io.banyantally.deployment.EngineStage;
 import io.banyantally.deployment.PrefilledCache;
 import io.banyantally.deployment.ReplicaEntry;
@@ -106,9 +107,11 @@
             Placement.Demand demand, Set<UpstreamId> tried, Optional<PrefilledCache> prefilledCache) {
         Optional<AvailabilityZone> cacheZone =
                 prefilledCache.map(PrefilledCache::engine).map(ReplicaEntry::zone);
+        long cacheTokenBytes =
+                request.service().engine().map(EngineRule::cacheTokenBytes).orElse(0L);
         return take(
                 services.limits().accepting(services.notices().accepting(untried(tried))),
-                candidates -> services.engines().decideDecode(demand, candidates, cacheZone));
+                candidates -> services.engines().decideDecode(demand, candidates, cacheZone, cacheTokenBytes));
     }
 
     private Placement.Decision takePlain(Placement.Demand demand, Set<UpstreamId> tried) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/CandidateSource.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/CandidateSource.java
@@ -1,5 +1,6 @@
 package io.banyantally.internal.placement;
 
+import io.banyantally.model.AvailabilityZone;
 import java.util.Optional;
 
 /** The known upstreams of a service, looked at one at a time. */
@@ -18,4 +19,7 @@
      * @param unresponsiveNanos the wait from which an upstream is unresponsive
      */
     boolean mayBeBelow(int index, int fault, double load, long unresponsiveNanos);
+
+    /** Returns the upstreams inside and outside of a zone. */
+    ZoneParts parts(AvailabilityZone zone);
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
@@ -87,12 +87,26 @@
      */
     private static final double IDLE_COST = 0.5;
 
+    /** The text of a prompt token in a request to a prefill engine, which is what such a request mainly contains. */
+    private static final long BYTES_PER_PROMPT_TOKEN = 4;
+
     private final RandomGenerator random;
+    private final Optional<EngineZones> zones;
     private double refusedShare;
 
     /** Creates the policy; {@code random} breaks ties and spreads the retry delays of refused callers. */
     public EnginePlacement(RandomGenerator random) {
+        this(random, Optional.empty());
+    }
+
+    /** Creates the policy, which adds the cost of the way between zones to expected completions. */
+    public EnginePlacement(RandomGenerator random, EngineZones zones) {
+        this(random, Optional.of(zones));
+    }
+
+    private EnginePlacement(RandomGenerator random, Optional<EngineZones> zones) {
         this.random = random;
+        this.zones = zones;
     }
 
     /** Returns whether a prompt is long enough for a separate call to a prefill engine. */
@@ -124,16 +138,32 @@
         if (best.waitMillis() > limit) {
             best = shortestQueue(demand, engines);
         }
-        return best.waitMillis() > limit ? refuse(best.waitMillis(), limit) : best;
+        if (best.waitMillis() > limit) {
+            return refuse(best.waitMillis(), limit);
+        }
+        if (zones.isPresent()) {
+            zones.get().countPrefill(best, engines);
+        }
+        return best;
+    }
+
+    /** Chooses the engine that generates the answer if the size of a KV cache is not known. */
+    public Placement.Decision decideDecode(
+            Placement.Demand demand, List<Candidate> candidates, Optional<AvailabilityZone> cacheZone) {
+        return decideDecode(demand, candidates, cacheZone, 0);
     }
 
     /**
      * Chooses the engine that generates the answer, or refuses the request if no slot is free in time.
      *
      * @param cacheZone the zone of the prompt's KV cache; empty if no prefill engine has computed it
+     * @param cacheTokenBytes the size of the KV cache of a token; 0 if it is not known
      */
     public synchronized Placement.Decision decideDecode(
-            Placement.Demand demand, List<Candidate> candidates, Optional<AvailabilityZone> cacheZone) {
+            Placement.Demand demand,
+            List<Candidate> candidates,
+            Optional<AvailabilityZone> cacheZone,
+            long cacheTokenBytes) {
         List<Candidate> engines = eligible(candidates, EngineStage.DECODE);
         if (engines.isEmpty()) {
             return new Placement.Decision.NoUpstream();
@@ -144,18 +174,45 @@
         }
         Candidate least = inTime.stream()
                 .min(Comparator.comparingDouble(engine -> decodingCost(engine)
-                        + (cacheZone.isPresent()
-                                        && !cacheZone
-                                                .get()
-                                                .equals(engine.entry().zone())
-                                ? OTHER_ZONE_PENALTY
-                                : 0)
+                        + cacheZone
+                                .map(zone -> transferCost(demand, zone, engine, cacheTokenBytes))
+                                .orElse(0.0)
                         + random.nextDouble() * MAXIMUM_TIE_BREAK))
                 .orElseThrow();
+        if (zones.isPresent() && cacheZone.isPresent()) {
+            zones.get().countDecode(least, cacheZone.get(), inTime);
+        }
         return new Placement.Decision.Send(
                 least, slotWaitMillis(least), 0, cacheZone.isPresent() ? "after_prefill" : "least_loaded");
     }
 
+    /**
+     * Returns what transferring the KV cache of a prompt to an engine costs, as a fraction of the engine's slots: a
+     * request of another zone costs as much as the same fraction of a slot's time.
+     */
+    private double transferCost(
+            Placement.Demand demand, AvailabilityZone cacheZone, Candidate engine, long cacheTokenBytes) {
+        if (cacheZone.equals(engine.entry().zone())) {
+            return 0;
+        }
+        if (zones.isEmpty() || !zones.get().cost().isPriced() || cacheTokenBytes <= 0) {
+            return OTHER_ZONE_PENALTY;
+        }
+        long tokens = demand.prompt().map(PromptMetadata::promptTokens).orElse(0);
+        double slotMillis = engine.slotMillis() > 0
+                ? engine.slotMillis()
+                : Math.max(1, demand.latencyTarget().toMillis());
+        return zones.get().cost().millisBetween(cacheZone, engine.entry().zone(), tokens * cacheTokenBytes)
+                / slotMillis;
+    }
+
+    /** Returns what sending a prompt to an engine costs, in milliseconds. */
+    private double wayMillis(Placement.Demand demand, Candidate engine) {
+        long tokens = demand.prompt().map(PromptMetadata::promptTokens).orElse(0);
+        return zones.map(known -> known.cost().millis(engine.entry().zone(), tokens * BYTES_PER_PROMPT_TOKEN))
+                .orElse(0.0);
+    }
+
     /**
      * Chooses a decoding engine that computes a long prompt itself while all prefill engines are full. Only engines
      * with few generations get such prompts, since a prefill delays the events of running generations.
@@ -195,6 +252,7 @@
                 .limit(1L + SPILL_ENGINES)
                 .toList();
         Placement.Decision.Send best = null;
+        double bestMillis = 0;
         for (int rank = 0; rank < ranked.size(); rank++) {
             Candidate engine = ranked.get(rank);
             Placement.Decision.Send choice = new Placement.Decision.Send(
@@ -202,8 +260,10 @@
                     waitMillis(engine),
                     prefillMillis(demand.prompt(), rank, PREFILL_TOKENS_PER_MILLI),
                     rank == 0 ? "home" : "spilled");
-            if (best == null || choice.waitMillis() + choice.work() < best.waitMillis() + best.work()) {
+            double millis = choice.waitMillis() + choice.work() + wayMillis(demand, engine);
+            if (best == null || millis < bestMillis) {
                 best = choice;
+                bestMillis = millis;
             }
         }
         return best;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
@@ -1,6 +1,7 @@
 package io.banyantally.internal.placement;
 
 import io.banyantally.deployment.ReportedLoad;
+import io.banyantally.model.ServiceName;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -42,10 +43,17 @@
 
     private static final int NO_FAULT = 0;
 
+    /** The service time as a part of the latency target while none is known; plain targets are 4 to 7 times it. */
+    private static final double SERVICE_PART_OF_TARGET = 0.2;
+
     /** The load from which a request waits for a slot. */
     static final double FULL = 1;
 
+    /** The bytes of a plain request and its response, about a kilobyte each. */
+    private static final long PLAIN_BYTES = 2_000;
+
     private final Supplier<RandomGenerator> random;
+    private final Optional<ZoneSpill> spill;
 
     /**
      * Creates the policy.
@@ -54,13 +62,78 @@
      *     ThreadLocalRandom::current} outside simulations
      */
     public LeastLoadedPlacement(Supplier<RandomGenerator> random) {
+        this(random, Optional.empty());
+    }
+
+    /**
+     * Creates the policy, which prefers upstreams of this VM's zone if bytes between zones have a price.
+     *
+     * @param spill decides how many requests leave the zone
+     */
+    public LeastLoadedPlacement(Supplier<RandomGenerator> random, ZoneSpill spill) {
+        this(random, Optional.of(spill).filter(zones -> zones.cost().isPriced()));
+    }
+
+    private LeastLoadedPlacement(Supplier<RandomGenerator> random, Optional<ZoneSpill> spill) {
         this.random = random;
+        this.spill = spill;
     }
 
     @Override
     public Decision decide(Demand demand, CandidateSource upstreams) {
+        return spill.isPresent() ? decideByZone(demand, upstreams, spill.get()) : decision(choose(demand, upstreams));
+    }
+
+    private Optional<Candidate> choose(Demand demand, CandidateSource upstreams) {
         Optional<Candidate> drawn = upstreams.size() > MAXIMUM_DRAWS ? draw(demand, upstreams) : Optional.empty();
-        return decision(drawn.or(() -> leastOfAll(demand, upstreams)));
+        return drawn.or(() -> leastOfAll(demand, upstreams));
+    }
+
+    /**
+     * Chooses among the upstreams of this zone, and among all others if this zone has no free slot. The way costs the
+     * same to each other zone, so it is added to the best of them and not to each.
+     */
+    private Decision decideByZone(Demand demand, CandidateSource upstreams, ZoneSpill zones) {
+        ZoneParts parts = upstreams.parts(zones.cost().own());
+        Optional<Candidate> near = choose(demand, parts.own(upstreams));
+        if (near.isPresent() && fault(near.get(), demand) == NO_FAULT && cost(near.get()) < FULL) {
+            ServiceName service = near.get().entry().service();
+            if (zones.share(service) < ZoneSpill.MINIMUM_SHARE) {
+                return send(near.get(), ZoneSpill.Destination.KEPT, zones);
+            }
+        }
+        Optional<Candidate> far = choose(demand, parts.others(upstreams));
+        if (far.isEmpty()) {
+            return near.<Decision>map(upstream -> send(upstream, ZoneSpill.Destination.KEPT, zones))
+                    .orElseGet(Decision.NoUpstream::new);
+        }
+        if (near.isEmpty() || fault(near.get(), demand) > fault(far.get(), demand)) {
+            return send(far.get(), ZoneSpill.Destination.NO_UPSTREAM_IN_ZONE, zones);
+        }
+        boolean leaves = fault(near.get(), demand) == fault(far.get(), demand)
+                && random.get().nextDouble()
+                        < zones.probability(near.get().entry().service(), gain(near.get(), far.get(), demand, zones));
+        return leaves
+                ? send(far.get(), ZoneSpill.Destination.SHORTER_ELSEWHERE, zones)
+                : send(near.get(), ZoneSpill.Destination.KEPT, zones);
+    }
+
+    private static Decision send(Candidate upstream, ZoneSpill.Destination destination, ZoneSpill zones) {
+        zones.count(destination);
+        String reason = destination == ZoneSpill.Destination.KEPT ? "least_loaded" : destination.label();
+        return new Decision.Send(upstream, 0, 1, reason);
+    }
+
+    /**
+     * Returns how much earlier a request completes at the far upstream, less the cost of the way, in service times. A
+     * free slot is not better for being on an upstream with more of them, so a far upstream counts as full at least.
+     */
+    private static double gain(Candidate near, Candidate far, Demand demand, ZoneSpill zones) {
+        double serviceMillis = near.slotMillis() > 0
+                ? near.slotMillis()
+                : Math.max(1, demand.latencyTarget().toMillis() * SERVICE_PART_OF_TARGET);
+        double way = zones.cost().millis(far.entry().zone(), PLAIN_BYTES) / serviceMillis;
+        return cost(near) - far.pace() * Math.max(FULL, load(far)) - way;
     }
 
     /** Decides after a look at all candidates, however many there are. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/PlainPlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/PlainPlacement.java
@@ -2,6 +2,7 @@
 
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.UpstreamId;
 import java.util.HashSet;
 import java.util.List;
@@ -102,5 +103,10 @@
             return !bound.holds(upstreams.get(index), now)
                     || LeastLoadedPlacement.mayBeBelow(bound, now, fault, load, unresponsiveNanos);
         }
+
+        @Override
+        public ZoneParts parts(AvailabilityZone zone) {
+            return tracks.parts(upstreams, zone);
+        }
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTracks.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTracks.java
@@ -4,6 +4,7 @@
 import io.banyantally.internal.logging.EventLog;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.timeline.EventField;
+import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.ServiceName;
 import io.banyantally.model.UpstreamId;
 import java.util.Collection;
@@ -25,6 +26,7 @@
     private final MonotonicClock clock;
     private final Map<UpstreamId, UpstreamTrack> tracks = new ConcurrentHashMap<>();
     private final Map<ServiceName, ServiceTracks> tracksByService = new ConcurrentHashMap<>();
+    private final Map<ServiceName, ServiceParts> partsByService = new ConcurrentHashMap<>();
     private final AtomicLong replacements = new AtomicLong();
 
     /** Creates an empty set of tracks. */
@@ -67,6 +69,22 @@
         return present;
     }
 
+    /** Returns the upstreams of one service by zone, which are divided once for each list, as {@link #ofService}. */
+    @SuppressWarnings("ReferenceEquality") // To compare all entries takes longer than to divide them.
+    ZoneParts parts(List<ReplicaEntry> entries, AvailabilityZone zone) {
+        if (entries.isEmpty()) {
+            return ZoneParts.of(entries, zone);
+        }
+        ServiceName service = entries.getFirst().service();
+        ServiceParts known = partsByService.get(service);
+        if (known != null && known.entries() == entries && known.parts().zone().equals(zone)) {
+            return known.parts();
+        }
+        ZoneParts parts = ZoneParts.of(entries, zone);
+        partsByService.put(service, new ServiceParts(entries, parts));
+        return parts;
+    }
+
     /** Returns one placement candidate for each entry, in the same order. */
     public List<Candidate> candidates(List<ReplicaEntry> entries) {
         long now = clock.nanoTime();
@@ -130,6 +148,8 @@
                 && former.startedAtMillis().equals(present.startedAtMillis());
     }
 
+    private record ServiceParts(List<ReplicaEntry> entries, ZoneParts parts) {}
+
     /**
      * The tracks of a service's upstreams.
      *
