Send plain requests out of the zone in proportion to the shortage

VMs of a zone that is short left it together until they learned of each other's requests. They now leave at random with a slowly changing share, from a gain of half a service time on, and draw the far upstream by its free slots.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
@@ -3,6 +3,7 @@
 import io.banyantally.deployment.ReportedLoad;
 import io.banyantally.model.ServiceName;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -102,7 +103,7 @@
                 return send(near.get(), ZoneSpill.Destination.KEPT, zones);
             }
         }
-        Optional<Candidate> far = choose(demand, parts.others(upstreams));
+        Optional<Candidate> far = chooseFar(demand, parts.others(upstreams));
         if (far.isEmpty()) {
             return near.<Decision>map(upstream -> send(upstream, ZoneSpill.Destination.KEPT, zones))
                     .orElseGet(Decision.NoUpstream::new);
@@ -118,6 +119,51 @@
                 : send(near.get(), ZoneSpill.Destination.KEPT, zones);
     }
 
+    /**
+     * Chooses an upstream of another zone, at random in proportion to the free slots. All VMs of a zone that is short
+     * would send to the one with the least load until they learn of each other's requests.
+     */
+    private Optional<Candidate> chooseFar(Demand demand, CandidateSource upstreams) {
+        if (upstreams.size() > MAXIMUM_DRAWS) {
+            return choose(demand, upstreams);
+        }
+        List<Candidate> best = new ArrayList<>();
+        int leastFault = Integer.MAX_VALUE;
+        for (int index = 0; index < upstreams.size(); index++) {
+            Optional<Candidate> upstream = upstreams.candidate(index);
+            if (upstream.isPresent()) {
+                int itsFault = fault(upstream.get(), demand);
+                if (itsFault < leastFault) {
+                    best.clear();
+                    leastFault = itsFault;
+                }
+                if (itsFault == leastFault) {
+                    best.add(upstream.get());
+                }
+            }
+        }
+        if (best.isEmpty()) {
+            return Optional.empty();
+        }
+        RandomGenerator generator = random.get();
+        double left = generator.nextDouble()
+                * best.stream().mapToDouble(LeastLoadedPlacement::freeSlots).sum();
+        for (Candidate upstream : best) {
+            left -= freeSlots(upstream);
+            if (left < 0) {
+                return Optional.of(upstream);
+            }
+        }
+        // Without a free slot, the better of two at random is chosen.
+        Candidate first = best.get(generator.nextInt(best.size()));
+        Candidate second = best.get(generator.nextInt(best.size()));
+        return Optional.of(cost(first) <= cost(second) ? first : second);
+    }
+
+    private static double freeSlots(Candidate upstream) {
+        return Math.max(0, FULL - load(upstream)) * upstream.entry().slots() / Math.max(1, upstream.pace());
+    }
+
     private static Decision send(Candidate upstream, ZoneSpill.Destination destination, ZoneSpill zones) {
         zones.count(destination);
         String reason = destination == ZoneSpill.Destination.KEPT ? "least_loaded" : destination.label();
@@ -125,7 +171,8 @@
     }
 
     /**
-     * Returns how much earlier a request completes at the far upstream, less the cost of the way, in service times. A
+     * Returns how much earlier a request completes at the far upstream, less the cost of the way and the least gain that
+     * is worth leaving, in service times. A
      * free slot is not better for being on an upstream with more of them, so a far upstream counts as full at least.
      */
     private static double gain(Candidate near, Candidate far, Demand demand, ZoneSpill zones) {
@@ -133,7 +180,7 @@
                 ? near.slotMillis()
                 : Math.max(1, demand.latencyTarget().toMillis() * SERVICE_PART_OF_TARGET);
         double way = zones.cost().millis(far.entry().zone(), PLAIN_BYTES) / serviceMillis;
-        return cost(near) - far.pace() * Math.max(FULL, load(far)) - way;
+        return cost(near) - far.pace() * Math.max(FULL, load(far)) - way - ZoneSpill.MINIMUM_GAIN;
     }
 
     /** Decides after a look at all candidates, however many there are. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/ZoneSpill.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/ZoneSpill.java
@@ -19,6 +19,12 @@
     /** How much a gain of one service time raises the share that leaves; with more, VMs leave and return together. */
     static final double SHARE_PER_GAIN = 0.3;
 
+    /**
+     * The gain in service times from which leaving is worth it. A queue of half a service time keeps the zone's slots
+     * busy between two messages of other VMs; without it, a zone that is short by a tenth sends up to three tenths.
+     */
+    static final double MINIMUM_GAIN = 0.5;
+
     /** The time over which the share is averaged. */
     static final Duration AVERAGING_TIME = Duration.ofSeconds(1);
 
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/ZoneLoadSimulation.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/ZoneLoadSimulation.java
@@ -119,7 +119,7 @@
     }
 
     private void exchange(double lateMillis) {
-        present();
+        List<Runnable> messages = new ArrayList<>();
         for (Upstream upstream : upstreams) {
             int total = 0;
             for (Vm vm : vms) {
@@ -128,9 +128,10 @@
             for (Vm vm : vms) {
                 UpstreamTrack track = vm.tracks.of(upstream.entry);
                 int others = total - track.ownWork().requests();
-                event(now + lateMillis, () -> track.setPeerWork(PEERS, others, others, clock.nanoTime()));
+                messages.add(() -> track.setPeerWork(PEERS, others, others, clock.nanoTime()));
             }
         }
+        event(now + lateMillis, () -> messages.forEach(Runnable::run));
     }
 
     private void request(Vm vm, double millis) {
@@ -204,7 +205,7 @@
     static final class Result {
 
         /** A smaller change of the share that leaves a zone is taken for chance. */
-        private static final double SMALLEST_TURN = 0.25;
+        private static final double SMALLEST_TURN = 0.15;
 
         private static final int MAXIMUM_WINDOWS = 100;
 
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/ZoneLoadTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/ZoneLoadTest.java
@@ -7,6 +7,8 @@
 import io.banyantally.internal.placement.ZoneLoadSimulation.Result;
 import io.banyantally.internal.placement.ZoneLoadSimulation.Setup;
 import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -18,6 +20,9 @@
 
     private static final Duration DURATION = Duration.ofSeconds(10);
 
+    /** Results of runs that several tests look at. */
+    private static final Map<Run, Result> PLAYED = new ConcurrentHashMap<>();
+
     /** Seconds after which the first zone's upstreams are gone, and after which they are back. */
     private static final int GONE_FROM = 2;
 
@@ -63,7 +68,8 @@
     }
 
     private static Result play(Setup setup, Policy policy) {
-        return new ZoneLoadSimulation(setup, policy, 1).run(1, DURATION);
+        return PLAYED.computeIfAbsent(
+                new Run(setup, policy), run -> new ZoneLoadSimulation(setup, policy, 1).run(1, DURATION));
     }
 
     private static String shares(Result result) {
@@ -80,6 +86,8 @@
                 .flatMap(load -> Stream.of(Fleet.values()).map(fleet -> Arguments.of(load, fleet)));
     }
 
+    private record Run(Setup setup, Policy policy) {}
+
     /** The VMs, and the zones that they and the upstreams are in. */
     enum Fleet {
         VMS_6(3, 6),
