--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/ZoneSpill.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/ZoneSpill.java
@@ -1,7 +1,9 @@
 package io.banyantally.internal.placement;
 
 import com.codahale.metrics.MetricRegistry;
+import io.banyantally.internal.logging.EventLog;
 import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.internal.timeline.EventField;
 import io.banyantally.model.ServiceName;
 import java.time.Duration;
 import java.util.Map;
@@ -31,6 +33,11 @@
     /** A smaller share is none: upstreams elsewhere are not looked at while the zone has a free slot. */
     static final double MINIMUM_SHARE = 0.02;
 
+    /** The share from which the shortage of a zone is logged; its end is logged at the smallest share. */
+    private static final double LOGGED_SHARE = 0.05;
+
+    private static final EventLog LOG = EventLog.of(ZoneSpill.class);
+
     private final ZoneCost cost;
     private final MonotonicClock clock;
     private final MetricRegistry metrics;
@@ -59,8 +66,8 @@
      * @param gain how much earlier the request completes elsewhere, less the cost of the way, in service times
      */
     double probability(ServiceName service, double gain) {
-        return shares.computeIfAbsent(service, name -> new Share(clock.nanoTime()))
-                .next(gain, clock.nanoTime());
+        Share share = shares.computeIfAbsent(service, name -> new Share(clock.nanoTime()));
+        return share.next(service, gain, clock.nanoTime());
     }
 
     /** Counts a plain request by where it is sent. */
@@ -88,6 +95,7 @@
     private static final class Share {
         private double average;
         private long updatedAt;
+        private boolean leaving;
 
         Share(long now) {
             updatedAt = now;
@@ -97,11 +105,18 @@
             return average;
         }
 
-        synchronized double next(double gain, long now) {
+        synchronized double next(ServiceName service, double gain, long now) {
             double probability = Math.clamp(average + SHARE_PER_GAIN * gain, 0, 1);
             double weight = Math.min(1, (now - updatedAt) / (double) AVERAGING_TIME.toNanos());
             average += (probability - average) * weight;
             updatedAt = now;
+            if (leaving ? average < MINIMUM_SHARE : average >= LOGGED_SHARE) {
+                leaving = !leaving;
+                LOG.info(
+                        leaving ? "zone_short" : "zone_sufficient",
+                        EventField.of("service", service),
+                        EventField.of("gain", gain));
+            }
             return probability;
         }
     }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/LoadBoundTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/LoadBoundTest.java
@@ -37,6 +37,8 @@
     private static final int STEPS = 6_000;
     private static final int SLOTS = 2;
     private static final Duration LATENCY_TARGET = Duration.ofMillis(150);
+    private static final AvailabilityZone OWN_ZONE = new AvailabilityZone("zone-a");
+    private static final AvailabilityZone OTHER_ZONE = new AvailabilityZone("zone-b");
     private static final Placement.Demand DEMAND = new Placement.Demand(Optional.empty(), LATENCY_TARGET);
 
     private final ManualClock clock = new ManualClock();
@@ -86,6 +88,54 @@
         assertTrue(choicesOfTheOnlyFree > STEPS / 100, "one free upstream: " + choicesOfTheOnlyFree);
     }
 
+    /**
+     * Guards against a missed change of an upstream in one part of a service that is divided by zone, and against a
+     * request that leaves a zone with a free slot.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void theChoiceInTheOwnZoneIsAsGoodAsOneAmongAllOfIt(long seed) {
+        RandomGenerator random = new SplittableRandom(seed);
+        ZoneSpill spill = new ZoneSpill(new ZoneCost(OWN_ZONE, 1000), clock, new MetricRegistry());
+        LeastLoadedPlacement placement = new LeastLoadedPlacement(() -> random, spill);
+        PlainPlacement plain = new PlainPlacement(notices, limits, tracks, placement, clock);
+        int kept = 0;
+        int left = 0;
+        for (int step = 0; step < STEPS; step++) {
+            change(random);
+            boolean spilling = spill.share(new ServiceName("plain")) >= ZoneSpill.MINIMUM_SHARE;
+            Placement.Decision decision = plain.take(DEMAND, upstreams, upstream -> true);
+            List<Candidate> own = tracks.candidates(notices.accepting(upstreams)).stream()
+                    .filter(candidate -> candidate.entry().zone().equals(OWN_ZONE))
+                    .toList();
+            if (!(decision instanceof Placement.Decision.Send send)) {
+                assertTrue(own.isEmpty(), "step " + step);
+                continue;
+            }
+            Optional<Candidate> best = placement.decide(DEMAND, own) instanceof Placement.Decision.Send amongAll
+                    ? Optional.of(amongAll.candidate())
+                    : Optional.empty();
+            String seen = "step " + step + ": " + send.candidate() + " instead of " + best;
+            if (send.candidate().entry().zone().equals(OTHER_ZONE)) {
+                left++;
+                assertTrue(spilling || best.isEmpty() || !isFree(best.get()), seen);
+            } else {
+                kept++;
+                assertEquals(LeastLoadedPlacement.fault(best.orElseThrow(), DEMAND), fault(send), seen);
+                assertTrue(
+                        isFree(best.get())
+                                ? isFree(send.candidate())
+                                : LeastLoadedPlacement.cost(best.get()) == LeastLoadedPlacement.cost(send.candidate()),
+                        seen);
+            }
+            if (random.nextInt(3) > 0) {
+                send(send.candidate().entry());
+            }
+        }
+        assertTrue(kept > STEPS / 10, "kept: " + kept);
+        assertTrue(left > STEPS / 100, "left: " + left);
+    }
+
     private static int fault(Placement.Decision.Send send) {
         return LeastLoadedPlacement.fault(send.candidate(), DEMAND);
     }
@@ -173,7 +223,7 @@
                 new UpstreamId("u" + number),
                 new ServiceName("plain"),
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
-                new AvailabilityZone("zone-a"),
+                number % 5 == 0 ? OTHER_ZONE : OWN_ZONE,
                 slots,
                 false,
                 EngineStage.NONE,
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/ZoneLoadTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/ZoneLoadTest.java
@@ -20,6 +20,8 @@
 
     private static final Duration DURATION = Duration.ofSeconds(10);
 
+    private static final long SEED = Long.getLong("zoneLoad.seed", 1);
+
     /** Results of runs that several tests look at. */
     private static final Map<Run, Result> PLAYED = new ConcurrentHashMap<>();
 
@@ -39,7 +41,6 @@
 
         String seen = load + " " + fleet + ": " + byZone + "; nearest " + nearest + "; least loaded " + leastLoaded
                 + "; turns " + byZone.turns(0, 0, (int) DURATION.toSeconds()) + "; first zone " + shares(byZone);
-        System.out.println(seen);
         assertTrue(byZone.inTimeShare() >= Math.max(nearest.inTimeShare(), leastLoaded.inTimeShare()) - 0.02, seen);
         assertTrue(byZone.turns(0, 0, (int) DURATION.toSeconds()) <= 1, seen);
         if (load == Load.EVEN) {
@@ -69,7 +70,7 @@
 
     private static Result play(Setup setup, Policy policy) {
         return PLAYED.computeIfAbsent(
-                new Run(setup, policy), run -> new ZoneLoadSimulation(setup, policy, 1).run(1, DURATION));
+                new Run(setup, policy), run -> new ZoneLoadSimulation(setup, policy, SEED).run(SEED, DURATION));
     }
 
     private static String shares(Result result) {
