--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
@@ -32,6 +32,9 @@
     /** A service of at most as many upstreams is looked at whole, which takes no longer than drawing as many. */
     static final int MAXIMUM_DRAWS = 32;
 
+    /** Of a large service, at most as many upstreams of the own zone are looked at whole, to bound a decision's time. */
+    private static final int MAXIMUM_NEAR_LOOKS = 8;
+
     /** Upstreams with a free slot of which the least loaded is chosen. */
     static final int FREE_DRAWS = 2;
 
@@ -96,7 +99,7 @@
      */
     private Decision decideByZone(Demand demand, CandidateSource upstreams, ZoneSpill zones) {
         ZoneParts parts = upstreams.parts(zones.cost().own());
-        Optional<Candidate> near = choose(demand, parts.own(upstreams));
+        Optional<Candidate> near = chooseNear(demand, parts.own(upstreams), upstreams.size());
         if (near.isPresent() && fault(near.get(), demand) == NO_FAULT && cost(near.get()) < FULL) {
             ServiceName service = near.get().entry().service();
             if (zones.share(service) < ZoneSpill.MINIMUM_SHARE) {
@@ -119,6 +122,13 @@
                 : send(near.get(), ZoneSpill.Destination.KEPT, zones);
     }
 
+    /** Chooses an upstream of this zone; a large service may have only a few here, all of which are looked at. */
+    private Optional<Candidate> chooseNear(Demand demand, CandidateSource upstreams, int serviceSize) {
+        int looks = serviceSize > MAXIMUM_DRAWS ? MAXIMUM_NEAR_LOOKS : MAXIMUM_DRAWS;
+        Optional<Candidate> drawn = upstreams.size() > looks ? draw(demand, upstreams) : Optional.empty();
+        return drawn.or(() -> leastOfAll(demand, upstreams));
+    }
+
     /**
      * Chooses an upstream of another zone, at random in proportion to the free slots. All VMs of a zone that is short
      * would send to the one with the least load until they learn of each other's requests.
