Learn the rates of engines from prefill calls

The predicted waits assumed one kind of engine. A linear cost of a prompt per kind of engine and a factor per engine are now fitted to the calls of all VMs.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -43,6 +43,7 @@
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.TcpPeerNetwork;
 import io.banyantally.internal.placement.EnginePlacement;
+import io.banyantally.internal.placement.EngineRates;
 import io.banyantally.internal.placement.LeastLoadedPlacement;
 import io.banyantally.internal.placement.RetryAllowance;
 import io.banyantally.internal.placement.UpstreamLimits;
@@ -117,7 +118,8 @@
     private final UsagePublisher usagePublisher;
     private final AdapterHttpClient client;
     private final GatewayServer server;
-    private final EnginePlacement engines = new EnginePlacement(new SplittableRandom());
+    private final EnginePlacement engines =
+            new EnginePlacement(new SplittableRandom(), new EngineRates(MonotonicClock.SYSTEM, metrics));
     private final TcpPeerNetwork peers;
     private final ListedPeers listedPeers;
     private final ConfigurationExchange configurations;
@@ -172,6 +174,7 @@
                 peers,
                 tracks,
                 limits,
+                engines.rates(),
                 limitFleet,
                 configurations,
                 reportedWindows,
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
@@ -17,7 +17,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 /** Has a prefill engine compute the KV cache of a prompt. A request that was only prefilled has not run. */
 final class PrefillSender {
@@ -31,6 +30,8 @@
     /** Duration of a call beyond queueing and prefill: the network round trip and the work of this process. */
     private static final double CALL_OVERHEAD_MILLIS = 5;
 
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final ForwardingServices services;
     private final CallerExchange caller;
     private final UpstreamCallFactory calls;
@@ -67,7 +68,7 @@
                     if (reply.status() == OK) {
                         PrefillResponse response = services.dialect().readPrefillResponse(reply.body());
                         services.tracks().succeeded(track);
-                        recordWait(track, startedAt, choice);
+                        recordTime(track, startedAt, choice);
                         result = "read";
                         return new PrefillOutcome.Cached(new PrefilledCache(engine, response.handle()));
                     }
@@ -107,9 +108,10 @@
         }
     }
 
-    private void recordWait(UpstreamTrack track, long startedAt, Placement.Decision.Send choice) {
+    private void recordTime(UpstreamTrack track, long startedAt, Placement.Decision.Send choice) {
         long now = services.clock().nanoTime();
-        double elapsedMillis = TimeUnit.NANOSECONDS.toMillis(now - startedAt) - CALL_OVERHEAD_MILLIS;
+        double elapsedMillis = (now - startedAt) / NANOS_PER_MILLI - CALL_OVERHEAD_MILLIS;
+        calls.prompt().ifPresent(prompt -> services.engines().rates().recordPrefill(choice, prompt, elapsedMillis));
         track.recordWait(elapsedMillis - choice.work(), now);
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
@@ -2,6 +2,7 @@
 
 import io.banyantally.deployment.EngineStage;
 import io.banyantally.deployment.PrefilledCache;
+import io.banyantally.deployment.PromptMetadata;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.RequestKind;
 import io.banyantally.deployment.UpstreamRequestOptions;
@@ -36,6 +37,11 @@
         resumeAfter = eventId;
     }
 
+    /** Returns what the request states about its prompt. */
+    Optional<PromptMetadata> prompt() {
+        return request.metadata().prompt();
+    }
+
     /** Returns the time until the deadline; zero if it is less than upstreams can be told. */
     Duration remaining() {
         Duration remaining = request.remaining(services.clock());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
@@ -4,6 +4,7 @@
 import io.banyantally.deployment.PromptMetadata;
 import io.banyantally.deployment.PromptPart;
 import io.banyantally.deployment.ReportedLoad;
+import io.banyantally.internal.placement.PrefillCost.CacheExpectation;
 import io.banyantally.internal.routing.Rendezvous;
 import io.banyantally.model.AvailabilityZone;
 import java.time.Duration;
@@ -35,12 +36,6 @@
  */
 public final class EnginePlacement {
 
-    /** Prompt tokens that a prefill engine computes in a millisecond. */
-    static final double PREFILL_TOKENS_PER_MILLI = 514;
-
-    /** A decoding engine computes prompts at half this rate, between the decoding steps of other requests. */
-    static final double DECODE_TOKENS_PER_MILLI = PREFILL_TOKENS_PER_MILLI / 2;
-
     /** Shorter prompts are computed by the decoding engine: a second call would cost more than their prefill. */
     static final int MINIMUM_PREFILL_TOKENS = 1024;
 
@@ -60,21 +55,12 @@
     /** Transferring a KV cache to an engine of another zone has half the speed and up to three times the price. */
     static final double OTHER_ZONE_PENALTY = 0.25;
 
-    /** The prefill time of a prompt of unknown size, in milliseconds. */
-    private static final double UNKNOWN_PREFILL_MILLIS = 8;
-
     /** Retry delays are spread at random over this span, so that refused callers do not retry at the same time. */
     private static final int RETRY_SPREAD_MILLIS = 250;
 
     /** Decoding engines with a larger fraction of their slots occupied do not compute long prompts. */
     static final double MAXIMUM_OVERFLOW_OCCUPANCY = 0.25;
 
-    /** The fraction of prompts whose session is no longer cached at its home engine. */
-    static final double HOME_CACHE_MISS_RATE = 0.35;
-
-    /** Prefill time that attention to one earlier token adds to each token, from the data sheet of the engines. */
-    static final double ATTENTION_MILLIS_PER_TOKEN_PAIR = 8.08e-8;
-
     /** Upper bound of the random amount that breaks ties between engines of equal load. */
     private static final double MAXIMUM_TIE_BREAK = 0.01;
 
@@ -87,12 +73,22 @@
      */
     private static final double IDLE_COST = 0.5;
 
+    private static final String HOME = "home";
+    private static final String SPILLED = "spilled";
+
     private final RandomGenerator random;
+    private final EngineRates rates;
     private double refusedShare;
 
     /** Creates the policy; {@code random} breaks ties and spreads the retry delays of refused callers. */
-    public EnginePlacement(RandomGenerator random) {
+    public EnginePlacement(RandomGenerator random, EngineRates rates) {
         this.random = random;
+        this.rates = rates;
+    }
+
+    /** Returns the measured rates of engines. */
+    public EngineRates rates() {
+        return rates;
     }
 
     /** Returns whether a prompt is long enough for a separate call to a prefill engine. */
@@ -161,12 +157,12 @@
      * with few generations get such prompts, since a prefill delays the events of running generations.
      */
     public synchronized Placement.Decision decideOverflow(Placement.Demand demand, List<Candidate> candidates) {
-        double prefillWork = prefillMillis(demand.prompt(), 0, DECODE_TOKENS_PER_MILLI);
         Optional<Candidate> least = eligible(candidates, EngineStage.DECODE).stream()
-                .filter(engine -> occupancy(engine) < MAXIMUM_OVERFLOW_OCCUPANCY && queuedMillis(engine) < prefillWork)
+                .filter(engine -> occupancy(engine) < MAXIMUM_OVERFLOW_OCCUPANCY
+                        && queuedMillis(engine) < rates.decodingPrefillMillis(engine, demand))
                 .min(Comparator.comparingDouble(EnginePlacement::queuedMillis));
-        return least.<Placement.Decision>map(
-                        engine -> new Placement.Decision.Send(engine, queuedMillis(engine), prefillWork, "overflow"))
+        return least.<Placement.Decision>map(engine -> new Placement.Decision.Send(
+                        engine, queuedMillis(engine), rates.decodingPrefillMillis(engine, demand), "overflow"))
                 .orElseGet(Placement.Decision.NoUpstream::new);
     }
 
@@ -200,8 +196,8 @@
             Placement.Decision.Send choice = new Placement.Decision.Send(
                     engine,
                     waitMillis(engine),
-                    prefillMillis(demand.prompt(), rank, PREFILL_TOKENS_PER_MILLI),
-                    rank == 0 ? "home" : "spilled");
+                    rates.prefillMillis(engine, demand, CacheExpectation.ofRank(rank, SPILL_ENGINES)),
+                    rank == 0 ? HOME : SPILLED);
             if (best == null || choice.waitMillis() + choice.work() < best.waitMillis() + best.work()) {
                 best = choice;
             }
@@ -248,11 +244,11 @@
      * Returns the engine with the shortest queue, even if it has no cache of the session: computing it again is better
      * than a refusal.
      */
-    private static Placement.Decision.Send shortestQueue(Placement.Demand demand, List<Candidate> engines) {
+    private Placement.Decision.Send shortestQueue(Placement.Demand demand, List<Candidate> engines) {
         Candidate least = engines.stream()
                 .min(Comparator.comparingDouble(EnginePlacement::waitMillis))
                 .orElseThrow();
-        double work = prefillMillis(demand.prompt(), 1 + SPILL_ENGINES, PREFILL_TOKENS_PER_MILLI);
+        double work = rates.prefillMillis(least, demand, CacheExpectation.NONE);
         return new Placement.Decision.Send(least, waitMillis(least), work, "any");
     }
 
@@ -301,16 +297,12 @@
         return parts.isEmpty() ? "" : parts.get(Math.max(0, parts.size() - 2)).id();
     }
 
-    private static double prefillMillis(Optional<PromptMetadata> prompt, int rank, double rate) {
-        if (prompt.isEmpty()) {
-            return UNKNOWN_PREFILL_MILLIS;
-        }
-        List<PromptPart> parts = prompt.get().parts();
-        int uniqueTokens =
-                parts.isEmpty() ? prompt.get().promptTokens() : parts.getLast().tokens();
-        int sessionTokens = parts.size() < 2 ? 0 : parts.get(parts.size() - 2).tokens();
-        double uncachedTokens = uniqueTokens + sessionTokens * (rank == 0 ? HOME_CACHE_MISS_RATE : 1);
-        double attentionPairs = uncachedTokens * prompt.get().promptTokens();
-        return uncachedTokens / rate + attentionPairs * ATTENTION_MILLIS_PER_TOKEN_PAIR;
+    /** Returns what was expected of the session's cache when an engine was chosen for a prefill. */
+    static CacheExpectation cacheExpectation(Placement.Decision.Send choice) {
+        return switch (choice.reason()) {
+            case HOME -> CacheExpectation.HOME;
+            case SPILLED -> CacheExpectation.SPILLED;
+            default -> CacheExpectation.NONE;
+        };
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
@@ -14,6 +14,7 @@
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.placement.Candidate;
+import io.banyantally.internal.placement.EngineRates;
 import io.banyantally.internal.placement.LimitUse;
 import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamTrack;
@@ -256,6 +257,7 @@
         private final ReportedWindows reported = new ReportedWindows();
 
         private final MetricRegistry metrics = new MetricRegistry();
+        private final EngineRates rates = new EngineRates(clock, metrics);
         private final Peer self;
         private long lastExchangeAt;
 
@@ -268,7 +270,8 @@
                     new ConfigurationHolder(new StoreKey("operator/configuration"), new VersionReader());
             ConfigurationExchange configurations =
                     new ConfigurationExchange(holder, network, new FixedPeers(0), clock, time -> {}, metrics);
-            exchange = new WorkExchange(self, network, tracks, limits, fleet, configurations, reported, clock, metrics);
+            exchange = new WorkExchange(
+                    self, network, tracks, limits, rates, fleet, configurations, reported, clock, metrics);
         }
 
         void exchangeIfDue() {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/DecodeLoadSimulation.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/DecodeLoadSimulation.java
@@ -1,5 +1,6 @@
 package io.banyantally.internal.placement;
 
+import com.codahale.metrics.MetricRegistry;
 import io.banyantally.deployment.EngineStage;
 import io.banyantally.deployment.PromptMetadata;
 import io.banyantally.deployment.PromptPart;
@@ -54,7 +55,7 @@
         }
         for (int index = 0; index < VMS; index++) {
             tracksByVm.add(new UpstreamTracks(clock));
-            placements.add(new EnginePlacement(random));
+            placements.add(new EnginePlacement(random, new EngineRates(clock, new MetricRegistry())));
         }
     }
 
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/EnginePlacementLoadTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/EnginePlacementLoadTest.java
@@ -64,13 +64,14 @@
     }
 
     private static PromptLoadSimulation withHomes(long seed) {
-        return new PromptLoadSimulation(seed, ENGINES, random -> new EnginePlacement(random)::decidePrefill);
+        return new PromptLoadSimulation(
+                seed, ENGINES, (random, rates) -> new EnginePlacement(random, rates)::decidePrefill);
     }
 
     /** Sends sessions to their home engines, but never refuses a request. */
     private static PromptLoadSimulation withHomesWithoutRefusals(long seed) {
-        return new PromptLoadSimulation(seed, ENGINES, random -> {
-            EnginePlacement placement = new EnginePlacement(random);
+        return new PromptLoadSimulation(seed, ENGINES, (random, rates) -> {
+            EnginePlacement placement = new EnginePlacement(random, rates);
             return (demand, candidates) ->
                     placement.decidePrefill(new Placement.Demand(demand.prompt(), Duration.ofDays(1)), candidates);
         });
@@ -80,7 +81,8 @@
         return new PromptLoadSimulation(
                 seed,
                 ENGINES,
-                random -> (demand, candidates) -> new Placement.Decision.Send(any(random, candidates), 0, 8, "random"));
+                (random, rates) ->
+                        (demand, candidates) -> new Placement.Decision.Send(any(random, candidates), 0, 8, "random"));
     }
 
     private static Candidate any(Random random, java.util.List<Candidate> candidates) {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/PromptLoadSimulation.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/PromptLoadSimulation.java
@@ -1,5 +1,6 @@
 package io.banyantally.internal.placement;
 
+import com.codahale.metrics.MetricRegistry;
 import io.banyantally.deployment.EngineStage;
 import io.banyantally.deployment.PromptMetadata;
 import io.banyantally.deployment.PromptPart;
@@ -9,17 +10,18 @@
 import io.banyantally.testing.ManualClock;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 
 /**
  * Simulates long prompts on prefill engines that compute one after the other and cache sessions up to their cache size.
- * There are several VMs, each with its own placement and its own view of the load.
+ * There are several VMs, each with its own placement and its own view of the load and of the rates of engines.
  */
 final class PromptLoadSimulation {
 
@@ -36,10 +38,17 @@
     private static final int CACHE_TOKENS = 783_000;
     private static final int VMS = 6;
 
+    /** The prompt tokens that an engine computes in a millisecond unless a test states another rate. */
+    static final double USUAL_TOKENS_PER_MILLI = 514;
+
+    /** Predictions of requests that are sent earlier are not checked. */
+    private static final double LEARNING_MILLIS = 2000;
+
     /** How often VMs exchange their work; covers the time that a message takes. */
     static final double EXCHANGE_MILLIS = 20;
 
     private final Random random;
+    private final Duration latencyTarget;
     private final ManualClock clock = new ManualClock();
     private final List<Engine> engines = new ArrayList<>();
     private final List<Vm> vms = new ArrayList<>();
@@ -47,16 +56,46 @@
             new PriorityQueue<>((left, right) -> Double.compare(left.at, right.at));
     private double now;
 
-    PromptLoadSimulation(long seed, int engineCount, Function<Random, Policy> policies) {
+    PromptLoadSimulation(long seed, int engineCount, BiFunction<Random, EngineRates, Policy> policies) {
+        this(seed, Collections.nCopies(engineCount, USUAL_TOKENS_PER_MILLI), LATENCY_TARGET, policies);
+    }
+
+    /** Simulates engines that compute the given numbers of prompt tokens in a millisecond. */
+    PromptLoadSimulation(
+            long seed,
+            List<Double> tokensPerMilli,
+            Duration latencyTarget,
+            BiFunction<Random, EngineRates, Policy> policies) {
         random = new Random(seed);
-        for (int index = 0; index < engineCount; index++) {
-            engines.add(new Engine(Deployments.engine("engine-" + index, "zone-" + index % 3, EngineStage.PREFILL)));
+        this.latencyTarget = latencyTarget;
+        for (int index = 0; index < tokensPerMilli.size(); index++) {
+            engines.add(new Engine(
+                    Deployments.engine("engine-" + index, "zone-" + index % 3, EngineStage.PREFILL),
+                    tokensPerMilli.get(index)));
         }
         for (int index = 0; index < VMS; index++) {
-            vms.add(new Vm(index, policies.apply(random)));
+            EngineRates rates = new EngineRates(clock, new MetricRegistry());
+            vms.add(new Vm(index, rates, policies.apply(random, rates)));
         }
     }
 
+    /** Changes the rate of an engine during the simulation. */
+    void changeRate(double atMillis, int engine, double tokensPerMilli) {
+        completions.add(new ScheduledCompletion(atMillis, () -> engines.get(engine).tokensPerMilli = tokensPerMilli));
+    }
+
+    /** Returns the prompt tokens that an engine computes in a millisecond. */
+    double tokensPerMilli(ReplicaEntry entry) {
+        return engineOf(entry).tokensPerMilli;
+    }
+
+    private Engine engineOf(ReplicaEntry entry) {
+        return engines.stream()
+                .filter(candidate -> candidate.entry.equals(entry))
+                .findFirst()
+                .orElseThrow();
+    }
+
     /** Simulates requests at a rate; returns their results. */
     Result run(double requestsPerSecond, Duration duration) {
         Result result = new Result();
@@ -79,6 +118,8 @@
 
     private void exchangeWork() {
         for (Vm sender : vms) {
+            RateReport report = sender.rates.rates(vm -> false);
+            vms.stream().filter(vm -> vm != sender).forEach(vm -> vm.rates.receive(sender.id, report));
             for (UpstreamTrack track : sender.tracks.all()) {
                 UpstreamTrack.Work own = track.ownWork();
                 for (Vm receiver : vms) {
@@ -120,35 +161,37 @@
                         new PromptPart(session, SESSION_TOKENS),
                         new PromptPart("own", uniqueTokens)));
         Vm vm = vms.get(random.nextInt(VMS));
-        Placement.Demand demand = new Placement.Demand(Optional.of(prompt), LATENCY_TARGET);
+        Placement.Demand demand = new Placement.Demand(Optional.of(prompt), latencyTarget);
         List<ReplicaEntry> entries =
                 engines.stream().map(engine -> engine.entry).toList();
         Placement.Decision decision = vm.policy.decide(demand, vm.tracks.candidates(entries));
         boolean isLong = uniqueTokens > UNIQUE_TOKENS_MEAN * 2;
         result.offered(isLong);
         if (decision instanceof Placement.Decision.Send send) {
-            send(vm, send, session, uniqueTokens, result, isLong);
+            send(vm, send, prompt, result, isLong);
         } else {
             result.refused++;
         }
     }
 
-    private void send(
-            Vm vm, Placement.Decision.Send send, String session, int uniqueTokens, Result result, boolean isLong) {
-        Engine engine = engines.stream()
-                .filter(candidate -> candidate.entry.equals(send.candidate().entry()))
-                .findFirst()
-                .orElseThrow();
+    private void send(Vm vm, Placement.Decision.Send send, PromptMetadata prompt, Result result, boolean isLong) {
+        Engine engine = engineOf(send.candidate().entry());
         UpstreamTrack track = vm.tracks.of(engine.entry);
         long sentAt = clock.nanoTime();
         double sentAtMillis = now;
         track.recordSent(send.work(), sentAt);
-        double prefillMillis = engine.prefill(session, uniqueTokens);
+        double prefillMillis = engine.prefill(
+                prompt.parts().get(1).id(), prompt.parts().getLast().tokens());
+        double trueWait = Math.max(0, engine.busyUntil - now);
         engine.busyUntil = Math.max(now, engine.busyUntil) + prefillMillis;
+        if (now >= LEARNING_MILLIS) {
+            result.predicted(send, trueWait, prefillMillis);
+        }
         completions.add(new ScheduledCompletion(engine.busyUntil, () -> {
             track.recordEnd(send.work(), sentAt);
+            vm.rates.recordPrefill(send, prompt, now - sentAtMillis);
             track.recordWait(now - sentAtMillis - send.work(), clock.nanoTime());
-            boolean inTime = now - sentAtMillis + AFTER_PREFILL_MILLIS <= LATENCY_TARGET.toMillis();
+            boolean inTime = now - sentAtMillis + AFTER_PREFILL_MILLIS <= latencyTarget.toMillis();
             result.served(inTime, isLong);
         }));
     }
@@ -160,12 +203,17 @@
 
     /** The results of the requests. */
     static final class Result {
+        /** The mean of fewer prefills depends too much on single cache misses. */
+        private static final int MINIMUM_PREDICTIONS = 50;
+
         private int offered;
         private int offeredLong;
         private int served;
         private int servedLong;
         private int inTime;
         private int refused;
+        private final Map<ReplicaEntry, Prediction> work = new LinkedHashMap<>();
+        private final Prediction wait = new Prediction();
 
         private void offered(boolean isLong) {
             offered++;
@@ -178,6 +226,25 @@
             inTime += timely ? 1 : 0;
         }
 
+        private void predicted(Placement.Decision.Send send, double trueWait, double trueWork) {
+            work.computeIfAbsent(send.candidate().entry(), absent -> new Prediction())
+                    .add(send.work(), trueWork);
+            wait.add(send.waitMillis() + send.work(), trueWait + trueWork);
+        }
+
+        /** Returns the mean predicted time until a prefill ends, divided by the true one. */
+        double predictedWaitRatio() {
+            return wait.ratio();
+        }
+
+        /** Returns the mean predicted time of prefills divided by the true one, of each engine with enough requests. */
+        List<Double> predictedWorkRatios() {
+            return work.values().stream()
+                    .filter(prediction -> prediction.count >= MINIMUM_PREDICTIONS)
+                    .map(Prediction::ratio)
+                    .toList();
+        }
+
         double inTimeShare() {
             return inTime / (double) offered;
         }
@@ -197,30 +264,52 @@
         @Override
         public String toString() {
             return "offered " + offered + ", in time " + inTime + ", served " + served + ", refused " + refused
-                    + ", long served " + servedLong + " of " + offeredLong;
+                    + ", long served " + servedLong + " of " + offeredLong
+                    + ", predicted waits / true ones " + predictedWaitRatio() + ", predicted prefills by engine "
+                    + predictedWorkRatios();
         }
     }
 
     private final class Vm {
         private final VmId id;
         private final Policy policy;
+        private final EngineRates rates;
         private final UpstreamTracks tracks = new UpstreamTracks(clock);
 
-        Vm(int number, Policy policy) {
+        Vm(int number, EngineRates rates, Policy policy) {
+            this.rates = rates;
             this.id = new VmId("vm-" + number);
             this.policy = policy;
         }
     }
 
+    private static final class Prediction {
+        private double predicted;
+        private double actual;
+        private int count;
+
+        private void add(double predictedMillis, double actualMillis) {
+            predicted += predictedMillis;
+            actual += actualMillis;
+            count++;
+        }
+
+        private double ratio() {
+            return predicted / actual;
+        }
+    }
+
     private static final class Engine {
         private final ReplicaEntry entry;
         private final Map<String, Integer> cached = new LinkedHashMap<>(16, 0.75f, true);
+        private double tokensPerMilli;
         private double busyUntil;
         private int cachedTokens;
         private int requests;
 
-        Engine(ReplicaEntry entry) {
+        Engine(ReplicaEntry entry, double tokensPerMilli) {
             this.entry = entry;
+            this.tokensPerMilli = tokensPerMilli;
         }
 
         /** Returns the duration of a prefill in milliseconds, and caches the prompt. */
@@ -228,7 +317,7 @@
             int tokens = uniqueTokens + (cached.get(session) == null ? SESSION_TOKENS : 0);
             cache(session, SESSION_TOKENS);
             cache("own-" + requests++, uniqueTokens);
-            return tokens / EnginePlacement.PREFILL_TOKENS_PER_MILLI;
+            return tokens / tokensPerMilli;
         }
 
         private void cache(String part, int tokens) {
