Bound learned prefill times by what engines computed

Work of other VMs that is known late made prefills seem up to three times longer under overload. An engine cannot compute for more than a second in a second, which bounds its factor. A session token costs at most as much as a computed one.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/EngineRates.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/EngineRates.java
@@ -82,7 +82,10 @@
     /** Returns the expected milliseconds that an engine computes a prompt, at its usual pace. */
     synchronized double prefillMillis(ReplicaEntry engine, PromptMetadata prompt, CacheExpectation cache) {
         long now = clock.nanoTime();
-        return kind(kindName(engine), now).cost.millis(prompt, cache) * engine(engineName(engine), now).factor;
+        PrefillCost cost = kind(kindName(engine), now).cost;
+        Engine known = engine(engineName(engine), now);
+        known.cost = cost;
+        return cost.millis(prompt, cache) * known.factor;
     }
 
     /** Returns {@link #prefillMillis} of an engine at the pace that it reported last, also for an unknown prompt. */
@@ -123,17 +126,23 @@
         CacheExpectation cache = EnginePlacement.cacheExpectation(choice);
         Kind kind = kind(kindName(candidate.entry()), now);
         Engine engine = engine(engineName(candidate.entry()), now);
+        engine.own.fade(now, ENGINE_FADING);
         double weight = share * share;
         double expected = kind.cost.millis(prompt, cache);
         if (kind.weight >= MINIMUM_KIND_WEIGHT && expected > 0) {
-            millis = Math.min(millis, expected * engine.factor * MAXIMUM_RATIO);
-            engine.own.fade(now, ENGINE_FADING);
-            engine.own.values[0] += weight * Math.min(MAXIMUM_RATIO, millis / expected);
-            engine.own.values[1] += weight;
+            millis = Math.min(millis, expected * engine.measured * MAXIMUM_RATIO);
+            double ratio = Math.min(MAXIMUM_RATIO, millis / expected);
+            engine.own.values[0] += weight * ratio;
+            engine.own.values[Engine.WEIGHT] += weight;
+            kind.ratios.fade(now, ENGINE_FADING);
+            kind.ratios.values[0] += weight * ratio;
+            kind.ratios.values[1] += weight;
         }
+        PrefillCost.addColumns(engine.own.values, 1, prompt, cache, candidate.pace());
         kind.own.fade(now, KIND_FADING);
-        PrefillCost.add(kind.own.values, prompt, cache, millis / engine.factor, weight);
+        PrefillCost.add(kind.own.values, prompt, cache, millis * kind.meanFactor() / engine.measured, weight);
         kind.refresh(now);
+        engine.cost = kind.cost;
         engine.refresh(now);
     }
 
@@ -242,12 +251,16 @@
         private final FadingSums own;
         private PrefillCost former = PrefillCost.start();
         private PrefillCost cost = former;
+        /** The weighted sum of this VM's measured times divided by the estimated ones, and the weight. */
+        private final FadingSums ratios;
+
         private double weight;
         private long refreshedAt;
 
         Kind(String name, long now) {
             this.name = name;
             own = new FadingSums(PrefillCost.SUMS, now);
+            ratios = new FadingSums(2, now);
             refresh(now);
         }
 
@@ -263,6 +276,14 @@
             return total;
         }
 
+        /**
+         * Returns the mean factor of the engines that this VM uses. Measured times are divided by an engine's factor
+         * relative to this mean; by the factor alone, an error common to all factors would remain in the estimate.
+         */
+        private double meanFactor() {
+            return (ratios.values[0] + FORMER_FACTOR_WEIGHT) / (ratios.values[1] + FORMER_FACTOR_WEIGHT);
+        }
+
         private void refresh(long now) {
             // What recent calls leave open stays as it was, also while there are none.
             former = former.towards(cost, fraction(now - refreshedAt, KIND_FADING));
@@ -275,12 +296,15 @@
 
     /** The factor of an engine. */
     private final class Engine {
-        /** The weighted sum of measured times divided by those of the kind, and the weight. */
-        private static final int SUMS = 2;
+        /** The weighted sum of measured times divided by those of the kind, what was computed, and the weight. */
+        private static final int SUMS = 2 + PrefillCost.COEFFICIENTS;
+        private static final int WEIGHT = SUMS - 1;
 
         private final String name;
         private final FadingSums own;
+        private PrefillCost cost = PrefillCost.start();
         private double former = 1;
+        private double measured = 1;
         private double factor = 1;
         private boolean notable;
         private long refreshedAt;
@@ -308,20 +332,23 @@
         private void refresh(long now) {
             long elapsed = now - refreshedAt;
             refreshedAt = now;
-            former += (factor - former) * fraction(elapsed, ENGINE_FADING);
+            former += (measured - former) * fraction(elapsed, ENGINE_FADING);
             former += (1 - former) * fraction(elapsed, FACTOR_RETURN);
             double[] total = total(vm -> true, now);
-            if (total[1] >= MINIMUM_SHARED_WEIGHT) {
+            if (total[WEIGHT] >= MINIMUM_SHARED_WEIGHT) {
                 usedAt = now;
             }
-            factor = (total[0] + FORMER_FACTOR_WEIGHT * former) / (total[1] + FORMER_FACTOR_WEIGHT);
-            boolean slow = factor >= NOTABLE_FACTOR;
-            if (slow != notable && (slow || factor < NOTABLE_FACTOR / 1.5)) {
+            measured = (total[0] + FORMER_FACTOR_WEIGHT * former) / (total[WEIGHT] + FORMER_FACTOR_WEIGHT);
+            // An engine cannot compute for more than a second in a second.
+            double computed = cost.millisOfColumns(total, 1);
+            factor = Math.min(measured, ENGINE_FADING.toMillis() / Math.max(1, computed));
+            boolean slow = former >= NOTABLE_FACTOR;
+            if (slow != notable && (slow || former < NOTABLE_FACTOR / 1.5)) {
                 notable = slow;
                 LOG.info(
                         slow ? "engine_slow" : "engine_usual",
                         EventField.of("engine", name),
-                        EventField.of("percent", Math.round(factor * 100)));
+                        EventField.of("percent", Math.round(former * 100)));
             }
         }
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/PrefillCost.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/PrefillCost.java
@@ -17,6 +17,8 @@
     /** Coefficients: a computed token, a session token at its home, one where sessions spill, a pair of tokens. */
     static final int COEFFICIENTS = 4;
 
+    private static final int PAIRS = COEFFICIENTS - 1;
+
     /** The upper triangle of the normal equations, their right side and the weight of all calls. */
     static final int SUMS = COEFFICIENTS * (COEFFICIENTS + 1) / 2 + COEFFICIENTS + 1;
 
@@ -48,9 +50,9 @@
     double millis(PromptMetadata prompt, CacheExpectation cache) {
         double[] columns = columns(prompt, cache);
         double session = cache == CacheExpectation.NONE ? 0 : sessionTokens(prompt);
-        double perToken = coefficients[0] + coefficients[3] * prompt.promptTokens() * PAIR_SCALE;
+        double perToken = coefficients[0] + coefficients[PAIRS] * prompt.promptTokens() * PAIR_SCALE;
         double sessionMillis = session * Math.min(coefficients[cache == CacheExpectation.HOME ? 1 : 2], perToken);
-        return columns[0] * coefficients[0] + columns[3] * coefficients[3] + sessionMillis;
+        return columns[0] * coefficients[0] + columns[PAIRS] * coefficients[PAIRS] + sessionMillis;
     }
 
     /** Adds a call that took {@code millis} to the sums; each call counts by its relative error. */
@@ -69,6 +71,23 @@
         sums[index] += weight;
     }
 
+    /** Adds what a call computes, times {@code factor}, to the sums that begin at {@code first}. */
+    static void addColumns(double[] sums, int first, PromptMetadata prompt, CacheExpectation cache, double factor) {
+        double[] columns = columns(prompt, cache);
+        for (int index = 0; index < COEFFICIENTS; index++) {
+            sums[first + index] += columns[index] * factor;
+        }
+    }
+
+    /** Returns the expected milliseconds of the calls that {@link #addColumns} has summed. */
+    double millisOfColumns(double[] sums, int first) {
+        double millis = 0;
+        for (int index = 0; index < COEFFICIENTS; index++) {
+            millis += sums[first + index] * coefficients[index];
+        }
+        return millis;
+    }
+
     static double weight(double[] sums) {
         return sums[SUMS - 1];
     }
@@ -76,18 +95,27 @@
     /** Returns the function that fits the calls in {@code sums} best, near this one where they leave it open. */
     PrefillCost fitted(double[] sums) {
         boolean[] zero = new boolean[COEFFICIENTS];
+        boolean[] tied = new boolean[COEFFICIENTS];
         while (true) {
-            double[] solution = solve(sums, zero);
-            int negative = -1;
-            for (int index = 0; index < COEFFICIENTS; index++) {
-                if (solution[index] < 0 && (negative < 0 || solution[index] < solution[negative])) {
-                    negative = index;
+            double[] solution = solve(sums, zero, tied);
+            int changed = -1;
+            for (int session = 1; session < PAIRS; session++) {
+                // A session token costs no more than one that is surely computed.
+                if (!tied[session] && solution[session] > solution[0] + solution[PAIRS]) {
+                    tied[session] = true;
+                    changed = session;
+                }
+            }
+            for (int index = 0; index < COEFFICIENTS && changed < 0; index++) {
+                if (!tied[index] && solution[index] < 0) {
+                    zero[index] = true;
+                    changed = index;
                 }
             }
-            if (negative < 0) {
+            if (changed < 0) {
+                solution[0] = Math.max(START_MILLIS_PER_TOKEN, solution[0]);
                 return new PrefillCost(solution);
             }
-            zero[negative] = true;
         }
     }
 
@@ -100,8 +128,13 @@
         return new PrefillCost(mixed);
     }
 
-    /** Solves the normal equations with the given coefficients fixed at 0. */
-    private double[] solve(double[] sums, boolean[] zero) {
+    /**
+     * Solves the normal equations.
+     *
+     * @param zero the coefficients that are fixed at 0
+     * @param tied the coefficients that are fixed at the cost of a computed token of a prompt of usual size
+     */
+    private double[] solve(double[] sums, boolean[] zero, boolean[] tied) {
         double[][] matrix = new double[COEFFICIENTS][COEFFICIENTS + 1];
         int index = 0;
         for (int row = 0; row < COEFFICIENTS; row++) {
@@ -115,7 +148,13 @@
             matrix[row][COEFFICIENTS] = sums[index++] + FORMER_WEIGHT * coefficients[row];
         }
         for (int fixed = 0; fixed < COEFFICIENTS; fixed++) {
-            if (zero[fixed]) {
+            if (tied[fixed]) {
+                addRowAndColumn(matrix, fixed, 0);
+                addRowAndColumn(matrix, fixed, PAIRS);
+            }
+        }
+        for (int fixed = 0; fixed < COEFFICIENTS; fixed++) {
+            if (zero[fixed] || tied[fixed]) {
                 for (int other = 0; other < COEFFICIENTS; other++) {
                     matrix[fixed][other] = 0;
                     matrix[other][fixed] = 0;
@@ -139,11 +178,23 @@
             for (int column = row + 1; column < COEFFICIENTS; column++) {
                 rest -= matrix[row][column] * solution[column];
             }
-            solution[row] = zero[row] ? 0 : rest / Math.max(SMALLEST_PIVOT, matrix[row][row]);
+            solution[row] = zero[row] || tied[row] ? 0 : rest / Math.max(SMALLEST_PIVOT, matrix[row][row]);
+        }
+        for (int row = 0; row < COEFFICIENTS; row++) {
+            solution[row] = tied[row] ? solution[0] + solution[PAIRS] : solution[row];
         }
         return solution;
     }
 
+    private static void addRowAndColumn(double[][] matrix, int from, int to) {
+        for (int column = 0; column <= COEFFICIENTS; column++) {
+            matrix[to][column] += matrix[from][column];
+        }
+        for (int row = 0; row < COEFFICIENTS; row++) {
+            matrix[row][to] += matrix[row][from];
+        }
+    }
+
     private static double[] columns(PromptMetadata prompt, CacheExpectation cache) {
         double session = sessionTokens(prompt);
         double computed = ownTokens(prompt) + (cache == CacheExpectation.NONE ? session : 0);
