--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
@@ -13,12 +13,15 @@
 import io.banyantally.deployment.ResponseMetadata;
 import io.banyantally.internal.deployment.ConfigurationHolder;
 import io.banyantally.internal.duty.ReportedWindows;
+import io.banyantally.internal.peer.MessagePackCodec;
 import io.banyantally.internal.peer.Peer;
+import io.banyantally.internal.peer.PeerException;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.placement.Candidate;
 import io.banyantally.internal.placement.EngineRates;
 import io.banyantally.internal.placement.LimitUse;
 import io.banyantally.internal.placement.Placement;
+import io.banyantally.internal.placement.RateReport;
 import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.internal.placement.UpstreamTracks;
@@ -125,6 +128,17 @@
         }
     }
 
+    /** Guards against losing the exchange with VMs of an earlier version, whose messages have no rates. */
+    @Test
+    void messageOfAnEarlierVersionHasNoRates() throws PeerException {
+        byte[] message = MessagePackCodec.of(EarlierMessage.class).encode(new EarlierMessage(List.of(), 3));
+
+        WorkMessage decoded = MessagePackCodec.of(WorkMessage.class).decode(message);
+
+        assertEquals(RateReport.NONE, decoded.rates());
+        assertEquals(3, decoded.vms());
+    }
+
     /** Guards against a holder that reports a window again, since it does not know that another VM has reported it. */
     @Test
     void everyVmOfALargeFleetKnowsTheReportedWindows() throws InterruptedException {
@@ -269,6 +283,9 @@
         Thread.sleep(200);
     }
 
+    /** Fields of messages of work before rates were shared. */
+    record EarlierMessage(List<WorkMessage.UpstreamWork> work, int vms) {}
+
     private final class Vm {
         private final UpstreamTracks tracks = new UpstreamTracks(clock);
         private final LimitFleet fleet;
