--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -43,6 +43,7 @@
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.TcpPeerNetwork;
 import io.banyantally.internal.placement.EnginePlacement;
+import io.banyantally.internal.placement.EngineRates;
 import io.banyantally.internal.placement.EngineZones;
 import io.banyantally.internal.placement.LeastLoadedPlacement;
 import io.banyantally.internal.placement.RetryAllowance;
@@ -170,11 +171,17 @@
         listedPeers = new ListedPeers(settings.vm(), members, store, peers);
         configurations = new ConfigurationExchange(
                 configuration, peers, listedPeers, MonotonicClock.SYSTEM, Sleeper.SYSTEM, metrics);
+        ZoneCost zoneCost = new ZoneCost(settings.zone(), settings.zoneMegabyteMillis());
+        engines = new EnginePlacement(
+                new SplittableRandom(),
+                new EngineRates(MonotonicClock.SYSTEM, metrics),
+                new EngineZones(zoneCost, metrics));
         exchange = new WorkExchange(
                 self,
                 peers,
                 tracks,
                 limits,
+                engines.rates(),
                 limitFleet,
                 configurations,
                 reportedWindows,
@@ -182,8 +189,6 @@
                 metrics);
         watchedStore = new RelayedStore(store, self, peers, MonotonicClock.SYSTEM, metrics);
         client = AdapterHttpClient.start(UPSTREAM_CLIENT_SETTINGS);
-        ZoneCost zoneCost = new ZoneCost(settings.zone(), settings.zoneMegabyteMillis());
-        engines = new EnginePlacement(new SplittableRandom(), new EngineZones(zoneCost, metrics));
         LeastLoadedPlacement placement = new LeastLoadedPlacement(
                 ThreadLocalRandom::current, new ZoneSpill(zoneCost, MonotonicClock.SYSTEM, metrics));
         RetryAllowance retries = new RetryAllowance(
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
@@ -6,15 +6,22 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.banyantally.deployment.EngineStage;
+import io.banyantally.deployment.PromptMetadata;
+import io.banyantally.deployment.PromptPart;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.ReportedLoad;
 import io.banyantally.deployment.ResponseMetadata;
 import io.banyantally.internal.deployment.ConfigurationHolder;
 import io.banyantally.internal.duty.ReportedWindows;
+import io.banyantally.internal.peer.MessagePackCodec;
 import io.banyantally.internal.peer.Peer;
+import io.banyantally.internal.peer.PeerException;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.placement.Candidate;
+import io.banyantally.internal.placement.EngineRates;
 import io.banyantally.internal.placement.LimitUse;
+import io.banyantally.internal.placement.Placement;
+import io.banyantally.internal.placement.RateReport;
 import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.internal.placement.UpstreamTracks;
@@ -104,6 +111,34 @@
         }
     }
 
+    /** Guards against VMs of a large fleet that learn the rates of engines from their own few calls only. */
+    @Test
+    void everyVmOfALargeFleetKnowsTheRatesThatOthersMeasure() throws InterruptedException {
+        List<Vm> fleet = startFleet(40);
+        PromptMetadata prompt = new PromptMetadata(3000, 10, List.of(new PromptPart("own", 3000)));
+        fleet.forEach(
+                vm -> vm.rates.recordPrefill(new Placement.Decision.Send(vm.candidate(), 0, 3, "any"), prompt, 30));
+
+        runFor(Duration.ofMillis(300), fleet);
+
+        for (Vm vm : fleet) {
+            double weight =
+                    vm.rates.rates(peer -> true).kinds().getFirst().values().getLast();
+            assertEquals(fleet.size(), weight, 0.2 * fleet.size(), vm.self.toString());
+        }
+    }
+
+    /** Guards against losing the exchange with VMs of an earlier version, whose messages have no rates. */
+    @Test
+    void messageOfAnEarlierVersionHasNoRates() throws PeerException {
+        byte[] message = MessagePackCodec.of(EarlierMessage.class).encode(new EarlierMessage(List.of(), 3));
+
+        WorkMessage decoded = MessagePackCodec.of(WorkMessage.class).decode(message);
+
+        assertEquals(RateReport.NONE, decoded.rates());
+        assertEquals(3, decoded.vms());
+    }
+
     /** Guards against a holder that reports a window again, since it does not know that another VM has reported it. */
     @Test
     void everyVmOfALargeFleetKnowsTheReportedWindows() throws InterruptedException {
@@ -248,6 +283,9 @@
         Thread.sleep(200);
     }
 
+    /** Fields of messages of work before rates were shared. */
+    record EarlierMessage(List<WorkMessage.UpstreamWork> work, int vms) {}
+
     private final class Vm {
         private final UpstreamTracks tracks = new UpstreamTracks(clock);
         private final LimitFleet fleet;
@@ -256,6 +294,7 @@
         private final ReportedWindows reported = new ReportedWindows();
 
         private final MetricRegistry metrics = new MetricRegistry();
+        private final EngineRates rates = new EngineRates(clock, metrics);
         private final Peer self;
         private long lastExchangeAt;
 
@@ -268,7 +307,8 @@
                     new ConfigurationHolder(new StoreKey("operator/configuration"), new VersionReader());
             ConfigurationExchange configurations =
                     new ConfigurationExchange(holder, network, new FixedPeers(0), clock, time -> {}, metrics);
-            exchange = new WorkExchange(self, network, tracks, limits, fleet, configurations, reported, clock, metrics);
+            exchange = new WorkExchange(
+                    self, network, tracks, limits, rates, fleet, configurations, reported, clock, metrics);
         }
 
         void exchangeIfDue() {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/EngineZonesTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/EngineZonesTest.java
@@ -95,7 +95,10 @@
     }
 
     private EnginePlacement placement(AvailabilityZone zone, double price) {
-        return new EnginePlacement(new SplittableRandom(1), new EngineZones(new ZoneCost(zone, price), metrics));
+        return new EnginePlacement(
+                new SplittableRandom(1),
+                new EngineRates(MonotonicClock.SYSTEM, new MetricRegistry()),
+                new EngineZones(new ZoneCost(zone, price), metrics));
     }
 
     private static ReplicaEntry engine(Placement.Decision decision) {
