Build messages of the exchange only for a receiver

Cause: a delegate summed its zone every 40 ms even if all other delegates have lower ids and send to it; each choice of a delegate hashed the names of all peers for each comparison, and each message copied the list of tracks twice. Change: the message is built once a receiver is known, weights of VMs are kept, and UpstreamTracks.all is a view.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -26,7 +26,9 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Exchanges the work that VMs have at upstreams.
@@ -124,8 +126,7 @@
         List<Peer> connected = peers.peers();
         if (connected.size() + 1 < ZoneDelegates.MINIMUM_VMS) {
             interval = pairInterval(connected.size());
-            byte[] message = WorkMessageCodec.encode(ownWork());
-            connected.stream().map(Peer::vm).forEach(peer -> requestFromHigherId(peer, PAIR_TOPIC, message));
+            requestFromHigherIds(connected.stream().map(Peer::vm), PAIR_TOPIC, this::ownWork);
             return;
         }
         Optional<VmId> delegate = delegates.ofOwnZone();
@@ -134,8 +135,7 @@
             requestInBackground(delegate.get(), MEMBER_TOPIC, WorkMessageCodec.encode(ownWork()), ALL_OTHERS);
         } else {
             interval = DELEGATE_INTERVAL;
-            byte[] message = WorkMessageCodec.encode(workOf(ownZone()));
-            delegates.ofOtherZones().forEach(peer -> requestFromHigherId(peer, ZONE_TOPIC, message));
+            requestFromHigherIds(delegates.ofOtherZones().stream(), ZONE_TOPIC, () -> workOf(ownZone()));
         }
     }
 
@@ -144,10 +144,13 @@
         return proportional.compareTo(MINIMUM_INTERVAL) < 0 ? MINIMUM_INTERVAL : proportional;
     }
 
-    /** Of each pair, the VM with the lower id sends the request. */
-    private void requestFromHigherId(VmId peer, Topic topic, byte[] message) {
-        if (self.vm().compareTo(peer) < 0) {
-            requestInBackground(peer, topic, message, peer);
+    /** Of each pair, the VM with the lower id sends the request; the message is built only if there is a receiver. */
+    private void requestFromHigherIds(Stream<VmId> others, Topic topic, Supplier<WorkMessage> message) {
+        List<VmId> receivers =
+                others.filter(peer -> self.vm().compareTo(peer) < 0).toList();
+        if (!receivers.isEmpty()) {
+            byte[] encoded = WorkMessageCodec.encode(message.get());
+            receivers.forEach(peer -> requestInBackground(peer, topic, encoded, peer));
         }
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ZoneDelegates.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ZoneDelegates.java
@@ -30,11 +30,15 @@
     /** How long a delegate that did not respond is passed over. */
     static final Duration AVOIDANCE_TIME = Duration.ofSeconds(2);
 
+    /** Of several fleets of the largest size, so that VMs that are gone do not stay in memory. */
+    private static final int MAXIMUM_WEIGHTS = 10_000;
+
     private final Peer self;
     private final PeerNetwork peers;
     private final MonotonicClock clock;
     private final String task;
     private final Map<VmId, Long> failedAt = new ConcurrentHashMap<>();
+    private final Map<VmId, Long> weights = new ConcurrentHashMap<>();
 
     /** Creates the choice for a task; different tasks get different delegates. */
     public ZoneDelegates(Peer self, PeerNetwork peers, MonotonicClock clock, String task) {
@@ -82,7 +86,14 @@
     }
 
     private Comparator<Peer> ranking() {
-        return Comparator.comparingLong((Peer peer) -> Rendezvous.weight(task, peer.vm()))
-                .thenComparing(Peer::vm);
+        return Comparator.comparingLong((Peer peer) -> weight(peer.vm())).thenComparing(Peer::vm);
+    }
+
+    /** The weight of a VM never changes, and each choice compares those of all peers. */
+    private long weight(VmId vm) {
+        if (weights.size() > MAXIMUM_WEIGHTS) {
+            weights.clear();
+        }
+        return weights.computeIfAbsent(vm, unknown -> Rendezvous.weight(task, unknown));
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTracks.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTracks.java
@@ -7,6 +7,7 @@
 import io.banyantally.model.ServiceName;
 import io.banyantally.model.UpstreamId;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -105,9 +106,9 @@
         }
     }
 
-    /** Returns the tracks of all upstreams, as a copy. */
+    /** Returns the tracks of all upstreams, as a view: the exchange of work reads them hundreds of times a second. */
     public Collection<UpstreamTrack> all() {
-        return List.copyOf(tracks.values());
+        return Collections.unmodifiableCollection(tracks.values());
     }
 
     /**
