Limit accounts' rates over all VMs

Cause: a configuration may name a rate limit of an account, which nothing kept. Change: LimitDivision is extracted from UpstreamLimit; AccountLimit uses it with weights; 429 before anything is sent; use is told in the exchange of work.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -42,6 +42,7 @@
 import io.banyantally.internal.logging.EventLog;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.TcpPeerNetwork;
+import io.banyantally.internal.placement.AccountLimits;
 import io.banyantally.internal.placement.EnginePlacement;
 import io.banyantally.internal.placement.LeastLoadedPlacement;
 import io.banyantally.internal.placement.RetryAllowance;
@@ -164,6 +165,8 @@
         LimitFleet limitFleet = new LimitFleet(
                 () -> members.members().stream().map(MemberEntry::vm).toList(), MonotonicClock.SYSTEM);
         limits = new UpstreamLimits(limitFleet::sharers, MonotonicClock.SYSTEM, new Random(), metrics);
+        AccountLimits accountLimits = new AccountLimits(
+                settings.accountLimits(), limitFleet::sharers, MonotonicClock.SYSTEM, new Random(), metrics);
         listedPeers = new ListedPeers(settings.vm(), members, store, peers);
         configurations = new ConfigurationExchange(
                 configuration, peers, listedPeers, MonotonicClock.SYSTEM, Sleeper.SYSTEM, metrics);
@@ -172,6 +175,7 @@
                 peers,
                 tracks,
                 limits,
+                accountLimits,
                 limitFleet,
                 configurations,
                 reportedWindows,
@@ -192,6 +196,7 @@
                 tracks,
                 new UpstreamNotices(MonotonicClock.SYSTEM, new SplittableRandom(), metrics),
                 limits,
+                accountLimits,
                 engines,
                 placement,
                 retries,
--- a/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
+++ b/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
@@ -1,6 +1,7 @@
 package io.banyantally;
 
 import io.banyantally.internal.net.SocketAddresses;
+import io.banyantally.internal.placement.AccountLimitRule;
 import io.banyantally.internal.placement.RetryAllowance.RetryLimit;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.VmId;
@@ -20,6 +21,9 @@
  * @param retryWindow the sliding window of the retry budget
  * @param gracePeriod the time from the stop signal until the process is killed
  * @param addressLifetime how long callers cache the addresses of VMs
+ * @param quotaWindow the window in which the units of an account's rate limit are counted
+ * @param quotaExcess the fraction beyond a rate limit and its burst that is tolerated in a window
+ * @param quotaSlack the tokens beyond that which are tolerated in a window
  */
 public record GatewaySettings(
         VmId vm,
@@ -33,7 +37,13 @@
         double retryExtra,
         Duration retryWindow,
         Duration gracePeriod,
-        Duration addressLifetime) {
+        Duration addressLifetime,
+        Duration quotaWindow,
+        double quotaExcess,
+        double quotaSlack) {
+
+    /** The window of rate limits where the settings name none. */
+    public static final Duration DEFAULT_QUOTA_WINDOW = Duration.ofSeconds(8);
 
     /**
      * From the last response to a request accepted during a graceful shutdown to the kill; the last usage is written
@@ -83,6 +93,10 @@
         return CONNECTION_CLOSE_TIME;
     }
 
+    AccountLimitRule accountLimits() {
+        return new AccountLimitRule(quotaWindow, quotaExcess, quotaSlack);
+    }
+
     RetryLimit retryLimit() {
         return new RetryLimit(retryRatio, retryExtra, retryWindow);
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -9,6 +9,7 @@
 import io.banyantally.internal.peer.PeerException;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.peer.Topic;
+import io.banyantally.internal.placement.AccountLimits;
 import io.banyantally.internal.placement.Pace;
 import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamTrack;
@@ -69,6 +70,7 @@
     private final ZoneDelegates delegates;
     private final UpstreamTracks tracks;
     private final UpstreamLimits limits;
+    private final AccountLimits accounts;
     private final LimitFleet fleet;
     private final ConfigurationExchange configurations;
     private final ReportedWindows reported;
@@ -85,6 +87,7 @@
             PeerNetwork peers,
             UpstreamTracks tracks,
             UpstreamLimits limits,
+            AccountLimits accounts,
             LimitFleet fleet,
             ConfigurationExchange configurations,
             ReportedWindows reported,
@@ -95,6 +98,7 @@
         this.delegates = new ZoneDelegates(self, peers, clock, "work");
         this.tracks = tracks;
         this.limits = limits;
+        this.accounts = accounts;
         this.fleet = fleet;
         this.configurations = configurations;
         this.reported = reported;
@@ -229,7 +233,8 @@
                 limits.uses(included),
                 fleet.heardVms(included),
                 configurations.version(),
-                window.isPresent() ? Optional.of(window.getAsLong()) : Optional.empty());
+                window.isPresent() ? Optional.of(window.getAsLong()) : Optional.empty(),
+                accounts.uses(included));
     }
 
     private void receive(VmId sender, VmId owner, WorkMessage message) {
@@ -237,6 +242,7 @@
         message.reportedWindow().ifPresent(reported::record);
         fleet.recordHeard(owner, message.vms());
         limits.receive(owner, message.limits());
+        accounts.receive(owner, message.accounts());
         Map<String, UpstreamWork> byUpstream = new HashMap<>();
         message.work().forEach(work -> byUpstream.put(work.upstream(), work));
         long now = clock.nanoTime();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkMessage.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkMessage.java
@@ -1,5 +1,6 @@
 package io.banyantally.internal.exchange;
 
+import io.banyantally.internal.placement.AccountUse;
 import io.banyantally.internal.placement.LimitUse;
 import io.banyantally.internal.placement.Pace;
 import java.util.List;
@@ -13,13 +14,15 @@
  * @param vms the number of VMs whose work and use are added
  * @param configuration the version of the configuration that the sender has in force; absent if it has none
  * @param reportedWindow the newest usage window that the sender knows to be reported; absent if it knows none
+ * @param accounts the use of the rate limits of client accounts
  */
 record WorkMessage(
         List<UpstreamWork> work,
         List<LimitUse> limits,
         int vms,
         Optional<Long> configuration,
-        Optional<Long> reportedWindow) {
+        Optional<Long> reportedWindow,
+        List<AccountUse> accounts) {
 
     WorkMessage {
         work = List.copyOf(work);
@@ -27,6 +30,7 @@
         limits = limits == null ? List.of() : List.copyOf(limits);
         configuration = configuration == null ? Optional.empty() : configuration;
         reportedWindow = reportedWindow == null ? Optional.empty() : reportedWindow;
+        accounts = accounts == null ? List.of() : List.copyOf(accounts);
     }
 
     /**
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -1,5 +1,6 @@
 package io.banyantally.internal.forwarding;
 
+import io.banyantally.deployment.AccountRateLimit;
 import io.banyantally.deployment.AccountRule;
 import io.banyantally.deployment.MalformedRequestException;
 import io.banyantally.deployment.PrefilledCache;
@@ -8,6 +9,7 @@
 import io.banyantally.deployment.ServiceRule;
 import io.banyantally.deployment.ServiceShare;
 import io.banyantally.internal.deployment.ActiveConfiguration;
+import io.banyantally.internal.placement.AccountLimits;
 import io.banyantally.internal.placement.Placement;
 import io.banyantally.model.ServiceName;
 import io.banyantally.model.UpstreamId;
@@ -50,6 +52,8 @@
     private final RequestLog log;
     private final ShutdownAdmission admission;
     private String routeName = "none";
+    private Optional<AccountLimits.Permit> accountPermit = Optional.empty();
+    private boolean mayRun;
 
     ForwardedRequest(ForwardingServices services, CallerExchange caller, ShutdownAdmission admission) {
         this.services = services;
@@ -78,6 +82,9 @@
         } catch (RefusedException refused) {
             refuse(refused.refusal(), metadata);
         } catch (IOException aborted) {
+            if (!mayRun) {
+                giveBackAccountUnits();
+            }
             log.add("detail", String.valueOf(aborted.getMessage()));
             log.write(services.metrics(), routeName, 0, caller.isDisconnected() ? "caller_gone" : "cut");
             throw aborted;
@@ -121,9 +128,43 @@
         metadata.prompt()
                 .ifPresent(prompt -> log.add("tokens", prompt.promptTokens() + "+" + prompt.maximumOutputTokens()));
         checkShutdown(deadlineNanos);
+        if (account.isPresent()) {
+            takeAccountUnits(account.get(), metadata);
+        }
         return new AdmittedRequest(route, service, metadata, account, headers, body, deadlineNanos);
     }
 
+    /** Refuses a request beyond the rate limit of its account, before any upstream has received it. */
+    private void takeAccountUnits(AccountRule account, RequestMetadata metadata) throws RefusedException {
+        if (account.rateLimit().isEmpty()) {
+            return;
+        }
+        long units = units(account.rateLimit().get(), metadata);
+        switch (services.accountLimits().tryTake(account, units)) {
+            case AccountLimits.Permit permit -> accountPermit = Optional.of(permit);
+            case AccountLimits.Exceeded exceeded -> {
+                log.add("units", units);
+                throw new RefusedException(Refusal.tooManyRequests(exceeded.retryAfter()));
+            }
+        }
+    }
+
+    private static long units(AccountRateLimit limit, RequestMetadata metadata) {
+        return switch (limit.unit()) {
+            case REQUESTS -> 1;
+            case TOKENS ->
+                metadata.prompt()
+                        .map(prompt -> (long) prompt.promptTokens() + prompt.maximumOutputTokens())
+                        .orElse((long) limit.plainRequestTokens());
+        };
+    }
+
+    /** Ends the use of the account's limit by a request that has not run and will not run. */
+    private void giveBackAccountUnits() {
+        accountPermit.ifPresent(services.accountLimits()::giveBack);
+        accountPermit = Optional.empty();
+    }
+
     private byte[] readBody(BufferMemory.Reservation bodyMemory, int maximumBytes, long deadlineNanos)
             throws RefusedException, IOException, InterruptedException {
         try {
@@ -232,8 +273,11 @@
                 chosen = Optional.empty();
                 tried.add(choice.candidate().entry().id());
                 sends++;
+                boolean mayHaveRunBefore = mayRun;
+                mayRun = true;
                 SendOutcome outcome = sender.send(choice, prefilledCache);
                 if (outcome instanceof SendOutcome.NotRun) {
+                    mayRun = mayHaveRunBefore;
                     // A refused send has not run anywhere, so it does not count against the route's attempts.
                     sends--;
                     refusals++;
@@ -365,6 +409,9 @@
     }
 
     private void refuse(Refusal refusal, Optional<RequestMetadata> metadata) throws IOException {
+        if (!mayRun) {
+            giveBackAccountUnits();
+        }
         List<HeaderField> headers = new ArrayList<>();
         metadata.ifPresent(known -> headers.addAll(services.dialect().gatewayResponseHeaders(known)));
         refusal.retryAfter().ifPresent(after -> headers.add(new HeaderField("Retry-After", seconds(after))));
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
@@ -8,6 +8,7 @@
 import io.banyantally.internal.deployment.ConfigurationHolder;
 import io.banyantally.internal.deployment.ReplicaRegistry;
 import io.banyantally.internal.duty.UsageLedger;
+import io.banyantally.internal.placement.AccountLimits;
 import io.banyantally.internal.placement.EnginePlacement;
 import io.banyantally.internal.placement.Placement;
 import io.banyantally.internal.placement.RetryAllowance;
@@ -23,6 +24,7 @@
  *
  * @param notices knows which upstreams leave or want no request for some time
  * @param limits knows how many requests a second upstreams take
+ * @param accountLimits keeps the rate limits of client accounts
  * @param engines chooses among engines
  * @param plain chooses among upstreams of plain services
  * @param crashes knows the prompts that crash upstreams
@@ -35,6 +37,7 @@
         UpstreamTracks tracks,
         UpstreamNotices notices,
         UpstreamLimits limits,
+        AccountLimits accountLimits,
         EnginePlacement engines,
         Placement plain,
         RetryAllowance retries,
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/Refusal.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/Refusal.java
@@ -33,6 +33,11 @@
         return new Refusal(UNAVAILABLE, reason, Optional.of(retryAfter));
     }
 
+    /** The request is beyond the rate limit of its account; it has not run and will not run. */
+    static Refusal tooManyRequests(Duration retryAfter) {
+        return new Refusal(TOO_MANY_REQUESTS, "account_limit", Optional.of(retryAfter));
+    }
+
     /** The request body did not arrive in time, so the request has not run and will not run. */
     static Refusal requestTimeout() {
         return new Refusal(REQUEST_TIMEOUT, "body_late", Optional.empty());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamLimit.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamLimit.java
@@ -2,8 +2,6 @@
 
 import io.banyantally.model.VmId;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.function.Predicate;
@@ -37,8 +35,6 @@
     /** How long a VM counts as one that wants to send after it has had a request for the upstream. */
     private static final Duration WANTING_TIME = Duration.ofSeconds(2);
 
-    private static final Duration SECOND = Duration.ofSeconds(1);
-
     /** A peer's statement of the same limit counts as a later one only beyond the time that messages take. */
     private static final Duration REFRESH_STEP = Duration.ofMillis(200);
 
@@ -48,19 +44,15 @@
     private static final double ROUNDING = 1e-6;
 
     private final RandomGenerator random;
-    private final SendWindow sends;
-    private final Map<VmId, PeerSends> peerSendsByVm = new HashMap<>();
+    private final LimitDivision division;
     private Optional<Statement> statement = Optional.empty();
-    private long roundBeganAt;
-    private int roundSends;
     private boolean roundSender;
     private long wantedAt;
     private boolean everWanted;
 
     UpstreamLimit(RandomGenerator random, long now) {
         this.random = random;
-        this.sends = new SendWindow(now);
-        this.roundBeganAt = now;
+        this.division = new LimitDivision(now);
     }
 
     /**
@@ -96,8 +88,8 @@
     }
 
     /** Records the sends of another VM; they count until they are older than the window, also if it falls silent. */
-    synchronized void recordPeerSends(VmId peer, Sends peerSends, long now) {
-        peerSendsByVm.put(peer, new PeerSends(peerSends, now));
+    synchronized void recordPeerSends(VmId peer, LimitDivision.Sends peerSends, long now) {
+        division.recordPeerSends(peer, peerSends, now);
     }
 
     /** Returns the last statement; empty if the upstream has never named a limit. */
@@ -115,8 +107,7 @@
         if (!hasRoom(sharers, now)) {
             return false;
         }
-        roundSends++;
-        sends.add(now);
+        division.add(1, now);
         return true;
     }
 
@@ -129,18 +120,17 @@
         double perSecond = limit.getAsDouble();
         wantedAt = now;
         everWanted = true;
-        Sends known = sends(vm -> true, now);
-        if (now - roundBeganAt >= sharers.knowledgeAge().toNanos()) {
-            roundBeganAt = now;
-            roundSends = 0;
-            roundSender = random.nextInt(known.wanting()) < senders(perSecond);
+        LimitDivision.Sends known = sends(vm -> true, now);
+        if (division.beginRound(sharers, now)) {
+            roundSender = random.nextInt((int) known.wanting()) < senders(perSecond);
         }
         double left = windowSize(perSecond, sharers.heardPart()) - known.window();
         double secondSize = Math.max(1, SECOND_FRACTION * perSecond * sharers.heardPart());
         return roundSender
                 && left >= 1 - ROUNDING
                 && known.second() < secondSize
-                && roundSends < Math.max(1, left / (2 * Math.min(senders(perSecond), known.wanting())));
+                && division.roundSends()
+                        < Math.max(1, left / (2 * Math.min(senders(perSecond), (double) known.wanting())));
     }
 
     private static double senders(double perSecond) {
@@ -161,22 +151,10 @@
     }
 
     /** Returns the sends of this VM and of the others that {@code included} accepts. */
-    synchronized Sends sends(Predicate<VmId> included, long now) {
+    synchronized LimitDivision.Sends sends(Predicate<VmId> included, long now) {
         Duration window = window(limitPerSecond().orElse(Double.MAX_VALUE));
-        peerSendsByVm.values().removeIf(peer -> now - peer.receivedAt() >= window.toNanos());
-        int windowSends = sends.count(now, window);
-        int secondSends = sends.count(now, SECOND);
         int wanting = everWanted && now - wantedAt < WANTING_TIME.toNanos() ? 1 : 0;
-        for (Map.Entry<VmId, PeerSends> peer : peerSendsByVm.entrySet()) {
-            if (included.test(peer.getKey())) {
-                Sends peerSends = peer.getValue().sends();
-                boolean recent = now - peer.getValue().receivedAt() < SECOND.toNanos();
-                windowSends += peerSends.window();
-                secondSends += recent ? peerSends.second() : 0;
-                wanting += recent ? peerSends.wanting() : 0;
-            }
-        }
-        return new Sends(windowSends, secondSends, wanting);
+        return division.sends(included, window, wanting, now);
     }
 
     /** Returns the time in which sends are counted, longer for a limit that allows less than a request in it. */
@@ -199,15 +177,4 @@
 
     /** What an upstream has said of its limit; {@code limit} is empty if it names none any more. */
     record Statement(OptionalDouble limit, long statedAt) {}
-
-    /**
-     * The use of a limit by one or several VMs.
-     *
-     * @param window the requests that were sent in the window of the limit
-     * @param second the requests that were sent in the last second
-     * @param wanting the VMs that have had a request for the upstream lately
-     */
-    record Sends(int window, int second, int wanting) {}
-
-    private record PeerSends(Sends sends, long receivedAt) {}
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamLimits.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamLimits.java
@@ -145,15 +145,15 @@
             UpstreamLimit.Statement statement,
             Predicate<VmId> included,
             long now) {
-        UpstreamLimit.Sends sends = limit.sends(included, now);
+        LimitDivision.Sends sends = limit.sends(included, now);
         return new LimitUse(
                 lifetime.upstream().value(),
                 lifetime.startedAtMillis().orElse(NO_START),
                 statement.limit().orElse(NO_LIMIT),
                 Duration.ofNanos(now - statement.statedAt()).toMillis(),
-                sends.window(),
-                sends.second(),
-                sends.wanting());
+                (int) sends.window(),
+                (int) sends.second(),
+                (int) sends.wanting());
     }
 
     /** Receives what a peer knows; {@code peer} names it and all VMs whose sends it has added. */
@@ -171,7 +171,7 @@
                 recordChange(upstream, perSecond, EventField.of("peer", peer));
             }
             limit.recordPeerSends(
-                    peer, new UpstreamLimit.Sends(use.windowSends(), use.secondSends(), use.wantingVms()), now);
+                    peer, new LimitDivision.Sends(use.windowSends(), use.secondSends(), use.wantingVms(), 0), now);
         }
     }
 
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
@@ -2,9 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
+import io.banyantally.deployment.AccountRateLimit;
+import io.banyantally.deployment.AccountRule;
 import io.banyantally.deployment.EngineStage;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.ReportedLoad;
@@ -13,12 +16,16 @@
 import io.banyantally.internal.duty.ReportedWindows;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.PeerNetwork;
+import io.banyantally.internal.placement.AccountLimitRule;
+import io.banyantally.internal.placement.AccountLimits;
+import io.banyantally.internal.placement.AccountUse;
 import io.banyantally.internal.placement.Candidate;
 import io.banyantally.internal.placement.LimitUse;
 import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.ClientAccountId;
 import io.banyantally.model.Incarnation;
 import io.banyantally.model.VmId;
 import io.banyantally.platform.StoreKey;
@@ -34,6 +41,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -241,6 +249,29 @@
         }
     }
 
+    /** Guards against VMs that each use the whole rate limit of an account, since they do not know of other use. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 40})
+    void useOfAccountLimitsReachesAllVms(int count) throws InterruptedException {
+        List<Vm> fleet = startFleet(count);
+        runFor(LimitFleet.START_TIME.plusMillis(300), fleet);
+        AccountRule account = new AccountRule(
+                new ClientAccountId("a"),
+                Set.of("key"),
+                OptionalInt.empty(),
+                Optional.of(new AccountRateLimit(10_000, 10_000, AccountRateLimit.Unit.TOKENS, 0)));
+        assertInstanceOf(AccountLimits.Permit.class, fleet.getFirst().accounts.tryTake(account, 700));
+
+        runFor(Duration.ofMillis(400), fleet);
+
+        for (Vm vm : fleet) {
+            AccountUse use = vm.accounts.uses(peer -> true).getFirst();
+            assertEquals(700, use.windowUnits(), vm.self.toString());
+            assertEquals(700, use.askedUnits(), vm.self.toString());
+            assertEquals(0, use.silentUnits(), vm.self.toString());
+        }
+    }
+
     private void exchange() throws InterruptedException {
         clock.advance(Duration.ofMillis(50));
         first.exchange.exchange();
@@ -252,6 +283,7 @@
         private final UpstreamTracks tracks = new UpstreamTracks(clock);
         private final LimitFleet fleet;
         private final UpstreamLimits limits;
+        private final AccountLimits accounts;
         private final WorkExchange exchange;
         private final ReportedWindows reported = new ReportedWindows();
 
@@ -263,12 +295,15 @@
             self = new Peer(new VmId(name), Incarnation.draw(), new AvailabilityZone(zone));
             fleet = new LimitFleet(() -> vms, clock);
             limits = new UpstreamLimits(fleet::sharers, clock, new SplittableRandom(1), metrics);
+            accounts = new AccountLimits(
+                    AccountLimitRule.DEFAULT, fleet::sharers, clock, new SplittableRandom(1), metrics);
             PeerNetwork network = hub.join(self);
             ConfigurationHolder holder =
                     new ConfigurationHolder(new StoreKey("operator/configuration"), new VersionReader());
             ConfigurationExchange configurations =
                     new ConfigurationExchange(holder, network, new FixedPeers(0), clock, time -> {}, metrics);
-            exchange = new WorkExchange(self, network, tracks, limits, fleet, configurations, reported, clock, metrics);
+            exchange = new WorkExchange(
+                    self, network, tracks, limits, accounts, fleet, configurations, reported, clock, metrics);
         }
 
         void exchangeIfDue() {
