--- a/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
+++ b/modules/banyantally/src/main/java/io/banyantally/GatewaySettings.java
@@ -1,6 +1,7 @@
 package io.banyantally;
 
 import io.banyantally.internal.net.SocketAddresses;
+import io.banyantally.internal.placement.AccountLimitRule;
 import io.banyantally.internal.placement.RetryAllowance.RetryLimit;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.VmId;
@@ -22,6 +23,9 @@
  * @param addressLifetime how long callers cache the addresses of VMs
  * @param zoneMegabyteMillis the milliseconds of a caller's time that sending a million bytes between zones is worth; 0
  *     if placement ignores zones
+ * @param quotaWindow the window in which the units of an account's rate limit are counted
+ * @param quotaExcess the fraction beyond a rate limit and its burst that is tolerated in a window
+ * @param quotaSlack the tokens beyond that which are tolerated in a window
  */
 public record GatewaySettings(
         VmId vm,
@@ -36,7 +40,13 @@
         Duration retryWindow,
         Duration gracePeriod,
         Duration addressLifetime,
-        double zoneMegabyteMillis) {
+        double zoneMegabyteMillis,
+        Duration quotaWindow,
+        double quotaExcess,
+        double quotaSlack) {
+
+    /** The window of rate limits where the settings name none. */
+    public static final Duration DEFAULT_QUOTA_WINDOW = Duration.ofSeconds(8);
 
     /**
      * From the last response to a request accepted during a graceful shutdown to the kill; the last usage is written
@@ -86,6 +96,10 @@
         return CONNECTION_CLOSE_TIME;
     }
 
+    AccountLimitRule accountLimits() {
+        return new AccountLimitRule(quotaWindow, quotaExcess, quotaSlack);
+    }
+
     RetryLimit retryLimit() {
         return new RetryLimit(retryRatio, retryExtra, retryWindow);
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -8,8 +8,10 @@
 import io.banyantally.internal.peer.PeerException;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.peer.Topic;
+import io.banyantally.internal.placement.AccountLimits;
 import io.banyantally.internal.placement.EngineRates;
 import io.banyantally.internal.placement.Pace;
+import io.banyantally.internal.placement.RateReport;
 import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.internal.placement.UpstreamTracks;
@@ -55,6 +57,9 @@
     /** Delegates are few, and what they know is as old as the sum of both intervals. */
     static final Duration DELEGATE_INTERVAL = Duration.ofMillis(40);
 
+    /** How often measured rates of engines are told to a VM. They change more slowly than work and make messages long. */
+    static final Duration RATES_INTERVAL = Duration.ofMillis(200);
+
     private static final Topic PAIR_TOPIC = new Topic("gateway.work");
     private static final Topic MEMBER_TOPIC = new Topic("gateway.work.member");
     private static final Topic ZONE_TOPIC = new Topic("gateway.work.zone");
@@ -71,10 +76,12 @@
     private final UpstreamTracks tracks;
     private final UpstreamLimits limits;
     private final EngineRates rates;
+    private final AccountLimits accounts;
     private final LimitFleet fleet;
     private final ConfigurationExchange configurations;
     private final ReportedWindows reported;
     private final MonotonicClock clock;
+    private final Map<VmId, Long> ratesToldAt = new ConcurrentHashMap<>();
     private final Set<VmId> pendingPeers = ConcurrentHashMap.newKeySet();
     private final Counter unanswered;
     private final Counter requests;
@@ -88,6 +95,7 @@
             UpstreamTracks tracks,
             UpstreamLimits limits,
             EngineRates rates,
+            AccountLimits accounts,
             LimitFleet fleet,
             ConfigurationExchange configurations,
             ReportedWindows reported,
@@ -99,6 +107,7 @@
         this.tracks = tracks;
         this.limits = limits;
         this.rates = rates;
+        this.accounts = accounts;
         this.fleet = fleet;
         this.configurations = configurations;
         this.reported = reported;
@@ -106,9 +115,9 @@
         this.unanswered = metrics.counter("work_exchange.unanswered");
         this.requests = metrics.counter("work_exchange.requests");
         this.handled = metrics.counter("work_exchange.handled");
-        handle(PAIR_TOPIC, sender -> ownWork());
-        handle(MEMBER_TOPIC, sender -> workOf(vm -> !vm.equals(sender) && !vm.equals(ALL_OTHERS)));
-        handle(ZONE_TOPIC, sender -> workOf(ownZone()));
+        handle(PAIR_TOPIC, this::ownWork);
+        handle(MEMBER_TOPIC, sender -> workOf(sender, vm -> !vm.equals(sender) && !vm.equals(ALL_OTHERS)));
+        handle(ZONE_TOPIC, sender -> workOf(sender, ownZone()));
     }
 
     /** Receives the work of the sender, and answers with the work that {@code answer} returns for it. */
@@ -130,16 +139,16 @@
         List<Peer> connected = peers.peers();
         if (connected.size() + 1 < ZoneDelegates.MINIMUM_VMS) {
             interval = pairInterval(connected.size());
-            requestFromHigherIds(connected.stream().map(Peer::vm), PAIR_TOPIC, this::ownWork);
+            requestFromHigherIds(connected.stream().map(Peer::vm), PAIR_TOPIC, () -> ownWork(ALL_OTHERS));
             return;
         }
         Optional<VmId> delegate = delegates.ofOwnZone();
         if (delegate.isPresent()) {
             interval = MEMBER_INTERVAL;
-            requestInBackground(delegate.get(), MEMBER_TOPIC, WorkMessageCodec.encode(ownWork()), ALL_OTHERS);
+            requestInBackground(delegate.get(), MEMBER_TOPIC, WorkMessageCodec.encode(ownWork(ALL_OTHERS)), ALL_OTHERS);
         } else {
             interval = DELEGATE_INTERVAL;
-            requestFromHigherIds(delegates.ofOtherZones().stream(), ZONE_TOPIC, () -> workOf(ownZone()));
+            requestFromHigherIds(delegates.ofOtherZones().stream(), ZONE_TOPIC, () -> workOf(ALL_OTHERS, ownZone()));
         }
     }
 
@@ -186,23 +195,25 @@
     }
 
     /** Returns the work of this VM and of the peers that {@code included} accepts, summed by upstream. */
-    private WorkMessage workOf(Predicate<VmId> included) {
+    private WorkMessage workOf(VmId receiver, Predicate<VmId> included) {
         long now = clock.nanoTime();
         return message(
                 track -> track.workWithPeers(included, now),
                 track -> track.knownAvoidance(now),
                 track -> track.paceReport(now),
                 included,
+                receiver,
                 now);
     }
 
-    private WorkMessage ownWork() {
+    private WorkMessage ownWork(VmId receiver) {
         long now = clock.nanoTime();
         return message(
                 UpstreamTrack::ownWork,
                 track -> track.ownAvoidance(now),
                 track -> track.ownPaceReport(now),
                 vm -> false,
+                receiver,
                 now);
     }
 
@@ -211,6 +222,7 @@
             Function<UpstreamTrack, Duration> avoidanceOf,
             Function<UpstreamTrack, Optional<Pace.Report>> paceOf,
             Predicate<VmId> included,
+            VmId receiver,
             long now) {
         List<UpstreamWork> work = new ArrayList<>();
         for (UpstreamTrack track : tracks.all()) {
@@ -235,7 +247,17 @@
                 fleet.heardVms(included),
                 configurations.version(),
                 window.isPresent() ? Optional.of(window.getAsLong()) : Optional.empty(),
-                rates.rates(included));
+                ratesFor(receiver, included, now),
+                accounts.uses(included));
+    }
+
+    private RateReport ratesFor(VmId receiver, Predicate<VmId> included, long now) {
+        Long toldAt = ratesToldAt.get(receiver);
+        if (toldAt != null && now - toldAt < RATES_INTERVAL.toNanos()) {
+            return RateReport.NONE;
+        }
+        ratesToldAt.put(receiver, now);
+        return rates.rates(included);
     }
 
     private void receive(VmId sender, VmId owner, WorkMessage message) {
@@ -243,7 +265,10 @@
         message.reportedWindow().ifPresent(reported::record);
         fleet.recordHeard(owner, message.vms());
         limits.receive(owner, message.limits());
-        rates.receive(owner, message.rates());
+        if (!message.rates().isEmpty()) {
+            rates.receive(owner, message.rates());
+        }
+        accounts.receive(owner, message.accounts());
         Map<String, UpstreamWork> byUpstream = new HashMap<>();
         message.work().forEach(work -> byUpstream.put(work.upstream(), work));
         long now = clock.nanoTime();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkMessage.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkMessage.java
@@ -1,5 +1,6 @@
 package io.banyantally.internal.exchange;
 
+import io.banyantally.internal.placement.AccountUse;
 import io.banyantally.internal.placement.LimitUse;
 import io.banyantally.internal.placement.Pace;
 import io.banyantally.internal.placement.RateReport;
@@ -15,6 +16,7 @@
  * @param configuration the version of the configuration that the sender has in force; absent if it has none
  * @param reportedWindow the newest usage window that the sender knows to be reported; absent if it knows none
  * @param rates what the VMs have measured of engines
+ * @param accounts the use of the rate limits of client accounts
  */
 record WorkMessage(
         List<UpstreamWork> work,
@@ -22,7 +24,8 @@
         int vms,
         Optional<Long> configuration,
         Optional<Long> reportedWindow,
-        RateReport rates) {
+        RateReport rates,
+        List<AccountUse> accounts) {
 
     WorkMessage {
         work = List.copyOf(work);
@@ -31,6 +34,7 @@
         configuration = configuration == null ? Optional.empty() : configuration;
         reportedWindow = reportedWindow == null ? Optional.empty() : reportedWindow;
         rates = rates == null ? RateReport.NONE : rates;
+        accounts = accounts == null ? List.of() : List.copyOf(accounts);
     }
 
     /**
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/RateReport.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/RateReport.java
@@ -1,5 +1,6 @@
 package io.banyantally.internal.placement;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import java.util.List;
 
 /**
@@ -19,6 +20,12 @@
         engines = engines == null ? List.of() : List.copyOf(engines);
     }
 
+    /** Returns whether nothing was measured; also true of a message that carries no report. */
+    @JsonIgnore
+    public boolean isEmpty() {
+        return kinds.isEmpty() && engines.isEmpty();
+    }
+
     /**
      * The sums of one kind or one engine.
      *
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/EngineZonesTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/EngineZonesTest.java
@@ -8,6 +8,7 @@
 import io.banyantally.deployment.PromptMetadata;
 import io.banyantally.deployment.PromptPart;
 import io.banyantally.deployment.ReplicaEntry;
+import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.testing.Deployments;
 import io.banyantally.testing.ManualClock;
