Tell members of a zone measured rates five times a second

Change: a delegate answers a member with rates every 200 ms; requests and messages between delegates carry them as before. The engine of least cost for a generation is found with one random draw for each engine: a comparator that draws again favours engines at the end of the list.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -57,7 +57,10 @@
     /** Delegates are few, and what they know is as old as the sum of both intervals. */
     static final Duration DELEGATE_INTERVAL = Duration.ofMillis(40);
 
-    /** How often measured rates of engines are told to a VM. They change more slowly than work and make messages long. */
+    /**
+     * How often a delegate tells a VM of its zone the measured rates of engines. They change more slowly than work, and a
+     * delegate sends hundreds of messages a second.
+     */
     static final Duration RATES_INTERVAL = Duration.ofMillis(200);
 
     private static final Topic PAIR_TOPIC = new Topic("gateway.work");
@@ -115,9 +118,9 @@
         this.unanswered = metrics.counter("work_exchange.unanswered");
         this.requests = metrics.counter("work_exchange.requests");
         this.handled = metrics.counter("work_exchange.handled");
-        handle(PAIR_TOPIC, this::ownWork);
-        handle(MEMBER_TOPIC, sender -> workOf(sender, vm -> !vm.equals(sender) && !vm.equals(ALL_OTHERS)));
-        handle(ZONE_TOPIC, sender -> workOf(sender, ownZone()));
+        handle(PAIR_TOPIC, sender -> ownWork());
+        handle(MEMBER_TOPIC, sender -> workOf(Optional.of(sender), vm -> !vm.equals(sender) && !vm.equals(ALL_OTHERS)));
+        handle(ZONE_TOPIC, sender -> workOf(Optional.empty(), ownZone()));
     }
 
     /** Receives the work of the sender, and answers with the work that {@code answer} returns for it. */
@@ -139,16 +142,17 @@
         List<Peer> connected = peers.peers();
         if (connected.size() + 1 < ZoneDelegates.MINIMUM_VMS) {
             interval = pairInterval(connected.size());
-            requestFromHigherIds(connected.stream().map(Peer::vm), PAIR_TOPIC, () -> ownWork(ALL_OTHERS));
+            requestFromHigherIds(connected.stream().map(Peer::vm), PAIR_TOPIC, this::ownWork);
             return;
         }
         Optional<VmId> delegate = delegates.ofOwnZone();
         if (delegate.isPresent()) {
             interval = MEMBER_INTERVAL;
-            requestInBackground(delegate.get(), MEMBER_TOPIC, WorkMessageCodec.encode(ownWork(ALL_OTHERS)), ALL_OTHERS);
+            requestInBackground(delegate.get(), MEMBER_TOPIC, WorkMessageCodec.encode(ownWork()), ALL_OTHERS);
         } else {
             interval = DELEGATE_INTERVAL;
-            requestFromHigherIds(delegates.ofOtherZones().stream(), ZONE_TOPIC, () -> workOf(ALL_OTHERS, ownZone()));
+            requestFromHigherIds(
+                    delegates.ofOtherZones().stream(), ZONE_TOPIC, () -> workOf(Optional.empty(), ownZone()));
         }
     }
 
@@ -195,25 +199,25 @@
     }
 
     /** Returns the work of this VM and of the peers that {@code included} accepts, summed by upstream. */
-    private WorkMessage workOf(VmId receiver, Predicate<VmId> included) {
+    private WorkMessage workOf(Optional<VmId> member, Predicate<VmId> included) {
         long now = clock.nanoTime();
         return message(
                 track -> track.workWithPeers(included, now),
                 track -> track.knownAvoidance(now),
                 track -> track.paceReport(now),
                 included,
-                receiver,
+                member,
                 now);
     }
 
-    private WorkMessage ownWork(VmId receiver) {
+    private WorkMessage ownWork() {
         long now = clock.nanoTime();
         return message(
                 UpstreamTrack::ownWork,
                 track -> track.ownAvoidance(now),
                 track -> track.ownPaceReport(now),
                 vm -> false,
-                receiver,
+                Optional.empty(),
                 now);
     }
 
@@ -222,7 +226,7 @@
             Function<UpstreamTrack, Duration> avoidanceOf,
             Function<UpstreamTrack, Optional<Pace.Report>> paceOf,
             Predicate<VmId> included,
-            VmId receiver,
+            Optional<VmId> member,
             long now) {
         List<UpstreamWork> work = new ArrayList<>();
         for (UpstreamTrack track : tracks.all()) {
@@ -247,16 +251,19 @@
                 fleet.heardVms(included),
                 configurations.version(),
                 window.isPresent() ? Optional.of(window.getAsLong()) : Optional.empty(),
-                ratesFor(receiver, included, now),
+                ratesFor(member, included, now),
                 accounts.uses(included));
     }
 
-    private RateReport ratesFor(VmId receiver, Predicate<VmId> included, long now) {
-        Long toldAt = ratesToldAt.get(receiver);
-        if (toldAt != null && now - toldAt < RATES_INTERVAL.toNanos()) {
-            return RateReport.NONE;
+    /** Returns the measured rates; none in most answers to a {@code member} of the zone. */
+    private RateReport ratesFor(Optional<VmId> member, Predicate<VmId> included, long now) {
+        if (member.isPresent()) {
+            Long toldAt = ratesToldAt.get(member.get());
+            if (toldAt != null && now - toldAt < RATES_INTERVAL.toNanos()) {
+                return RateReport.NONE;
+            }
+            ratesToldAt.put(member.get(), now);
         }
-        ratesToldAt.put(receiver, now);
         return rates.rates(included);
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
@@ -11,6 +11,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 
 /**
@@ -168,13 +169,13 @@
         if (inTime.isEmpty()) {
             return refuseWithoutSlot(demand, engines);
         }
-        Candidate least = inTime.stream()
-                .min(Comparator.comparingDouble(engine -> decodingCost(engine)
+        Candidate least = least(
+                inTime,
+                engine -> decodingCost(engine)
                         + cacheZone
                                 .map(zone -> transferCost(demand, zone, engine, cacheTokenBytes))
                                 .orElse(0.0)
-                        + random.nextDouble() * MAXIMUM_TIE_BREAK))
-                .orElseThrow();
+                        + random.nextDouble() * MAXIMUM_TIE_BREAK);
         if (zones.isPresent() && cacheZone.isPresent()) {
             zones.get().countDecode(least, cacheZone.get(), inTime);
         }
@@ -182,6 +183,20 @@
                 least, slotWaitMillis(least), 0, cacheZone.isPresent() ? "after_prefill" : "least_loaded");
     }
 
+    /** Returns the engine of the least cost, which is computed once for each, since it has a random part. */
+    private static Candidate least(List<Candidate> engines, ToDoubleFunction<Candidate> cost) {
+        Candidate least = engines.getFirst();
+        double leastCost = cost.applyAsDouble(least);
+        for (Candidate engine : engines.subList(1, engines.size())) {
+            double itsCost = cost.applyAsDouble(engine);
+            if (itsCost < leastCost) {
+                least = engine;
+                leastCost = itsCost;
+            }
+        }
+        return least;
+    }
+
     /**
      * Returns what transferring the KV cache of a prompt to an engine costs, as a fraction of the engine's slots: a
      * request of another zone costs as much as the same fraction of a slot's time.
