--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -42,7 +42,9 @@
 import io.banyantally.internal.logging.EventLog;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.TcpPeerNetwork;
+import io.banyantally.internal.placement.AccountLimits;
 import io.banyantally.internal.placement.EnginePlacement;
+import io.banyantally.internal.placement.EngineRates;
 import io.banyantally.internal.placement.EngineZones;
 import io.banyantally.internal.placement.LeastLoadedPlacement;
 import io.banyantally.internal.placement.RetryAllowance;
@@ -167,14 +169,23 @@
         LimitFleet limitFleet = new LimitFleet(
                 () -> members.members().stream().map(MemberEntry::vm).toList(), MonotonicClock.SYSTEM);
         limits = new UpstreamLimits(limitFleet::sharers, MonotonicClock.SYSTEM, new Random(), metrics);
+        AccountLimits accountLimits = new AccountLimits(
+                settings.accountLimits(), limitFleet::sharers, MonotonicClock.SYSTEM, new Random(), metrics);
         listedPeers = new ListedPeers(settings.vm(), members, store, peers);
         configurations = new ConfigurationExchange(
                 configuration, peers, listedPeers, MonotonicClock.SYSTEM, Sleeper.SYSTEM, metrics);
+        ZoneCost zoneCost = new ZoneCost(settings.zone(), settings.zoneMegabyteMillis());
+        engines = new EnginePlacement(
+                new SplittableRandom(),
+                new EngineRates(MonotonicClock.SYSTEM, metrics),
+                new EngineZones(zoneCost, metrics));
         exchange = new WorkExchange(
                 self,
                 peers,
                 tracks,
                 limits,
+                engines.rates(),
+                accountLimits,
                 limitFleet,
                 configurations,
                 reportedWindows,
@@ -182,8 +193,6 @@
                 metrics);
         watchedStore = new RelayedStore(store, self, peers, MonotonicClock.SYSTEM, metrics);
         client = AdapterHttpClient.start(UPSTREAM_CLIENT_SETTINGS);
-        ZoneCost zoneCost = new ZoneCost(settings.zone(), settings.zoneMegabyteMillis());
-        engines = new EnginePlacement(new SplittableRandom(), new EngineZones(zoneCost, metrics));
         LeastLoadedPlacement placement = new LeastLoadedPlacement(
                 ThreadLocalRandom::current, new ZoneSpill(zoneCost, MonotonicClock.SYSTEM, metrics));
         RetryAllowance retries = new RetryAllowance(
@@ -198,6 +207,7 @@
                 tracks,
                 new UpstreamNotices(MonotonicClock.SYSTEM, new SplittableRandom(), metrics),
                 limits,
+                accountLimits,
                 engines,
                 placement,
                 retries,
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -8,7 +8,10 @@
 import io.banyantally.internal.peer.PeerException;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.peer.Topic;
+import io.banyantally.internal.placement.AccountLimits;
+import io.banyantally.internal.placement.EngineRates;
 import io.banyantally.internal.placement.Pace;
+import io.banyantally.internal.placement.RateReport;
 import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.internal.placement.UpstreamTracks;
@@ -26,7 +29,9 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Exchanges the work that VMs have at upstreams.
@@ -52,6 +57,12 @@
     /** Delegates are few, and what they know is as old as the sum of both intervals. */
     static final Duration DELEGATE_INTERVAL = Duration.ofMillis(40);
 
+    /**
+     * How often a delegate tells a VM of its zone the measured rates of engines. They change more slowly than work, and a
+     * delegate sends hundreds of messages a second.
+     */
+    static final Duration RATES_INTERVAL = Duration.ofMillis(200);
+
     private static final Topic PAIR_TOPIC = new Topic("gateway.work");
     private static final Topic MEMBER_TOPIC = new Topic("gateway.work.member");
     private static final Topic ZONE_TOPIC = new Topic("gateway.work.zone");
@@ -67,10 +78,13 @@
     private final ZoneDelegates delegates;
     private final UpstreamTracks tracks;
     private final UpstreamLimits limits;
+    private final EngineRates rates;
+    private final AccountLimits accounts;
     private final LimitFleet fleet;
     private final ConfigurationExchange configurations;
     private final ReportedWindows reported;
     private final MonotonicClock clock;
+    private final Map<VmId, Long> ratesToldAt = new ConcurrentHashMap<>();
     private final Set<VmId> pendingPeers = ConcurrentHashMap.newKeySet();
     private final Counter unanswered;
     private final Counter requests;
@@ -83,6 +97,8 @@
             PeerNetwork peers,
             UpstreamTracks tracks,
             UpstreamLimits limits,
+            EngineRates rates,
+            AccountLimits accounts,
             LimitFleet fleet,
             ConfigurationExchange configurations,
             ReportedWindows reported,
@@ -93,6 +109,8 @@
         this.delegates = new ZoneDelegates(self, peers, clock, "work");
         this.tracks = tracks;
         this.limits = limits;
+        this.rates = rates;
+        this.accounts = accounts;
         this.fleet = fleet;
         this.configurations = configurations;
         this.reported = reported;
@@ -101,8 +119,8 @@
         this.requests = metrics.counter("work_exchange.requests");
         this.handled = metrics.counter("work_exchange.handled");
         handle(PAIR_TOPIC, sender -> ownWork());
-        handle(MEMBER_TOPIC, sender -> workOf(vm -> !vm.equals(sender) && !vm.equals(ALL_OTHERS)));
-        handle(ZONE_TOPIC, sender -> workOf(ownZone()));
+        handle(MEMBER_TOPIC, sender -> workOf(Optional.of(sender), vm -> !vm.equals(sender) && !vm.equals(ALL_OTHERS)));
+        handle(ZONE_TOPIC, sender -> workOf(Optional.empty(), ownZone()));
     }
 
     /** Receives the work of the sender, and answers with the work that {@code answer} returns for it. */
@@ -124,8 +142,7 @@
         List<Peer> connected = peers.peers();
         if (connected.size() + 1 < ZoneDelegates.MINIMUM_VMS) {
             interval = pairInterval(connected.size());
-            byte[] message = WorkMessageCodec.encode(ownWork());
-            connected.stream().map(Peer::vm).forEach(peer -> requestFromHigherId(peer, PAIR_TOPIC, message));
+            requestFromHigherIds(connected.stream().map(Peer::vm), PAIR_TOPIC, this::ownWork);
             return;
         }
         Optional<VmId> delegate = delegates.ofOwnZone();
@@ -134,8 +151,8 @@
             requestInBackground(delegate.get(), MEMBER_TOPIC, WorkMessageCodec.encode(ownWork()), ALL_OTHERS);
         } else {
             interval = DELEGATE_INTERVAL;
-            byte[] message = WorkMessageCodec.encode(workOf(ownZone()));
-            delegates.ofOtherZones().forEach(peer -> requestFromHigherId(peer, ZONE_TOPIC, message));
+            requestFromHigherIds(
+                    delegates.ofOtherZones().stream(), ZONE_TOPIC, () -> workOf(Optional.empty(), ownZone()));
         }
     }
 
@@ -144,10 +161,13 @@
         return proportional.compareTo(MINIMUM_INTERVAL) < 0 ? MINIMUM_INTERVAL : proportional;
     }
 
-    /** Of each pair, the VM with the lower id sends the request. */
-    private void requestFromHigherId(VmId peer, Topic topic, byte[] message) {
-        if (self.vm().compareTo(peer) < 0) {
-            requestInBackground(peer, topic, message, peer);
+    /** Of each pair, the VM with the lower id sends the request; the message is built only if there is a receiver. */
+    private void requestFromHigherIds(Stream<VmId> others, Topic topic, Supplier<WorkMessage> message) {
+        List<VmId> receivers =
+                others.filter(peer -> self.vm().compareTo(peer) < 0).toList();
+        if (!receivers.isEmpty()) {
+            byte[] encoded = WorkMessageCodec.encode(message.get());
+            receivers.forEach(peer -> requestInBackground(peer, topic, encoded, peer));
         }
     }
 
@@ -179,13 +199,14 @@
     }
 
     /** Returns the work of this VM and of the peers that {@code included} accepts, summed by upstream. */
-    private WorkMessage workOf(Predicate<VmId> included) {
+    private WorkMessage workOf(Optional<VmId> member, Predicate<VmId> included) {
         long now = clock.nanoTime();
         return message(
                 track -> track.workWithPeers(included, now),
                 track -> track.knownAvoidance(now),
                 track -> track.paceReport(now),
                 included,
+                member,
                 now);
     }
 
@@ -196,6 +217,7 @@
                 track -> track.ownAvoidance(now),
                 track -> track.ownPaceReport(now),
                 vm -> false,
+                Optional.empty(),
                 now);
     }
 
@@ -204,6 +226,7 @@
             Function<UpstreamTrack, Duration> avoidanceOf,
             Function<UpstreamTrack, Optional<Pace.Report>> paceOf,
             Predicate<VmId> included,
+            Optional<VmId> member,
             long now) {
         List<UpstreamWork> work = new ArrayList<>();
         for (UpstreamTrack track : tracks.all()) {
@@ -227,7 +250,21 @@
                 limits.uses(included),
                 fleet.heardVms(included),
                 configurations.version(),
-                window.isPresent() ? Optional.of(window.getAsLong()) : Optional.empty());
+                window.isPresent() ? Optional.of(window.getAsLong()) : Optional.empty(),
+                ratesFor(member, included, now),
+                accounts.uses(included));
+    }
+
+    /** Returns the measured rates; none in most answers to a {@code member} of the zone. */
+    private RateReport ratesFor(Optional<VmId> member, Predicate<VmId> included, long now) {
+        if (member.isPresent()) {
+            Long toldAt = ratesToldAt.get(member.get());
+            if (toldAt != null && now - toldAt < RATES_INTERVAL.toNanos()) {
+                return RateReport.NONE;
+            }
+            ratesToldAt.put(member.get(), now);
+        }
+        return rates.rates(included);
     }
 
     private void receive(VmId sender, VmId owner, WorkMessage message) {
@@ -235,6 +272,10 @@
         message.reportedWindow().ifPresent(reported::record);
         fleet.recordHeard(owner, message.vms());
         limits.receive(owner, message.limits());
+        if (!message.rates().isEmpty()) {
+            rates.receive(owner, message.rates());
+        }
+        accounts.receive(owner, message.accounts());
         Map<String, UpstreamWork> byUpstream = new HashMap<>();
         message.work().forEach(work -> byUpstream.put(work.upstream(), work));
         long now = clock.nanoTime();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkMessageCodec.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkMessageCodec.java
@@ -2,7 +2,9 @@
 
 import io.banyantally.internal.exchange.WorkMessage.UpstreamWork;
 import io.banyantally.internal.peer.PeerException;
+import io.banyantally.internal.placement.AccountUse;
 import io.banyantally.internal.placement.LimitUse;
+import io.banyantally.internal.placement.RateReport;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -31,6 +33,20 @@
     private static final Field CONFIGURATION = new Field("configuration");
     private static final Field REPORTED_WINDOW = new Field("reportedWindow");
 
+    private static final Field RATES = new Field("rates");
+    private static final Field ACCOUNTS = new Field("accounts");
+
+    private static final Field KINDS = new Field("kinds");
+    private static final Field ENGINES = new Field("engines");
+    private static final Field NAME = new Field("name");
+    private static final Field VALUES = new Field("values");
+
+    private static final Field ACCOUNT = new Field("account");
+    private static final Field WINDOW_UNITS = new Field("windowUnits");
+    private static final Field SILENT_UNITS = new Field("silentUnits");
+    private static final Field SECOND_UNITS = new Field("secondUnits");
+    private static final Field ASKED_UNITS = new Field("askedUnits");
+
     private static final Field UPSTREAM = new Field("upstream");
     private static final Field REQUESTS = new Field("requests");
     private static final Field MILLIS = new Field("millis");
@@ -50,8 +66,12 @@
     /** Encodes a message. */
     static byte[] encode(WorkMessage message) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-            packer.packMapHeader(
-                    2 + present(message.vms()) + present(message.configuration()) + present(message.reportedWindow()));
+            packer.packMapHeader(2
+                    + present(message.vms())
+                    + present(message.configuration())
+                    + present(message.reportedWindow())
+                    + present(message.rates())
+                    + (message.accounts().isEmpty() ? 0 : 1));
             WORK.packName(packer);
             packer.packArrayHeader(message.work().size());
             for (UpstreamWork work : message.work()) {
@@ -65,12 +85,58 @@
             VMS.pack(packer, message.vms());
             CONFIGURATION.pack(packer, message.configuration());
             REPORTED_WINDOW.pack(packer, message.reportedWindow());
+            pack(packer, message.rates());
+            packAccounts(packer, message.accounts());
             return packer.toByteArray();
         } catch (IOException failure) {
             throw new IllegalArgumentException("cannot encode " + message, failure);
         }
     }
 
+    private static void pack(MessagePacker packer, RateReport rates) throws IOException {
+        if (!rates.isEmpty()) {
+            RATES.packName(packer);
+            packer.packMapHeader(2);
+            KINDS.packName(packer);
+            packSums(packer, rates.kinds());
+            ENGINES.packName(packer);
+            packSums(packer, rates.engines());
+        }
+    }
+
+    private static void packSums(MessagePacker packer, List<RateReport.Sums> all) throws IOException {
+        packer.packArrayHeader(all.size());
+        for (RateReport.Sums sums : all) {
+            packer.packMapHeader(2);
+            NAME.pack(packer, sums.name());
+            VALUES.packName(packer);
+            packer.packArrayHeader(sums.values().size());
+            for (double value : sums.values()) {
+                packer.packDouble(value);
+            }
+        }
+    }
+
+    private static void packAccounts(MessagePacker packer, List<AccountUse> uses) throws IOException {
+        if (uses.isEmpty()) {
+            return;
+        }
+        ACCOUNTS.packName(packer);
+        packer.packArrayHeader(uses.size());
+        for (AccountUse use : uses) {
+            packer.packMapHeader(1
+                    + present(use.windowUnits())
+                    + present(use.silentUnits())
+                    + present(use.secondUnits())
+                    + present(use.askedUnits()));
+            ACCOUNT.pack(packer, use.account());
+            WINDOW_UNITS.pack(packer, use.windowUnits());
+            SILENT_UNITS.pack(packer, use.silentUnits());
+            SECOND_UNITS.pack(packer, use.secondUnits());
+            ASKED_UNITS.pack(packer, use.askedUnits());
+        }
+    }
+
     private static void pack(MessagePacker packer, UpstreamWork work) throws IOException {
         packer.packMapHeader(1
                 + present(work.requests())
@@ -122,6 +188,8 @@
         int vms = 0;
         Optional<Long> configuration = Optional.empty();
         Optional<Long> reportedWindow = Optional.empty();
+        RateReport rates = RateReport.NONE;
+        List<AccountUse> accounts = List.of();
         for (int fields = unpacker.unpackMapHeader(); fields > 0; fields--) {
             switch (unpacker.unpackString()) {
                 case "work" -> work = Optional.of(unpackList(unpacker, WorkMessageCodec::unpackWork));
@@ -129,6 +197,8 @@
                 case "vms" -> vms = unpackInt(unpacker);
                 case "configuration" -> configuration = unpackOptional(unpacker);
                 case "reportedWindow" -> reportedWindow = unpackOptional(unpacker);
+                case "rates" -> rates = unpackRates(unpacker);
+                case "accounts" -> accounts = unpackList(unpacker, WorkMessageCodec::unpackAccount);
                 default -> unpacker.skipValue();
             }
         }
@@ -137,7 +207,57 @@
                 limits,
                 vms,
                 configuration,
-                reportedWindow);
+                reportedWindow,
+                rates,
+                accounts);
+    }
+
+    private static RateReport unpackRates(MessageUnpacker unpacker) throws IOException {
+        if (unpacker.tryUnpackNil()) {
+            return RateReport.NONE;
+        }
+        List<RateReport.Sums> kinds = List.of();
+        List<RateReport.Sums> engines = List.of();
+        for (int fields = unpacker.unpackMapHeader(); fields > 0; fields--) {
+            switch (unpacker.unpackString()) {
+                case "kinds" -> kinds = unpackList(unpacker, WorkMessageCodec::unpackSums);
+                case "engines" -> engines = unpackList(unpacker, WorkMessageCodec::unpackSums);
+                default -> unpacker.skipValue();
+            }
+        }
+        return new RateReport(kinds, engines);
+    }
+
+    private static RateReport.Sums unpackSums(MessageUnpacker unpacker) throws IOException {
+        String name = "";
+        List<Double> values = List.of();
+        for (int fields = unpacker.unpackMapHeader(); fields > 0; fields--) {
+            switch (unpacker.unpackString()) {
+                case "name" -> name = unpacker.unpackString();
+                case "values" -> values = unpackList(unpacker, WorkMessageCodec::unpackDouble);
+                default -> unpacker.skipValue();
+            }
+        }
+        return new RateReport.Sums(name, values);
+    }
+
+    private static AccountUse unpackAccount(MessageUnpacker unpacker) throws IOException {
+        String account = "";
+        long windowUnits = 0;
+        long silentUnits = 0;
+        long secondUnits = 0;
+        long askedUnits = 0;
+        for (int fields = unpacker.unpackMapHeader(); fields > 0; fields--) {
+            switch (unpacker.unpackString()) {
+                case "account" -> account = unpacker.unpackString();
+                case "windowUnits" -> windowUnits = unpackLong(unpacker);
+                case "silentUnits" -> silentUnits = unpackLong(unpacker);
+                case "secondUnits" -> secondUnits = unpackLong(unpacker);
+                case "askedUnits" -> askedUnits = unpackLong(unpacker);
+                default -> unpacker.skipValue();
+            }
+        }
+        return new AccountUse(account, windowUnits, silentUnits, secondUnits, askedUnits);
     }
 
     private static UpstreamWork unpackWork(MessageUnpacker unpacker) throws IOException {
@@ -222,6 +342,10 @@
         return number == 0 ? 0 : 1;
     }
 
+    private static int present(RateReport rates) {
+        return rates.isEmpty() ? 0 : 1;
+    }
+
     private static int present(Optional<Long> number) {
         return number.isPresent() ? 1 : 0;
     }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkExchangeTest.java
@@ -2,23 +2,37 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
+import io.banyantally.deployment.AccountRateLimit;
+import io.banyantally.deployment.AccountRule;
 import io.banyantally.deployment.EngineStage;
+import io.banyantally.deployment.PromptMetadata;
+import io.banyantally.deployment.PromptPart;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.ReportedLoad;
 import io.banyantally.deployment.ResponseMetadata;
 import io.banyantally.internal.deployment.ConfigurationHolder;
 import io.banyantally.internal.duty.ReportedWindows;
+import io.banyantally.internal.peer.MessagePackCodec;
 import io.banyantally.internal.peer.Peer;
+import io.banyantally.internal.peer.PeerException;
 import io.banyantally.internal.peer.PeerNetwork;
+import io.banyantally.internal.placement.AccountLimitRule;
+import io.banyantally.internal.placement.AccountLimits;
+import io.banyantally.internal.placement.AccountUse;
 import io.banyantally.internal.placement.Candidate;
+import io.banyantally.internal.placement.EngineRates;
 import io.banyantally.internal.placement.LimitUse;
+import io.banyantally.internal.placement.Placement;
+import io.banyantally.internal.placement.RateReport;
 import io.banyantally.internal.placement.UpstreamLimits;
 import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.ClientAccountId;
 import io.banyantally.model.Incarnation;
 import io.banyantally.model.VmId;
 import io.banyantally.platform.StoreKey;
@@ -34,6 +48,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -104,6 +119,34 @@
         }
     }
 
+    /** Guards against VMs of a large fleet that learn the rates of engines from their own few calls only. */
+    @Test
+    void everyVmOfALargeFleetKnowsTheRatesThatOthersMeasure() throws InterruptedException {
+        List<Vm> fleet = startFleet(40);
+        PromptMetadata prompt = new PromptMetadata(3000, 10, List.of(new PromptPart("own", 3000)));
+        fleet.forEach(
+                vm -> vm.rates.recordPrefill(new Placement.Decision.Send(vm.candidate(), 0, 3, "any"), prompt, 30));
+
+        runFor(Duration.ofMillis(300), fleet);
+
+        for (Vm vm : fleet) {
+            double weight =
+                    vm.rates.rates(peer -> true).kinds().getFirst().values().getLast();
+            assertEquals(fleet.size(), weight, 0.2 * fleet.size(), vm.self.toString());
+        }
+    }
+
+    /** Guards against losing the exchange with VMs of an earlier version, whose messages have no rates. */
+    @Test
+    void messageOfAnEarlierVersionHasNoRates() throws PeerException {
+        byte[] message = MessagePackCodec.of(EarlierMessage.class).encode(new EarlierMessage(List.of(), 3));
+
+        WorkMessage decoded = MessagePackCodec.of(WorkMessage.class).decode(message);
+
+        assertEquals(RateReport.NONE, decoded.rates());
+        assertEquals(3, decoded.vms());
+    }
+
     /** Guards against a holder that reports a window again, since it does not know that another VM has reported it. */
     @Test
     void everyVmOfALargeFleetKnowsTheReportedWindows() throws InterruptedException {
@@ -241,6 +284,29 @@
         }
     }
 
+    /** Guards against VMs that each use the whole rate limit of an account, since they do not know of other use. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 40})
+    void useOfAccountLimitsReachesAllVms(int count) throws InterruptedException {
+        List<Vm> fleet = startFleet(count);
+        runFor(LimitFleet.START_TIME.plusMillis(300), fleet);
+        AccountRule account = new AccountRule(
+                new ClientAccountId("a"),
+                Set.of("key"),
+                OptionalInt.empty(),
+                Optional.of(new AccountRateLimit(10_000, 10_000, AccountRateLimit.Unit.TOKENS, 0)));
+        assertInstanceOf(AccountLimits.Permit.class, fleet.getFirst().accounts.tryTake(account, 700));
+
+        runFor(Duration.ofMillis(400), fleet);
+
+        for (Vm vm : fleet) {
+            AccountUse use = vm.accounts.uses(peer -> true).getFirst();
+            assertEquals(700, use.windowUnits(), vm.self.toString());
+            assertEquals(700, use.askedUnits(), vm.self.toString());
+            assertEquals(0, use.silentUnits(), vm.self.toString());
+        }
+    }
+
     private void exchange() throws InterruptedException {
         clock.advance(Duration.ofMillis(50));
         first.exchange.exchange();
@@ -248,14 +314,19 @@
         Thread.sleep(200);
     }
 
+    /** Fields of messages of work before rates were shared. */
+    record EarlierMessage(List<WorkMessage.UpstreamWork> work, int vms) {}
+
     private final class Vm {
         private final UpstreamTracks tracks = new UpstreamTracks(clock);
         private final LimitFleet fleet;
         private final UpstreamLimits limits;
+        private final AccountLimits accounts;
         private final WorkExchange exchange;
         private final ReportedWindows reported = new ReportedWindows();
 
         private final MetricRegistry metrics = new MetricRegistry();
+        private final EngineRates rates = new EngineRates(clock, metrics);
         private final Peer self;
         private long lastExchangeAt;
 
@@ -263,12 +334,15 @@
             self = new Peer(new VmId(name), Incarnation.draw(), new AvailabilityZone(zone));
             fleet = new LimitFleet(() -> vms, clock);
             limits = new UpstreamLimits(fleet::sharers, clock, new SplittableRandom(1), metrics);
+            accounts = new AccountLimits(
+                    AccountLimitRule.DEFAULT, fleet::sharers, clock, new SplittableRandom(1), metrics);
             PeerNetwork network = hub.join(self);
             ConfigurationHolder holder =
                     new ConfigurationHolder(new StoreKey("operator/configuration"), new VersionReader());
             ConfigurationExchange configurations =
                     new ConfigurationExchange(holder, network, new FixedPeers(0), clock, time -> {}, metrics);
-            exchange = new WorkExchange(self, network, tracks, limits, fleet, configurations, reported, clock, metrics);
+            exchange = new WorkExchange(
+                    self, network, tracks, limits, rates, accounts, fleet, configurations, reported, clock, metrics);
         }
 
         void exchangeIfDue() {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkMessageCodecTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/WorkMessageCodecTest.java
@@ -7,7 +7,9 @@
 import io.banyantally.internal.exchange.WorkMessage.UpstreamWork;
 import io.banyantally.internal.peer.MessagePackCodec;
 import io.banyantally.internal.peer.PeerException;
+import io.banyantally.internal.placement.AccountUse;
 import io.banyantally.internal.placement.LimitUse;
+import io.banyantally.internal.placement.RateReport;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -28,10 +30,14 @@
             List.of(new LimitUse("e1", 1_790_000_000_000L, 5.3, 40, 7, 2, 4), new LimitUse("e2", -1, -1, 0, 0, 0, 0)),
             28,
             Optional.of(1_790_000_000_001L),
-            Optional.of(44L));
+            Optional.of(44L),
+            new RateReport(
+                    List.of(new RateReport.Sums("engines/PREFILL", List.of(1.5, 0.0, 3e-8))),
+                    List.of(new RateReport.Sums("e1@7", List.of(2.0)))),
+            List.of(new AccountUse("a1", 1_633_041, 200, 9_190, 18_380), new AccountUse("a2", 0, 0, 0, 0)));
 
     private static final WorkMessage EMPTY =
-            new WorkMessage(List.of(), List.of(), 0, Optional.empty(), Optional.empty());
+            new WorkMessage(List.of(), List.of(), 0, Optional.empty(), Optional.empty(), RateReport.NONE, List.of());
 
     /** Guards against a field that is lost on the way, such as one that was added to the record only. */
     @Test
@@ -59,7 +65,13 @@
                 List.of(Map.of("upstream", "e1", "requests", 2, "millis", 7, "later", "text"))));
 
         WorkMessage expected = new WorkMessage(
-                List.of(new UpstreamWork("e1", 2, 7, 0, 0, 0)), List.of(), 0, Optional.empty(), Optional.empty());
+                List.of(new UpstreamWork("e1", 2, 7, 0, 0, 0)),
+                List.of(),
+                0,
+                Optional.empty(),
+                Optional.empty(),
+                RateReport.NONE,
+                List.of());
         assertEquals(expected, WorkMessageCodec.decode(message));
     }
 
@@ -85,7 +97,9 @@
                 List.of(),
                 28,
                 Optional.of(3L),
-                Optional.empty());
+                Optional.empty(),
+                RateReport.NONE,
+                List.of());
 
         int size = WorkMessageCodec.encode(usual).length;
 
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/EngineZonesTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/EngineZonesTest.java
@@ -8,6 +8,7 @@
 import io.banyantally.deployment.PromptMetadata;
 import io.banyantally.deployment.PromptPart;
 import io.banyantally.deployment.ReplicaEntry;
+import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.testing.Deployments;
 import io.banyantally.testing.ManualClock;
@@ -95,7 +96,10 @@
     }
 
     private EnginePlacement placement(AvailabilityZone zone, double price) {
-        return new EnginePlacement(new SplittableRandom(1), new EngineZones(new ZoneCost(zone, price), metrics));
+        return new EnginePlacement(
+                new SplittableRandom(1),
+                new EngineRates(MonotonicClock.SYSTEM, new MetricRegistry()),
+                new EngineZones(new ZoneCost(zone, price), metrics));
     }
 
     private static ReplicaEntry engine(Placement.Decision decision) {
