--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/AdmittedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/AdmittedRequest.java
@@ -43,16 +43,13 @@
 
     /** Returns the priority among the requests of an engine; empty for other services. */
     OptionalInt enginePriority() {
-        return service.engine().isEmpty()
-                ? OptionalInt.empty()
-                : OptionalInt.of(Math.clamp(priority(), 0, LOWEST_ENGINE_PRIORITY));
-    }
-
-    /** Returns the priority of the request, the account's if it has one; 0 is the highest. */
-    int priority() {
-        return accountRule
+        if (service.engine().isEmpty()) {
+            return OptionalInt.empty();
+        }
+        int priority = accountRule
                 .map(AccountRule::priority)
                 .orElse(OptionalInt.empty())
                 .orElse(route.priority());
+        return OptionalInt.of(Math.clamp(priority, 0, LOWEST_ENGINE_PRIORITY));
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamChooser.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamChooser.java
@@ -175,13 +175,7 @@
     }
 
     private Placement.Demand demand(Duration latencyTarget) {
-        return new Placement.Demand(
-                request.metadata().prompt(),
-                latencyTarget,
-                request.priority(),
-                request.account(),
-                request.route().name(),
-                false);
+        return new Placement.Demand(request.metadata().prompt(), latencyTarget);
     }
 
     /** Adds up to a quarter, so that callers come after an upstream's wait and not all at its end. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/Placement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/Placement.java
@@ -1,7 +1,6 @@
 package io.banyantally.internal.placement;
 
 import io.banyantally.deployment.PromptMetadata;
-import io.banyantally.model.ClientAccountId;
 import java.time.Duration;
 import java.util.Optional;
 
@@ -16,24 +15,8 @@
      * The inputs of a placement decision that come from the request.
      *
      * @param latencyTarget the time within which the answer should begin
-     * @param priority 0 is the highest; the account's if it has one, else the route's
-     * @param account the client account; empty if the request has no key
-     * @param route the name of the route, which stands for the kind of request
-     * @param returning whether the caller seems to have been refused before
      */
-    record Demand(
-            Optional<PromptMetadata> prompt,
-            Duration latencyTarget,
-            int priority,
-            Optional<ClientAccountId> account,
-            String route,
-            boolean returning) {
-
-        /** Creates the inputs of a first attempt without an account, of the highest priority. */
-        public Demand(Optional<PromptMetadata> prompt, Duration latencyTarget) {
-            this(prompt, latencyTarget, 0, Optional.empty(), "", false);
-        }
-    }
+    record Demand(Optional<PromptMetadata> prompt, Duration latencyTarget) {}
 
     /** The result of a placement decision. */
     sealed interface Decision {
