--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -283,7 +283,7 @@
             UpstreamWork work = byUpstream.get(track.entry().id().value());
             track.setPeerWork(owner, work == null ? 0 : work.requests(), work == null ? 0 : work.millis(), now);
             if (work != null) {
-                track.setPeerSight(
+                track.recordPeerObservation(
                         Duration.ofMillis(work.refusingMillis()),
                         work.workTime(now),
                         ThreadLocalRandom.current().nextDouble(),
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/EnginePlacement.java
@@ -90,7 +90,7 @@
         this(random, rates, Optional.empty());
     }
 
-    /** Creates the policy, which adds the cost of the way between zones to expected completions. */
+    /** Creates the policy, which adds the cost of traffic between zones to expected completions. */
     public EnginePlacement(RandomGenerator random, EngineRates rates, EngineZones zones) {
         this(random, rates, Optional.of(zones));
     }
@@ -218,7 +218,7 @@
     }
 
     /** Returns what sending a prompt to an engine costs, in milliseconds. */
-    private double wayMillis(Placement.Demand demand, Candidate engine) {
+    private double trafficMillis(Placement.Demand demand, Candidate engine) {
         long tokens = demand.prompt().map(PromptMetadata::promptTokens).orElse(0);
         return zones.map(known -> known.cost().millis(engine.entry().zone(), tokens * BYTES_PER_PROMPT_TOKEN))
                 .orElse(0.0);
@@ -271,7 +271,7 @@
                     waitMillis(engine),
                     rates.prefillMillis(engine, demand, CacheExpectation.ofRank(rank, SPILL_ENGINES)),
                     rank == 0 ? HOME : SPILLED);
-            double millis = choice.waitMillis() + choice.work() + wayMillis(demand, engine);
+            double millis = choice.waitMillis() + choice.work() + trafficMillis(demand, engine);
             if (best == null || millis < bestMillis) {
                 best = choice;
                 bestMillis = millis;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/EngineZones.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/EngineZones.java
@@ -4,7 +4,7 @@
 import io.banyantally.model.AvailabilityZone;
 import java.util.List;
 
-/** The cost of the way to engines of other zones, and counts of the requests that go there. */
+/** The cost of traffic to engines of other zones, and counts of the requests that go there. */
 public final class EngineZones {
 
     private static final String SHORTER = ZoneSpill.Destination.SHORTER_ELSEWHERE.label();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/LeastLoadedPlacement.java
@@ -94,7 +94,7 @@
     }
 
     /**
-     * Chooses among the upstreams of this zone, and among all others if this zone has no free slot. The way costs the
+     * Chooses among the upstreams of this zone, and among all others if this zone has no free slot. Traffic costs the
      * same to each other zone, so it is added to the best of them and not to each.
      */
     private Decision decideByZone(Demand demand, CandidateSource upstreams, ZoneSpill zones) {
@@ -181,16 +181,16 @@
     }
 
     /**
-     * Returns how much earlier a request completes at the far upstream, less the cost of the way and the least gain that
-     * is worth leaving, in service times. A
-     * free slot is not better for being on an upstream with more of them, so a far upstream counts as full at least.
+     * Returns how much earlier a request completes at the far upstream, less the cost of traffic and the least gain that
+     * is worth leaving, in service times. A free slot is not better for being on an upstream with more of them, so a far
+     * upstream counts as full at least.
      */
     private static double gain(Candidate near, Candidate far, Demand demand, ZoneSpill zones) {
         double serviceMillis = near.slotMillis() > 0
                 ? near.slotMillis()
                 : Math.max(1, demand.latencyTarget().toMillis() * SERVICE_PART_OF_TARGET);
-        double way = zones.cost().millis(far.entry().zone(), PLAIN_BYTES) / serviceMillis;
-        return cost(near) - far.pace() * Math.max(FULL, load(far)) - way - ZoneSpill.MINIMUM_GAIN;
+        double traffic = zones.cost().millis(far.entry().zone(), PLAIN_BYTES) / serviceMillis;
+        return cost(near) - far.pace() * Math.max(FULL, load(far)) - traffic - ZoneSpill.MINIMUM_GAIN;
     }
 
     /** Decides after a look at all candidates, however many there are. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/UpstreamTrack.java
@@ -182,7 +182,8 @@
      * @param workTime the time that work took there, as the upstream last reported to other VMs
      * @param spread a random number from 0 to 1
      */
-    public synchronized void setPeerSight(Duration refusing, Optional<Pace.Report> workTime, double spread, long now) {
+    public synchronized void recordPeerObservation(
+            Duration refusing, Optional<Pace.Report> workTime, double spread, long now) {
         long until = now + refusing.toNanos();
         if (refusing.isPositive() && (!peersRefused || until - peersAvoidUntil > 0)) {
             peersRefused = true;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/ZoneCost.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/ZoneCost.java
@@ -3,7 +3,7 @@
 import io.banyantally.model.AvailabilityZone;
 
 /**
- * The cost of the way from this VM to an upstream of another zone, as time of the caller, so that placement can add it
+ * The cost of traffic from this VM to an upstream of another zone, as time of the caller, so that placement can add it
  * to an expected completion.
  *
  * @param own the zone of this VM
--- a/modules/banyantally/src/main/java/io/banyantally/internal/placement/ZoneSpill.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/placement/ZoneSpill.java
@@ -63,7 +63,7 @@
     /**
      * Returns the probability with which a request should leave the zone, and counts it in the share.
      *
-     * @param gain how much earlier the request completes elsewhere, less the cost of the way, in service times
+     * @param gain how much earlier the request completes elsewhere, less the cost of traffic, in service times
      */
     double probability(ServiceName service, double gain) {
         Share share = shares.computeIfAbsent(service, name -> new Share(clock.nanoTime()));
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/EngineZonesTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/EngineZonesTest.java
@@ -19,7 +19,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
-/** Checks what the cost of the way changes in the choice of engines. */
+/** Checks what the cost of traffic between zones changes in the choice of engines. */
 final class EngineZonesTest {
 
     private static final AvailabilityZone ZONE_A = new AvailabilityZone("zone-a");
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/ZoneLoadSimulation.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/ZoneLoadSimulation.java
@@ -149,9 +149,9 @@
         }
         UpstreamTrack track = vm.tracks.of(upstream.entry);
         track.recordSent(send.work(), clock.nanoTime());
-        double way = leaves ? ONE_WAY_MILLIS : 0;
-        Running running = new Running(track, clock.nanoTime(), now, millis, send.work(), way);
-        event(now + way, () -> upstream.receive(running));
+        double oneWay = leaves ? ONE_WAY_MILLIS : 0;
+        Running running = new Running(track, clock.nanoTime(), now, millis, send.work(), oneWay);
+        event(now + oneWay, () -> upstream.receive(running));
     }
 
     private static ReplicaEntry entry(int zone, int number, int slots) {
@@ -333,7 +333,7 @@
                     running--;
                     startWaiting();
                     ReportedLoad load = new ReportedLoad(running, waiting.size(), setup.slots);
-                    event(now + next.wayMillis, () -> answered(next, load));
+                    event(now + next.oneWayMillis, () -> answered(next, load));
                 });
             }
         }
@@ -346,7 +346,7 @@
     }
 
     private record Running(
-            UpstreamTrack track, long sentAt, double arrivedAt, double millis, double work, double wayMillis) {}
+            UpstreamTrack track, long sentAt, double arrivedAt, double millis, double work, double oneWayMillis) {}
 
     private record Event(double at, long sequence, Runnable action) implements Comparable<Event> {
 
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/ZoneSpillTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/ZoneSpillTest.java
@@ -67,7 +67,7 @@
         assertEquals(Set.of(far.id()), chosen(1, List.of(near, far)));
     }
 
-    /** Guards against a way that costs more than the wait that it saves. */
+    /** Guards against traffic that costs more than the wait that it saves. */
     @Test
     void dearWayIsNotTakenForAShortWait() {
         for (int request = 0; request < 2 * near.slots(); request++) {
