Tell pairs of VMs measured rates five times a second

Change: as in a zone, rates go with a message every 200 ms. Result: WorkExchangeTest (18) and WorkMessageCodecTest (5) pass; bytes are not measured again.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/WorkExchange.java
@@ -58,8 +58,8 @@
     static final Duration DELEGATE_INTERVAL = Duration.ofMillis(40);
 
     /**
-     * How often a delegate tells a VM of its zone the measured rates of engines. They change more slowly than work, and a
-     * delegate sends hundreds of messages a second.
+     * How often a pair of VMs, or a delegate and a VM of its zone, tell each other the measured rates of engines. Rates
+     * change more slowly than work, and a VM sends up to hundreds of messages a second.
      */
     static final Duration RATES_INTERVAL = Duration.ofMillis(200);
 
@@ -118,7 +118,7 @@
         this.unanswered = metrics.counter("work_exchange.unanswered");
         this.requests = metrics.counter("work_exchange.requests");
         this.handled = metrics.counter("work_exchange.handled");
-        handle(PAIR_TOPIC, sender -> ownWork());
+        handle(PAIR_TOPIC, sender -> ownWork(Optional.of(sender)));
         handle(MEMBER_TOPIC, sender -> workOf(Optional.of(sender), vm -> !vm.equals(sender) && !vm.equals(ALL_OTHERS)));
         handle(ZONE_TOPIC, sender -> workOf(Optional.empty(), ownZone()));
     }
@@ -142,13 +142,14 @@
         List<Peer> connected = peers.peers();
         if (connected.size() + 1 < ZoneDelegates.MINIMUM_VMS) {
             interval = pairInterval(connected.size());
-            requestFromHigherIds(connected.stream().map(Peer::vm), PAIR_TOPIC, this::ownWork);
+            requestFromHigherIds(connected.stream().map(Peer::vm), PAIR_TOPIC, () -> ownWork(Optional.of(self.vm())));
             return;
         }
         Optional<VmId> delegate = delegates.ofOwnZone();
         if (delegate.isPresent()) {
             interval = MEMBER_INTERVAL;
-            requestInBackground(delegate.get(), MEMBER_TOPIC, WorkMessageCodec.encode(ownWork()), ALL_OTHERS);
+            requestInBackground(
+                    delegate.get(), MEMBER_TOPIC, WorkMessageCodec.encode(ownWork(Optional.empty())), ALL_OTHERS);
         } else {
             interval = DELEGATE_INTERVAL;
             requestFromHigherIds(
@@ -199,25 +200,25 @@
     }
 
     /** Returns the work of this VM and of the peers that {@code included} accepts, summed by upstream. */
-    private WorkMessage workOf(Optional<VmId> member, Predicate<VmId> included) {
+    private WorkMessage workOf(Optional<VmId> ratesOnceFor, Predicate<VmId> included) {
         long now = clock.nanoTime();
         return message(
                 track -> track.workWithPeers(included, now),
                 track -> track.knownAvoidance(now),
                 track -> track.paceReport(now),
                 included,
-                member,
+                ratesOnceFor,
                 now);
     }
 
-    private WorkMessage ownWork() {
+    private WorkMessage ownWork(Optional<VmId> ratesOnceFor) {
         long now = clock.nanoTime();
         return message(
                 UpstreamTrack::ownWork,
                 track -> track.ownAvoidance(now),
                 track -> track.ownPaceReport(now),
                 vm -> false,
-                Optional.empty(),
+                ratesOnceFor,
                 now);
     }
 
@@ -226,7 +227,7 @@
             Function<UpstreamTrack, Duration> avoidanceOf,
             Function<UpstreamTrack, Optional<Pace.Report>> paceOf,
             Predicate<VmId> included,
-            Optional<VmId> member,
+            Optional<VmId> ratesOnceFor,
             long now) {
         List<UpstreamWork> work = new ArrayList<>();
         for (UpstreamTrack track : tracks.all()) {
@@ -251,18 +252,18 @@
                 fleet.heardVms(included),
                 configurations.version(),
                 window.isPresent() ? Optional.of(window.getAsLong()) : Optional.empty(),
-                ratesFor(member, included, now),
+                ratesFor(ratesOnceFor, included, now),
                 accounts.uses(included));
     }
 
-    /** Returns the measured rates; none in most answers to a {@code member} of the zone. */
-    private RateReport ratesFor(Optional<VmId> member, Predicate<VmId> included, long now) {
-        if (member.isPresent()) {
-            Long toldAt = ratesToldAt.get(member.get());
+    /** Returns the measured rates; none if a message for the VM, if there is one, has had them within the interval. */
+    private RateReport ratesFor(Optional<VmId> ratesOnceFor, Predicate<VmId> included, long now) {
+        if (ratesOnceFor.isPresent()) {
+            Long toldAt = ratesToldAt.get(ratesOnceFor.get());
             if (toldAt != null && now - toldAt < RATES_INTERVAL.toNanos()) {
                 return RateReport.NONE;
             }
-            ratesToldAt.put(member.get(), now);
+            ratesToldAt.put(ratesOnceFor.get(), now);
         }
         return rates.rates(included);
     }
