Play the load of prompts with nominal rates as well

Cause: the load tests of prompts play measured rates since these exist, but placement uses nominal rates by default, so nothing guarded what is served then. Change: the usual load and the overload with nominal rates, with the bounds of the tests beside it.

--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/EnginePlacementLoadTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/EnginePlacementLoadTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.codahale.metrics.MetricRegistry;
+import io.banyantally.internal.time.MonotonicClock;
 import java.time.Duration;
 import java.util.Random;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -63,6 +65,27 @@
                 result.inTimeShare() > randomEngines.inTimeShare(), () -> result + "; random engines " + randomEngines);
     }
 
+    /** Guards against a change of what is served where placement does not use measured rates, which is the default. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void nominalRatesServeTheSameLoads(long seed) {
+        PromptLoadSimulation.Result usual = withNominalRates(seed).run(USUAL_REQUESTS_PER_SECOND, DURATION);
+        PromptLoadSimulation.Result overload = withNominalRates(seed).run(OVERLOAD_REQUESTS_PER_SECOND, DURATION);
+
+        assertTrue(usual.servedShare() > 0.97, usual::toString);
+        assertTrue(usual.inTimeShare() > 0.85, usual::toString);
+        assertTrue(overload.inTimeShare() > 0.5 * overload.servedShare(), overload::toString);
+        assertTrue(overload.servedLongShare() > 0.5 * overload.servedShare(), overload::toString);
+    }
+
+    private static PromptLoadSimulation withNominalRates(long seed) {
+        return new PromptLoadSimulation(
+                seed,
+                ENGINES,
+                (random, rates) -> new EnginePlacement(
+                        random, new NominalRates(MonotonicClock.SYSTEM, new MetricRegistry()))::decidePrefill);
+    }
+
     private static PromptLoadSimulation withHomes(long seed) {
         return new PromptLoadSimulation(
                 seed, ENGINES, (random, rates) -> new EnginePlacement(random, rates)::decidePrefill);
