Show that a change of the settings is not applied

Cause: SettingsWatch logs the changed settings file, and the gateway goes on with the address of the store that it read at its start.

--- a/review/stand-ins-2/Deployment.java
+++ b/review/stand-ins-2/Deployment.java
@@ -9,13 +9,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /** A small deployment on loopback addresses: the store, the duty API, and gateways as separate processes. */
 final class Deployment implements AutoCloseable {
 
     private static final long START_LIMIT_MILLIS = 25_000;
+    private static final int LOWEST_PORT = 12_000;
+    private static final int HIGHEST_PORT = 30_000;
 
     final Store store = new Store();
     final ConcurrentLinkedQueue<String> dutyCalls = new ConcurrentLinkedQueue<>();
@@ -55,13 +59,14 @@
         return gateway;
     }
 
-    /** Writes the settings files again, with the present address of the store, and sends SIGHUP to all gateways. */
-    void changeSettings() throws IOException, InterruptedException {
+    /** Writes the settings files again, with the present address of the store, and sends SIGHUP to one gateway. */
+    void changeSettings(Gateway signalled) throws IOException, InterruptedException {
         for (Gateway gateway : gateways) {
             Files.writeString(folder.resolve(gateway.name() + ".yaml"), settings(gateway.name(), gateway.ports));
-            gateway.signal("HUP");
-            record.line(gateway.name() + " gets SIGHUP; its settings file names the store at " + store.address());
+            record.line("the settings file of " + gateway.name() + " names the store at " + store.address());
         }
+        signalled.signal("HUP");
+        record.line(signalled.name() + " gets SIGHUP");
     }
 
     private String settings(String name, int[] ports) {
@@ -94,29 +99,25 @@
                         name, ports[0], ports[1], ports[2], ports[3], ports[3] + 15, store.address(), duties.addressText());
     }
 
-    /** Returns free ports, of which the last but one is followed by another free one. */
-    private static int[] freePorts(int count) throws IOException {
+    /** Returns consecutive ports that are free, below those that the system gives to outgoing connections. */
+    private static int[] freePorts(int count) {
         while (true) {
-            List<ServerSocket> held = new ArrayList<>();
-            try {
-                int[] ports = new int[count];
-                for (int index = 0; index < count - 1; index++) {
-                    held.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-                    ports[index] = held.getLast().getLocalPort();
-                }
-                ports[count - 1] = ports[count - 2] + 1;
-                held.add(new ServerSocket(ports[count - 1], 1, InetAddress.getLoopbackAddress()));
+            int first = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+            int[] ports = IntStream.range(first, first + count).toArray();
+            if (IntStream.of(ports).allMatch(Deployment::isFree)) {
                 return ports;
-            } catch (IOException taken) {
-                // Tries other ports.
-            } finally {
-                for (ServerSocket socket : held) {
-                    socket.close();
-                }
             }
         }
     }
 
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
+        } catch (IOException taken) {
+            return false;
+        }
+    }
+
     /** Ends all processes that still run. */
     @Override
     public void close() throws IOException {
