Let each usable entry of a configuration take effect

Callers saw a withdrawn key stay valid, a new key refused with 401 and a new route with 404, for as long as the configuration had one client account whose name has a space; a process that started then had no configuration.

Cause: Identifiers.check, made for names that the project's own operators choose, also checked the names in the users' documents, and JsonDocumentReader refused the whole document for one refused value. Ruled out: VMs that do not learn of the version; each logs the refusal 3 ms after the write, with the name.

Change: accounts, services, zones and upstreams may have any name that a header can carry, and it is escaped where it needs to be; names of the own operator interface stay as strict. Entries and fields that can't be used are logged and left out by themselves. A route without a usable service refuses its requests, and accounts of which none can be used still require keys. A document without a usable version or limits is refused as before.

--- a/modules/banyantally/src/main/java/io/banyantally/deployment/DeploymentConfiguration.java
+++ b/modules/banyantally/src/main/java/io/banyantally/deployment/DeploymentConfiguration.java
@@ -6,14 +6,25 @@
  * One version of the operator's configuration.
  *
  * @param version rises with every change
- * @param accounts the client accounts; empty if requests need no key
+ * @param keysRequired whether requests on routes that are not anonymous need a key
  */
 public record DeploymentConfiguration(
         long version,
         List<RouteRule> routes,
         List<ServiceRule> services,
         CallerLimits limits,
-        List<AccountRule> accounts) {
+        List<AccountRule> accounts,
+        boolean keysRequired) {
+
+    /** Creates a configuration that requires keys if it has client accounts. */
+    public DeploymentConfiguration(
+            long version,
+            List<RouteRule> routes,
+            List<ServiceRule> services,
+            CallerLimits limits,
+            List<AccountRule> accounts) {
+        this(version, routes, services, limits, accounts, !accounts.isEmpty());
+    }
 
     /** Copies the lists. */
     public DeploymentConfiguration {
--- a/modules/banyantally/src/main/java/io/banyantally/deployment/RouteRule.java
+++ b/modules/banyantally/src/main/java/io/banyantally/deployment/RouteRule.java
@@ -10,7 +10,7 @@
  * @param timeout the longest time until a request must have a response
  * @param latencyTarget the time within which a response counts as timely
  * @param priority the priority of the route; 0 is the highest
- * @param services the services that serve the route; several to split traffic
+ * @param services the services that serve the route; several to split traffic, none if its requests are refused
  * @param attempts the most upstreams to which one request is sent; refusals do not count
  * @param anonymous whether requests need no key
  * @param resumable whether a broken stream may be resumed on another upstream
@@ -28,15 +28,12 @@
         boolean anonymous,
         boolean resumable) {
 
-    /** Rejects prefixes without slashes at both ends, routes without services, and attempts below 1. */
+    /** Rejects prefixes without slashes at both ends, and attempts below 1. */
     public RouteRule {
         if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
             throw new IllegalArgumentException(
                     "prefix '" + prefix + "' of route " + name + " must begin and end with a slash");
         }
-        if (services.isEmpty()) {
-            throw new IllegalArgumentException("route " + name + " names no service");
-        }
         if (attempts < 1) {
             throw new IllegalArgumentException("route " + name + " allows " + attempts + " attempts; use 1 or more");
         }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpUpstreamOrdering.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpUpstreamOrdering.java
@@ -10,6 +10,8 @@
 import io.banyantally.platform.UpstreamOrdering;
 import io.banyantally.upstream.SendPermission;
 import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 /** Client of the platform's upstream ordering over HTTP. */
@@ -37,14 +39,18 @@
 
     @Override
     public List<OrderedUpstream> list(ServiceName service, AvailabilityZone zone) throws PlatformException {
-        // Identifiers contain no characters that need escaping in a query.
-        String target = OrderingRequest.PATH + "?service=" + service + "&zone=" + zone;
+        String target =
+                OrderingRequest.PATH + "?service=" + urlEncode(service.value()) + "&zone=" + urlEncode(zone.value());
         return PlatformCalls.read(
                 client,
                 HttpCall.read(address, target, PlatformCalls.TIME_LIMIT),
                 body -> WireFormat.decodeList(body, OrderedUpstream.class));
     }
 
+    private static String urlEncode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+
     @Override
     public UpstreamId order(
             ServiceName service, AvailabilityZone zone, boolean cheap, OrderToken token, FencingNumber fencingNumber)
--- a/modules/banyantally/src/main/java/io/banyantally/internal/configuration/StoredFormat.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/configuration/StoredFormat.java
@@ -79,8 +79,8 @@
         SimpleModule identifiers = new SimpleModule();
         registerTextType(identifiers, VmId.class, VmId::new);
         registerTextType(identifiers, Incarnation.class, Incarnation::parse);
-        registerTextType(identifiers, ServiceName.class, ServiceName::new);
-        registerTextType(identifiers, ClientAccountId.class, ClientAccountId::new);
+        registerTextType(identifiers, ServiceName.class, ServiceName::plain);
+        registerTextType(identifiers, ClientAccountId.class, ClientAccountId::plain);
         registerTextType(identifiers, KeyId.class, KeyId::new);
         registerTextType(identifiers, ModelName.class, ModelName::new);
         registerTextType(identifiers, AdapterName.class, AdapterName::new);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/crash/CrashStoreKeys.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/crash/CrashStoreKeys.java
@@ -2,7 +2,9 @@
 
 import io.banyantally.model.VmId;
 import io.banyantally.platform.StoreKey;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.UUID;
 
 /** Keys in the platform's store of reported crashes and of the parts of prompts that were served after them. */
 public final class CrashStoreKeys {
@@ -15,9 +17,13 @@
 
     private CrashStoreKeys() {}
 
-    /** Returns the key of a report of one VM on the crash of an upstream; {@code number} counts its reports. */
+    /**
+     * Returns the key of a report of one VM on the crash of an upstream; {@code number} counts its reports. The key has a
+     * hash of the upstream's name, which may be as long as a key of the store.
+     */
     static StoreKey report(String upstream, VmId vm, long number) {
-        return new StoreKey(REPORT_PREFIX + upstream + "/" + vm + "/" + number);
+        UUID hash = UUID.nameUUIDFromBytes(upstream.getBytes(StandardCharsets.UTF_8));
+        return new StoreKey(REPORT_PREFIX + hash + "/" + vm + "/" + number);
     }
 
     /** Returns the key that says that a part of prompts was served after the crashes reported so far. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ActiveConfiguration.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ActiveConfiguration.java
@@ -44,7 +44,7 @@
 
     /** Returns whether requests on routes that are not anonymous need a key. */
     public boolean requiresKeys() {
-        return !document.accounts().isEmpty();
+        return document.keysRequired();
     }
 
     /** Returns the account that holds a key. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -31,6 +31,9 @@
     /** Retry-After of a VM that has not read a configuration yet. */
     private static final Duration RETRY_AFTER_NO_CONFIGURATION = Duration.ofMillis(300);
 
+    /** A route gets a service only with another configuration. */
+    private static final Duration RETRY_AFTER_NO_SERVICE = Duration.ofSeconds(1);
+
     /** Retry-After when upstreams are full; their queues change within some ten milliseconds. */
     private static final Duration RETRY_AFTER_FULL_UPSTREAM = Duration.ofMillis(60);
 
@@ -114,6 +117,9 @@
         if (account.isEmpty() && configuration.requiresKeys() && !route.anonymous()) {
             throw new RefusedException(Refusal.clientError(Refusal.UNAUTHORIZED, "unknown_key"));
         }
+        if (route.services().isEmpty()) {
+            throw new RefusedException(Refusal.notRun("no_service", RETRY_AFTER_NO_SERVICE));
+        }
         Duration timeout = metadata.timeout()
                 .filter(callerTimeout -> callerTimeout.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/AddressesEndpoint.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/AddressesEndpoint.java
@@ -43,7 +43,7 @@
 
     private static Optional<AvailabilityZone> zone(HttpExchange exchange) throws RequestFailedException {
         try {
-            return exchange.queryParameter("zone").map(AvailabilityZone::new);
+            return exchange.queryParameter("zone").map(AvailabilityZone::plain);
         } catch (IllegalArgumentException invalid) {
             throw RequestFailedException.notRun(ErrorType.INVALID_REQUEST, invalid.getMessage());
         }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/CallsEndpoint.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/CallsEndpoint.java
@@ -36,7 +36,7 @@
 
     private static ServiceName service(String name) throws RequestFailedException {
         try {
-            return new ServiceName(name);
+            return ServiceName.plain(name);
         } catch (IllegalArgumentException invalid) {
             throw RequestFailedException.notRun(ErrorType.UNKNOWN_SERVICE, "no plain service has this name");
         }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/http/ServicePath.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/http/ServicePath.java
@@ -22,7 +22,7 @@
             throw RequestFailedException.notRun(ErrorType.INVALID_REQUEST, "the path must not contain '..'");
         }
         try {
-            return new ServicePath(new ServiceName(name), path, rawPath);
+            return new ServicePath(ServiceName.plain(name), path, rawPath);
         } catch (IllegalArgumentException invalid) {
             throw RequestFailedException.notRun(ErrorType.UNKNOWN_SERVICE, "no plain service has this name");
         }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/membership/DirectoryRow.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/membership/DirectoryRow.java
@@ -43,8 +43,8 @@
         return new DirectoryEntry(
                 id,
                 VmKind.valueOf(kind),
-                new AvailabilityZone(zone),
-                service.isEmpty() ? Optional.empty() : Optional.of(new ServiceName(service)),
+                AvailabilityZone.plain(zone),
+                service.isEmpty() ? Optional.empty() : Optional.of(ServiceName.plain(service)),
                 new InetSocketAddress(host, port),
                 leaving ? VmState.LEAVING : VmState.LIVE,
                 cheap);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/operator/ConfigurationDocuments.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/operator/ConfigurationDocuments.java
@@ -51,7 +51,7 @@
     static ServiceTemplate service(ServiceName name, JsonNode node) throws InvalidDocumentException {
         List<FieldProblem> problems = new ArrayList<>();
         FieldReader reader = new FieldReader(node, "", problems);
-        ServiceName written = reader.text("service", name, "the name in the path, " + name, ServiceName::new);
+        ServiceName written = reader.text("service", name, "the name in the path, " + name, ServiceName::plain);
         reader.require(written.equals(name), "service", written, "the name in the path, " + name);
         String kinds = Arrays.toString(ServiceKind.values()).toLowerCase(Locale.ROOT);
         ServiceKind kind = reader.text("kind", ServiceKind.MODEL, "one of " + kinds, ConfigurationDocuments::kind);
@@ -94,11 +94,11 @@
     static ClientAccountParameters account(ClientAccountId id, JsonNode node) throws InvalidDocumentException {
         List<FieldProblem> problems = new ArrayList<>();
         FieldReader reader = new FieldReader(node, "", problems);
-        ClientAccountId written = reader.text("account", id, "the name in the path, " + id, ClientAccountId::new);
+        ClientAccountId written = reader.text("account", id, "the name in the path, " + id, ClientAccountId::plain);
         reader.require(written.equals(id), "account", written, "the name in the path, " + id);
         List<ModelName> models = reader.names("models", NAME_FORMAT, ModelName::new);
         List<AdapterName> adapters = reader.names("adapters", NAME_FORMAT, AdapterName::new);
-        List<ServiceName> services = reader.names("services", NAME_FORMAT, ServiceName::new);
+        List<ServiceName> services = reader.names("services", NAME_FORMAT, ServiceName::plain);
         int priority = reader.integer("priority");
         double weight = reader.number("weight", POSITIVE_NUMBER, value -> value > 0);
         double requests = reader.number("requestsPerSecond", POSITIVE_NUMBER, value -> value > 0);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/operator/ConfigurationEntryKind.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/operator/ConfigurationEntryKind.java
@@ -32,7 +32,7 @@
     static ConfigurationEntryKind<ServiceName, ServiceTemplate> services() {
         return new ConfigurationEntryKind<>(
                 "services",
-                ServiceName::new,
+                ServiceName::plain,
                 Configuration::services,
                 ConfigurationDocuments::service,
                 ConfigurationDocuments::write,
@@ -42,7 +42,7 @@
     static ConfigurationEntryKind<ClientAccountId, ClientAccountParameters> accounts() {
         return new ConfigurationEntryKind<>(
                 "accounts",
-                ClientAccountId::new,
+                ClientAccountId::plain,
                 Configuration::accounts,
                 ConfigurationDocuments::account,
                 ConfigurationDocuments::write,
--- a/modules/banyantally/src/main/java/io/banyantally/internal/operator/KeyResource.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/operator/KeyResource.java
@@ -84,7 +84,7 @@
         List<FieldProblem> problems = new ArrayList<>();
         FieldReader reader = new FieldReader(request.document(), "", problems);
         ClientAccountId account =
-                reader.text("account", new ClientAccountId("none"), "a client account", ClientAccountId::new);
+                reader.text("account", new ClientAccountId("none"), "a client account", ClientAccountId::plain);
         reader.rejectUnknownFields();
         if (!problems.isEmpty()) {
             throw new InvalidDocumentException(problems);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/DirectoryCatalogue.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/DirectoryCatalogue.java
@@ -42,7 +42,7 @@
 
     private static KnownUpstream upstream(DirectoryEntry entry) {
         return new KnownUpstream(
-                new UpstreamId(entry.id()),
+                UpstreamId.plain(entry.id()),
                 entry.service().orElseThrow(),
                 entry.zone(),
                 entry.address(),
--- a/modules/banyantally/src/main/java/io/banyantally/internal/routing/UpstreamGate.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/routing/UpstreamGate.java
@@ -49,7 +49,7 @@
         Set<UpstreamId> active = new HashSet<>();
         for (DirectoryEntry entry : entries) {
             if (entry.kind() != VmKind.ENTRY) {
-                UpstreamId upstream = new UpstreamId(entry.id());
+                UpstreamId upstream = UpstreamId.plain(entry.id());
                 listed.add(upstream);
                 if (entry.state() == VmState.LEAVING) {
                     leavingSince.putIfAbsent(upstream, clock.nanoTime());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/settings/EntrySettings.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/settings/EntrySettings.java
@@ -100,7 +100,7 @@
                 fields.text("vm", "a VM id", new VmId("none"), VmId::new),
                 fields.text("site", "a site name", "none", text -> new Region(text).value()),
                 fields.text("region", "a region name", new Region("none"), Region::new),
-                fields.text("zone", "an availability zone", new AvailabilityZone("none"), AvailabilityZone::new),
+                fields.text("zone", "an availability zone", new AvailabilityZone("none"), AvailabilityZone::plain),
                 fields.address("callers"),
                 fields.address("peers"),
                 fields.objects("seeds", PeerSeed::read),
--- a/modules/banyantally/src/main/java/io/banyantally/internal/settings/ZoneDistance.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/settings/ZoneDistance.java
@@ -9,7 +9,7 @@
 
     static ZoneDistance read(JsonFields fields) {
         return new ZoneDistance(
-                fields.text("zone", "an availability zone", new AvailabilityZone("none"), AvailabilityZone::new),
+                fields.text("zone", "an availability zone", new AvailabilityZone("none"), AvailabilityZone::plain),
                 fields.number("milliseconds", 0, MAXIMUM_MILLISECONDS, 1));
     }
 }
