List a prefix anew if the answer to its watch can't be read

Callers' requests reached an upstream for up to historyS after it had said that it was draining, while both gateways said that they were ready, once another writer had written seven entries of 1 MiB in one transaction.

Cause: the client takes answers of at most 8 MiB, and PrefixWatcher repeats a failed watch from the same revision, with the same answer. One malformed item made any answer unusable in the same way, that of a listing for as long as the item was there. Evidence: the log names the size for the watch after one revision, again and again. Ruled out: memory (no OutOfMemoryError) and time (the answer comes at once on loopback).

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpReply.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpReply.java
@@ -14,6 +14,11 @@
 
     /** Returns the first value of a header, whose name is compared without case. */
     public Optional<String> header(String name) {
+        return header(headers, name);
+    }
+
+    /** Returns the first value of a header, whose name is compared without case. */
+    public static Optional<String> header(List<HeaderField> headers, String name) {
         return headers.stream()
                 .filter(field -> field.name().equalsIgnoreCase(name))
                 .map(HeaderField::value)
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixWatcher.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixWatcher.java
@@ -62,6 +62,9 @@
     private final Sleeper sleeper;
     private final Supplier<Duration> batchingDelay;
 
+    /** Whether no watch has returned changes, or that there are none, since the last listing. */
+    private boolean listedLast;
+
     /** Creates a watcher; {@link #run} runs until its thread is interrupted. */
     public PrefixWatcher(
             CoordinationStore store,
@@ -129,7 +132,15 @@
                 return from.isEmpty() ? list() : watch(from.get(), wait);
             } catch (HistoryDiscardedException discarded) {
                 health.answered();
-                LOG.info("watch_restarted", EventField.of("prefix", prefix), EventField.of("after", from.get()));
+                LOG.info(
+                        "watch_restarted",
+                        EventField.of("prefix", prefix),
+                        EventField.of("after", from.get()),
+                        EventField.of("reason", discarded.getMessage()));
+                if (listedLast) {
+                    // The store limits the rate of calls, and a long list takes many.
+                    pause(RETRY_DELAY);
+                }
                 from = Optional.empty();
             } catch (StoreException failure) {
                 if (Thread.currentThread().isInterrupted()) {
@@ -145,6 +156,7 @@
 
     private StoreRevision list() throws StoreException {
         StoreListing listing = store.list(prefix);
+        listedLast = true;
         health.answered();
         listener.listed(listing);
         listener.caughtUp();
@@ -153,6 +165,7 @@
 
     private StoreRevision watch(StoreRevision after, Duration wait) throws StoreException, InterruptedException {
         StoreChanges changes = store.awaitChanges(prefix, after, wait);
+        listedLast = false;
         health.answered();
         boolean changed = !changes.changes().isEmpty();
         if (changed) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
@@ -40,6 +40,9 @@
      */
     static final Duration LAPSED_ENTRY_GRACE = Duration.ofMillis(1800);
 
+    /** Unreadable entries beyond these are not logged one by one. */
+    private static final int MAXIMUM_LOGGED_KEYS = 100;
+
     private static final EventLog LOG = EventLog.of(ReplicaRegistry.class);
 
     private final DocumentReader reader;
@@ -47,6 +50,9 @@
     private final MonotonicClock clock;
     private final Map<StoreKey, ReplicaEntry> entries = new HashMap<>();
     private final Map<StoreKey, Missing> missing = new HashMap<>();
+    /** The entries that are logged as unreadable; each is logged once, however often another writer writes it. */
+    private final Set<StoreKey> unreadableKeys = new HashSet<>();
+
     private final Map<UpstreamId, Long> readAt = new ConcurrentHashMap<>();
     private final LastUpstreamEntries lastEntries = new LastUpstreamEntries();
     private Optional<StoreEra> era = Optional.empty();
@@ -107,6 +113,7 @@
             present.add(item.key());
             read(item);
         }
+        unreadableKeys.retainAll(present);
         Set<StoreKey> absent = new HashSet<>(entries.keySet());
         absent.removeAll(present);
         absent.forEach(this::handleMissing);
@@ -163,6 +170,7 @@
                         EventField.of("revision", item.versioned().revision()));
                 return;
             }
+            unreadableKeys.remove(item.key());
             lastEntries.present(entry, written);
             missing.remove(item.key());
             ReplicaEntry previous = entries.put(item.key(), entry);
@@ -171,12 +179,14 @@
         } catch (UnreadableDocumentException unreadable) {
             missing.remove(item.key());
             ReplicaEntry previous = entries.remove(item.key());
-            LOG.warn(
-                    "upstream_unreadable",
-                    EventField.of("key", item.key()),
-                    EventField.of("revision", item.versioned().revision()),
-                    EventField.of("dropped", previous != null),
-                    EventField.of("reason", unreadable.getMessage()));
+            if (previous != null || (unreadableKeys.size() < MAXIMUM_LOGGED_KEYS && unreadableKeys.add(item.key()))) {
+                LOG.warn(
+                        "upstream_unreadable",
+                        EventField.of("key", item.key()),
+                        EventField.of("revision", item.versioned().revision()),
+                        EventField.of("dropped", previous != null),
+                        EventField.of("reason", unreadable.getMessage()));
+            }
         }
     }
 
@@ -200,6 +210,7 @@
     }
 
     private void handleMissing(StoreKey key) {
+        unreadableKeys.remove(key);
         if (!entries.containsKey(key)) {
             return;
         }
--- a/modules/banyantally/src/main/java/io/banyantally/platform/HistoryDiscardedException.java
+++ b/modules/banyantally/src/main/java/io/banyantally/platform/HistoryDiscardedException.java
@@ -1,6 +1,9 @@
 package io.banyantally.platform;
 
-/** The key-value service has discarded changes since the revision of a watch; list the items again. */
+/**
+ * The changes since the revision of a watch can't be had: the key-value service has discarded some, or their answer is too
+ * large or malformed. List the items again.
+ */
 public final class HistoryDiscardedException extends StoreException {
 
     private static final long serialVersionUID = 1L;
