Drop a missing upstream at once unless an outage can have expired it

Callers' requests reached an upstream for 1.5 to 1.8 s after its entry was removed, and later than drainMs on a machine whose threads are late, if the store cut a watch at that moment.

Cause: any failed call since the last confirmation made ReplicaRegistry keep a missing entry until 1.8 s after that confirmation, as one that may have expired in an outage. An entry expires after three intervals of silence, so that a gap of some 25 ms can't be the reason. Ruled out: a late check, as isAccepting compares the time at each choice.

Change: an entry is kept only after an outage of at least 1.8 s without an answer to any call. A shorter gap after such an outage no longer ends the time in use.

Two tests had an outage of 0 ms, in which no entry can expire; it now lasts 1.8 s, with their checks as before and one more.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
@@ -28,16 +28,12 @@
 /**
  * The upstreams that have an entry in the platform's store. While the store is unavailable, the last known entries stay
  * in use. An entry that is missing after an outage may have expired because of it, so it stays in use for a short time;
- * after a failed call without an outage, only as long as an upstream that left during the call may be used. A store that
+ * after a failed call without an outage, such as a watch that was cut, it is dropped at once. A store that
  * comes back from an older copy may lack entries until the upstreams write them again, as after an outage.
  */
 public final class ReplicaRegistry implements PrefixListener {
 
-    /**
-     * How long a missing entry is still used, from the end of an outage that was at least as long, else from the last
-     * time at which the entry was known to be there. Live upstreams register again within two seconds after the outage,
-     * and two seconds after an upstream leaves it must get no new work.
-     */
+    /** How long a missing entry is used after an outage; live upstreams register again within two seconds after it. */
     static final Duration LAPSED_ENTRY_GRACE = Duration.ofMillis(1800);
 
     /** Unreadable entries beyond these are not logged one by one. */
@@ -49,7 +45,10 @@
     private final StoreHealth health;
     private final MonotonicClock clock;
     private final Map<StoreKey, ReplicaEntry> entries = new HashMap<>();
-    private final Map<StoreKey, Missing> missing = new HashMap<>();
+
+    /** The monotonic times in nanoseconds until which missing entries are used. */
+    private final Map<StoreKey, Long> missing = new HashMap<>();
+
     /** The entries that are logged as unreadable; each is logged once, however often another writer writes it. */
     private final Set<StoreKey> unreadableKeys = new HashSet<>();
 
@@ -58,7 +57,7 @@
     private Optional<StoreEra> era = Optional.empty();
     private OptionalLong returnedAt = OptionalLong.empty();
     private volatile long caughtUpAt;
-    private volatile Map<UpstreamId, Missing> missingById = Map.of();
+    private volatile Map<UpstreamId, Long> missingById = Map.of();
     private volatile Map<ServiceName, List<ReplicaEntry>> byService = Map.of();
 
     /** Creates an empty registry. */
@@ -81,12 +80,13 @@
 
     /** Returns whether a known upstream accepts new work. */
     public boolean isAccepting(ReplicaEntry entry) {
-        Missing absence = missingById.get(entry.id());
-        return !entry.draining() && (absence == null || isUsable(absence));
+        Long usableUntil = missingById.get(entry.id());
+        return !entry.draining() && (usableUntil == null || isUsable(usableUntil));
     }
 
-    private boolean isUsable(Missing absence) {
-        return clock.nanoTime() - absence.until() < 0 || (absence.afterOutage() && !health.isReachable());
+    /** A missing entry is also used while the store is unreachable again, since an outage may have ended it. */
+    private boolean isUsable(long until) {
+        return clock.nanoTime() - until < 0 || !health.isReachable();
     }
 
     /** Returns all known upstreams. */
@@ -218,24 +218,14 @@
         if (!lostByStore) {
             lastEntries.gone(entries.get(key));
         }
-        Missing absence = lostByStore ? new Missing(graceEnd(returnedAt), true) : beginAbsence();
-        if (!entries.get(key).draining() && isUsable(absence)) {
-            missing.putIfAbsent(key, absence);
+        OptionalLong graceStart = lostByStore ? returnedAt : health.lastOutageEnd();
+        if (!entries.get(key).draining() && isWithinGrace(graceStart)) {
+            missing.putIfAbsent(key, graceEnd(graceStart));
         } else {
             remove(key, "removed");
         }
     }
 
-    /** Returns how long an entry that is found missing now may be used. */
-    private Missing beginAbsence() {
-        long now = clock.nanoTime();
-        OptionalLong regainedAt = health.regainedAfter(LAPSED_ENTRY_GRACE);
-        if (isWithinGrace(regainedAt)) {
-            return new Missing(graceEnd(regainedAt), true);
-        }
-        return new Missing(health.hasFailedSince(caughtUpAt) ? caughtUpAt + LAPSED_ENTRY_GRACE.toNanos() : now, false);
-    }
-
     private boolean isWithinGrace(OptionalLong start) {
         return start.isPresent() && clock.nanoTime() - graceEnd(start) < 0;
     }
@@ -261,12 +251,4 @@
                 .collect(Collectors.collectingAndThen(
                         Collectors.groupingBy(ReplicaEntry::service, Collectors.toUnmodifiableList()), Map::copyOf));
     }
-
-    /**
-     * An entry that is missing but may still be used.
-     *
-     * @param until the monotonic time in nanoseconds until which it is used
-     * @param afterOutage whether it is also used while the store is unreachable again, since an outage may have ended it
-     */
-    private record Missing(long until, boolean afterOutage) {}
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/StoreHealth.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/StoreHealth.java
@@ -9,14 +9,19 @@
 /** Tracks whether the platform's store responds to this process, from the results of all its calls. */
 public final class StoreHealth {
 
+    /**
+     * The shortest silence of the store in which an entry may expire. Entries expire after three missed intervals of more
+     * than a second.
+     */
+    static final Duration MINIMUM_OUTAGE = Duration.ofMillis(1800);
+
     private static final EventLog LOG = EventLog.of(StoreHealth.class);
 
     private final MonotonicClock clock;
     private boolean reachable = true;
     private long changedAt;
     private long answeredAt;
-    private OptionalLong failedAt = OptionalLong.empty();
-    private Duration lastSilence = Duration.ZERO;
+    private OptionalLong outageEndedAt = OptionalLong.empty();
 
     /** Creates the tracker of a store that is assumed to be reachable. */
     public StoreHealth(MonotonicClock clock) {
@@ -28,7 +33,9 @@
     /** Records a call to which the store responded. */
     public synchronized void answered() {
         if (!reachable) {
-            lastSilence = clock.since(answeredAt);
+            if (clock.since(answeredAt).compareTo(MINIMUM_OUTAGE) >= 0) {
+                outageEndedAt = OptionalLong.of(clock.nanoTime());
+            }
             LOG.info(
                     "dependency_regained",
                     EventField.of("dependency", "store"),
@@ -41,7 +48,6 @@
 
     /** Records a call to which the store did not respond. */
     public synchronized void failed(String call, Exception failure) {
-        failedAt = OptionalLong.of(clock.nanoTime());
         if (reachable) {
             LOG.warn(
                     "dependency_lost",
@@ -58,18 +64,11 @@
         return reachable;
     }
 
-    /** Returns whether a call has failed since a time, in monotonic nanoseconds. */
-    public synchronized boolean hasFailedSince(long time) {
-        return failedAt.isPresent() && failedAt.getAsLong() - time >= 0;
-    }
-
     /**
-     * Returns when the store responded again after it was last unreachable, in monotonic nanoseconds; empty if it had
-     * then been silent for less than {@code minimumSilence}.
+     * Returns when the store responded again after the last outage, in monotonic nanoseconds. A gap that is shorter than
+     * {@link #MINIMUM_OUTAGE}, such as that of a call whose connection was cut, is no outage.
      */
-    public synchronized OptionalLong regainedAfter(Duration minimumSilence) {
-        return reachable && lastSilence.compareTo(minimumSilence) >= 0
-                ? OptionalLong.of(changedAt)
-                : OptionalLong.empty();
+    public synchronized OptionalLong lastOutageEnd() {
+        return outageEndedAt;
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryTest.java
@@ -23,6 +23,8 @@
 import java.util.List;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class ReplicaRegistryTest {
 
@@ -58,6 +60,7 @@
     void expiredUpstreamStaysInUseForAShortTimeAfterAnOutage() throws StoreException {
         write("a", "ready");
         outage();
+        clock.advance(ReplicaRegistry.LAPSED_ENTRY_GRACE);
         store.delete(PREFIX + "a");
         health.answered();
         feed.listAgain();
@@ -84,6 +87,55 @@
         assertEquals(List.of(), accepting());
     }
 
+    /**
+     * Guards against work for an upstream that has left, for as long as an entry may have expired in an outage, because
+     * a watch was cut. On a VM whose threads are late, that time exceeds the two seconds that are allowed.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 25, 50, 400, 1700})
+    void upstreamThatLeavesDuringAGapInWhichNoEntryCanExpireIsDroppedAtOnce(int gapMillis) throws StoreException {
+        write("a", "ready");
+        store.delete(PREFIX + "a");
+        outage();
+        clock.advance(Duration.ofMillis(gapMillis));
+        health.answered();
+        feed.deliver();
+
+        assertEquals(List.of(), accepting());
+        assertEquals(0, registry.all().size());
+    }
+
+    /** Guards against the same for a listing, which follows a watch whose history the store has discarded. */
+    @Test
+    void upstreamThatIsNotListedAfterACutWatchIsDroppedAtOnce() throws StoreException {
+        write("a", "ready");
+        store.delete(PREFIX + "a");
+        outage();
+        clock.advance(PrefixWatcher.FIRST_RETRY_DELAY);
+        health.answered();
+        feed.listAgain();
+
+        assertEquals(List.of(), accepting());
+    }
+
+    /** Guards against a service without upstreams because a watch is cut shortly after an outage. */
+    @Test
+    void cutWatchAfterAnOutageDoesNotEndTheTimeInUse() throws StoreException {
+        write("a", "ready");
+        outage();
+        clock.advance(ReplicaRegistry.LAPSED_ENTRY_GRACE);
+        health.answered();
+        outage();
+        clock.advance(PrefixWatcher.FIRST_RETRY_DELAY);
+        health.answered();
+        store.delete(PREFIX + "a");
+        feed.deliver();
+
+        assertEquals(List.of("a"), accepting());
+        clock.advance(ReplicaRegistry.LAPSED_ENTRY_GRACE.minus(PrefixWatcher.FIRST_RETRY_DELAY));
+        assertEquals(List.of(), accepting());
+    }
+
     /** Guards against counting the time in use from the answer to a watch that hung while other calls were answered. */
     @Test
     void upstreamThatLeftWhileAWatchHungIsDroppedAtOnce() throws StoreException {
@@ -137,9 +189,11 @@
     void upstreamThatReturnsAfterAnOutageStays() throws StoreException {
         write("a", "ready");
         outage();
+        clock.advance(ReplicaRegistry.LAPSED_ENTRY_GRACE);
         store.delete(PREFIX + "a");
         health.answered();
         feed.listAgain();
+        assertEquals(List.of("a"), accepting());
         write("a", "ready");
 
         clock.advance(ReplicaRegistry.LAPSED_ENTRY_GRACE);
