Repeat a watch that was cut at the store before peers are asked

Callers' requests could reach an upstream that had left, or pass with a withdrawn key, for longer than the time of a cut: a VM whose watch was cut asked its peers first and believed one whose own watch was cut at the same moment, until that peer had noticed it.

Cause: a peer answers from a history that the store confirmed up to a second ago, and a watch that ended early was taken for a store that turns this VM away.

Change: a watch that ends before its time is repeated at the store at once; peers are asked if that fails as well.

Result: RelayedStoreTest.changeIsReadFromTheStoreAfterACutWatch got no change on the commit before, and passes.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
@@ -3,12 +3,14 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.banyantally.internal.deployment.EraCheckedStore;
+import io.banyantally.internal.logging.EventLog;
 import io.banyantally.internal.peer.MessagePackCodec;
 import io.banyantally.internal.peer.Peer;
 import io.banyantally.internal.peer.PeerException;
 import io.banyantally.internal.peer.PeerNetwork;
 import io.banyantally.internal.peer.Topic;
 import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.internal.timeline.EventField;
 import io.banyantally.model.VmId;
 import io.banyantally.platform.CoordinationStore;
 import io.banyantally.platform.HistoryDiscardedException;
@@ -54,6 +56,7 @@
     /** Peers that are asked for one watch. */
     private static final int MAXIMUM_PEERS = 2;
 
+    private static final EventLog LOG = EventLog.of(RelayedStore.class);
     private static final Topic TOPIC = new Topic("gateway.watch");
     private static final MessagePackCodec<WatchQuery> QUERIES = MessagePackCodec.of(WatchQuery.class);
     private static final MessagePackCodec<WatchAnswer> ANSWERS = MessagePackCodec.of(WatchAnswer.class);
@@ -110,28 +113,60 @@
 
     private StoreChanges watchStore(WatchQuery query) throws StoreException {
         ChangeHistory history = history(query.prefix());
-        direct.inc();
         // A VM that has just become the delegate must confirm its history at once, as others wait for its answers.
         Duration wait = Duration.ofMillis(query.waitMillis());
         boolean confirmed = history.isConfirmedWithin(wait.plus(CONFIRMATION_MARGIN));
+        long startedAt = clock.nanoTime();
         try {
-            StoreChanges changes =
-                    store.awaitChanges(query.prefix(), query.afterRevision(), confirmed ? wait : Duration.ZERO);
-            history.add(changes, true);
-            return changes;
+            return readChanges(query, confirmed ? wait : Duration.ZERO);
         } catch (HistoryDiscardedException discarded) {
-            history.withdrawConfirmation();
             throw discarded;
+        } catch (StoreException failure) {
+            boolean cut = confirmed && clock.since(startedAt).compareTo(wait) < 0;
+            Optional<StoreChanges> changes = cut ? readAfterCut(query) : Optional.empty();
+            return changes.isPresent() ? changes.get() : askPeersInstead(query, failure);
+        }
+    }
+
+    /** Reads changes from the store, which confirms the history; a failure withdraws the confirmation. */
+    private StoreChanges readChanges(WatchQuery query, Duration wait) throws StoreException {
+        ChangeHistory history = history(query.prefix());
+        direct.inc();
+        try {
+            StoreChanges changes = store.awaitChanges(query.prefix(), query.afterRevision(), wait);
+            history.add(changes, true);
+            return changes;
         } catch (StoreException failure) {
             history.withdrawConfirmation();
-            Optional<StoreChanges> changes =
-                    askPeers(WatchQuery.of(query.prefix(), query.afterRevision(), Duration.ZERO));
-            if (changes.isEmpty()) {
-                throw failure;
-            }
-            peersFirstUntil.put(query.prefix(), clock.nanoTime() + PEERS_FIRST_TIME.toNanos());
-            return changes.get();
+            throw failure;
+        }
+    }
+
+    /**
+     * Repeats a watch that ended before its time: its connection may have been cut, and a peer may not know yet that its
+     * own was cut, too.
+     */
+    private Optional<StoreChanges> readAfterCut(WatchQuery query) throws HistoryDiscardedException {
+        try {
+            return Optional.of(readChanges(query, Duration.ZERO));
+        } catch (HistoryDiscardedException discarded) {
+            throw discarded;
+        } catch (StoreException failedAgain) {
+            LOG.info(
+                    "watch_not_repeated",
+                    EventField.of("prefix", query.prefix()),
+                    EventField.of("reason", failedAgain.getMessage()));
+            return Optional.empty();
+        }
+    }
+
+    private StoreChanges askPeersInstead(WatchQuery query, StoreException failure) throws StoreException {
+        Optional<StoreChanges> changes = askPeers(WatchQuery.of(query.prefix(), query.afterRevision(), Duration.ZERO));
+        if (changes.isEmpty()) {
+            throw failure;
         }
+        peersFirstUntil.put(query.prefix(), clock.nanoTime() + PEERS_FIRST_TIME.toNanos());
+        return changes.get();
     }
 
     /** Asks peers in random order, so that no peer answers all VMs that the store turns away. */
--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/RelayedStoreTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/RelayedStoreTest.java
@@ -166,6 +166,27 @@
         }
     }
 
+    /**
+     * Guards against an upstream or key that stays in use because a VM whose watch was cut believes a peer that has not
+     * noticed that its own watch was cut.
+     */
+    @Test
+    void changeIsReadFromTheStoreAfterACutWatch() throws Exception {
+        AvailabilityZone zone = new AvailabilityZone("zone-0");
+        Follower unaware = new Follower(new VmId("vm-0"), zone);
+        Follower cut = new Follower(new VmId("vm-1"), zone);
+        unaware.store.list(PREFIX);
+        StoreRevision listed = cut.store.list(PREFIX).revision();
+        items.write(PREFIX + "new", new byte[] {1});
+        cut.cuts.set(1);
+
+        CoordinationStore.StoreChanges changes = cut.store.awaitChanges(PREFIX, listed, WAIT);
+
+        assertEquals(
+                List.of(PREFIX + "new"),
+                changes.changes().stream().map(change -> change.key().path()).toList());
+    }
+
     /** Guards against a VM that takes the silence of its peers for that of the store while all are turned away. */
     @Test
     void outageIsNoticedWhileTheStoreRejectsAllVms() throws Exception {
@@ -225,6 +246,7 @@
         private final Set<String> keys = ConcurrentHashMap.newKeySet();
         private final AtomicInteger direct = new AtomicInteger();
         private final AtomicInteger failures = new AtomicInteger();
+        private final AtomicInteger cuts = new AtomicInteger();
         private final CoordinationStore store;
         private final Thread thread = Thread.ofVirtual().unstarted(this::follow);
 
@@ -293,6 +315,9 @@
             watches.incrementAndGet();
             follower.direct.incrementAndGet();
             long deadline = System.nanoTime() + wait.toNanos();
+            if (follower.cuts.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+                throw new StoreUnavailableException("the watch of " + follower.vm + " was cut");
+            }
             while (true) {
                 if (rejected.contains(follower.vm)) {
                     throw new StoreUnavailableException("the store rejects " + follower.vm);
