Keep only changes that are relayed in the history of a prefix

Callers' requests reached an upstream that had said that it was draining, as the heap of all gateways was full of entries of another writer.

Cause: ChangeHistory kept the values of the last 64 batches of changes of each prefix, however large, although no VM gets more than 16 KiB of them. Evidence: the thread that follows the upstreams ends with "Java heap space". Ruled out: answers that the client can't take, as four entries of 1 MiB are below its limit.

Change: a history keeps batches while they have at most 16 KiB of values and 2,000 changes together.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ChangeHistory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ChangeHistory.java
@@ -20,12 +20,17 @@
     /** Older batches are dropped; a VM that is so far behind reads the store itself. */
     private static final int MAXIMUM_BATCHES = 64;
 
+    /** Of all batches together. */
+    static final int MAXIMUM_CHANGES = 2000;
+
     private final MonotonicClock clock;
     /** Not a monitor: waiting in one may keep a virtual thread on its carrier, and other threads from running. */
     private final Lock lock = new ReentrantLock();
 
     private final Condition changed = lock.newCondition();
     private final Deque<StoreChanges> batches = new ArrayDeque<>();
+    private long keptBytes;
+    private int keptChanges;
     private boolean started;
     private long version;
 
@@ -43,6 +48,8 @@
         lock.lock();
         try {
             batches.clear();
+            keptBytes = 0;
+            keptChanges = 0;
             start = revision;
             started = true;
             confirmedAt = Optional.of(clock.nanoTime());
@@ -62,9 +69,9 @@
         try {
             if (!changes.changes().isEmpty()) {
                 batches.addLast(changes);
-                if (batches.size() > MAXIMUM_BATCHES) {
-                    start = batches.removeFirst().revision();
-                }
+                keptBytes += valueBytes(changes);
+                keptChanges += changes.changes().size();
+                dropOldest();
             }
             if (fromStore) {
                 confirmedAt = Optional.of(clock.nanoTime());
@@ -75,6 +82,26 @@
         }
     }
 
+    /** Drops the batches that are not relayed to a VM that lacks them, as they are too many or too large together. */
+    private void dropOldest() {
+        while (batches.size() > MAXIMUM_BATCHES
+                || keptChanges > MAXIMUM_CHANGES
+                || keptBytes > RelayedStore.MAXIMUM_RELAYED_BYTES) {
+            StoreChanges oldest = batches.removeFirst();
+            keptBytes -= valueBytes(oldest);
+            keptChanges -= oldest.changes().size();
+            start = oldest.revision();
+        }
+    }
+
+    private static long valueBytes(StoreChanges changes) {
+        return changes.changes().stream()
+                .mapToLong(change -> change instanceof StoreChange.Written written
+                        ? written.item().versioned().size()
+                        : 0)
+                .sum();
+    }
+
     /** Makes the history unconfirmed until the store responds again. */
     void withdrawConfirmation() {
         lock.lock();
--- a/modules/banyantally/src/main/java/io/banyantally/platform/VersionedValue.java
+++ b/modules/banyantally/src/main/java/io/banyantally/platform/VersionedValue.java
@@ -15,6 +15,11 @@
         return value.clone();
     }
 
+    /** Returns the size of the value in bytes. */
+    public int size() {
+        return value.length;
+    }
+
     @Override
     public boolean equals(Object other) {
         return other instanceof VersionedValue that
