Let tasks go on after an Error

Callers' requests reached an upstream that had said that it was draining, for as long as the process lived, while it said that it was ready: the task that follows the upstreams had ended with an OutOfMemoryError.

Cause: PrefixWatcher, PeriodicTasks, PeerLink, the acceptor of peers and the writer of the log caught exceptions and no Error, and nothing starts such a task again.

Change: each of them logs an error, as far as there is memory for the line, and goes on. The writer of a connection between VMs closes it, so that its link connects again.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixWatcher.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/PrefixWatcher.java
@@ -1,6 +1,7 @@
 package io.banyantally.internal.deployment;
 
 import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.logging.Failures;
 import io.banyantally.internal.time.Sleeper;
 import io.banyantally.internal.timeline.EventField;
 import io.banyantally.platform.CoordinationStore;
@@ -106,10 +107,10 @@
                 position = Optional.of(advance(position));
             } catch (InterruptedException stopped) {
                 Thread.currentThread().interrupt();
-            } catch (RuntimeException failure) {
+            } catch (RuntimeException | Error failure) {
                 // A listener that fails at one change must get the later ones.
-                LOG.error("watch_listener_failed", failure, EventField.of("prefix", prefix));
                 position = Optional.empty();
+                Failures.log(LOG, "watch_listener_failed", failure, EventField.of("prefix", prefix));
                 pauseUnlessInterrupted();
             }
         }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/logging/BoundedLogHandler.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/logging/BoundedLogHandler.java
@@ -63,24 +63,35 @@
         List<String> batch = new ArrayList<>();
         try {
             while (true) {
-                String first = lines.poll(POLL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-                if (first != null) {
-                    batch.add(first);
-                    lines.drainTo(batch, BATCH_LINES - 1);
-                }
-                int lineCount = batch.size();
-                long droppedCount = dropped.getAndSet(0);
-                if (droppedCount > 0) {
-                    batch.add("level=WARN event=log_lines_dropped count=" + droppedCount + "\n");
-                }
-                write(batch);
-                written.addAndGet(lineCount);
+                writeNext(batch);
             }
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
         }
     }
 
+    /** Writes the lines that are queued; lines that can't be written count as dropped. */
+    private void writeNext(List<String> batch) throws InterruptedException {
+        String first = lines.poll(POLL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        if (first != null) {
+            batch.add(first);
+            lines.drainTo(batch, BATCH_LINES - 1);
+        }
+        int lineCount = batch.size();
+        long droppedCount = dropped.getAndSet(0);
+        try {
+            if (droppedCount > 0) {
+                batch.add("level=WARN event=log_lines_dropped count=" + droppedCount + "\n");
+            }
+            write(batch);
+        } catch (RuntimeException | Error unwritable) {
+            batch.clear();
+            dropped.addAndGet(lineCount + droppedCount);
+        } finally {
+            written.addAndGet(lineCount);
+        }
+    }
+
     private void write(List<String> batch) {
         if (!batch.isEmpty()) {
             output.writeBytes(String.join("", batch).getBytes(StandardCharsets.UTF_8));
--- a/modules/banyantally/src/main/java/io/banyantally/internal/peer/FrameConnection.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/peer/FrameConnection.java
@@ -76,6 +76,10 @@
             close();
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
+        } catch (RuntimeException | Error failure) {
+            // Frames would queue up on a connection that is not written any more.
+            close();
+            throw failure;
         }
     }
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/peer/PeerLink.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/peer/PeerLink.java
@@ -1,6 +1,9 @@
 package io.banyantally.internal.peer;
 
+import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.logging.Failures;
 import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.internal.timeline.EventField;
 import io.banyantally.model.VmId;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -28,6 +31,8 @@
     private static final int MINIMUM_RECONNECT_MILLIS = 100;
     private static final int MAXIMUM_RECONNECT_MILLIS = 400;
 
+    private static final EventLog LOG = EventLog.of(PeerLink.class);
+
     private final VmId vm;
     private final InetSocketAddress address;
     private final HelloMessage hello;
@@ -106,6 +111,9 @@
                 failPending(lost);
             } catch (InterruptedException stopped) {
                 return;
+            } catch (RuntimeException | Error failure) {
+                // The link must be opened again, as nothing else does.
+                Failures.log(LOG, "peer_link_failed", failure, EventField.of("peer", vm));
             }
             disconnect();
         }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/peer/TcpPeerNetwork.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/peer/TcpPeerNetwork.java
@@ -1,6 +1,7 @@
 package io.banyantally.internal.peer;
 
 import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.logging.Failures;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.timeline.EventField;
 import io.banyantally.model.VmId;
@@ -119,6 +120,8 @@
                 if (!closed) {
                     LOG.error("peer_accept_failed", failure);
                 }
+            } catch (RuntimeException | Error failure) {
+                Failures.log(LOG, "peer_accept_failed", failure);
             }
         }
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/time/PeriodicTasks.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/time/PeriodicTasks.java
@@ -1,6 +1,7 @@
 package io.banyantally.internal.time;
 
 import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.logging.Failures;
 import io.banyantally.internal.timeline.EventField;
 import java.time.Duration;
 import java.util.List;
@@ -9,8 +10,8 @@
 import java.util.function.Supplier;
 
 /**
- * Runs tasks at intervals, each in a virtual thread of its own. An exception in one run is logged and does not end the
- * task, which would otherwise stop unnoticed.
+ * Runs tasks at intervals, each in a virtual thread of its own. An exception or error in one run is logged and does not
+ * end the task, which would otherwise stop unnoticed.
  */
 public final class PeriodicTasks {
 
@@ -62,8 +63,8 @@
     private static void run(String name, Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException failure) {
-            LOG.error("periodic_task_failed", failure, EventField.of("task", name));
+        } catch (RuntimeException | Error failure) {
+            Failures.log(LOG, "periodic_task_failed", failure, EventField.of("task", name));
         }
     }
 
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/PrefixWatcherTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/PrefixWatcherTest.java
@@ -109,6 +109,26 @@
         assertTrue(recorder.lastListing().contains("a/1"));
     }
 
+    /** Guards against a VM that follows the store no more after the heap was full once, and says that it is ready. */
+    @Test
+    void goesOnAfterAnErrorOfTheListener() throws InterruptedException {
+        AtomicInteger failures = new AtomicInteger();
+        recorder.beforeChange = () -> {
+            if (failures.getAndIncrement() == 0) {
+                throw new OutOfMemoryError("test");
+            }
+        };
+        thread.start();
+        await(() -> recorder.listings() == 1);
+        store.write("a/1", new byte[] {1});
+        await(() -> failures.get() == 1);
+
+        store.write("a/2", new byte[] {2});
+
+        await(() -> recorder.listings() == 2);
+        assertTrue(recorder.lastListing().contains("a/1"));
+    }
+
     /** Guards against a task that still runs after the shutdown, and against logging a false outage of the store. */
     @Test
     void interruptEndsTheTask() throws InterruptedException {
