--- a/modules/banyantally/src/main/java/io/banyantally/platform/StoreKey.java
+++ b/modules/banyantally/src/main/java/io/banyantally/platform/StoreKey.java
@@ -3,7 +3,8 @@
 /** A key of the key-value service: segments separated by slashes, such as {@code scope/asistente/quito-n}. */
 public record StoreKey(String path) implements Comparable<StoreKey> {
 
-    private static final int MAXIMUM_LENGTH = 512;
+    /** In characters. */
+    public static final int MAXIMUM_LENGTH = 512;
 
     /** Rejects empty and overlong paths. */
     public StoreKey {
