Test that a change reaches all VMs although their watches are cut with it

Cause: the test of a cut watch has two VMs, and the time until the last VM knows of a change depends on whom the others ask meanwhile.

Change: fleets of 4, 6 and 95 VMs, five changes each, in each of which all watches that wait at the store are cut.

--- a/modules/banyantally/src/test/java/io/banyantally/internal/exchange/RelayedStoreTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/exchange/RelayedStoreTest.java
@@ -31,6 +31,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Watches of a large fleet, with real waiting times. */
 @Timeout(60)
@@ -46,6 +48,10 @@
     private final FakeCoordinationStore items = new FakeCoordinationStore(new ManualClock());
     private final FakePeerHub hub = new FakePeerHub();
     private final AtomicInteger watches = new AtomicInteger();
+
+    /** How often all watches that waited were cut. */
+    private final AtomicInteger cuts = new AtomicInteger();
+
     private final Set<VmId> rejected = ConcurrentHashMap.newKeySet();
     private final List<Follower> followers = new ArrayList<>();
 
@@ -187,6 +193,20 @@
                 changes.changes().stream().map(change -> change.key().path()).toList());
     }
 
+    /** Guards against a change that some VMs learn late because the watches of all are cut with it. */
+    @ParameterizedTest
+    @CsvSource({"2, 2", "2, 3", "5, 19"})
+    void changeReachesAllVmsAlthoughAllWatchesAreCutWithIt(int zones, int vmsPerZone) throws Exception {
+        startFollowers(zones, vmsPerZone);
+
+        for (int change = 1; change <= 5; change++) {
+            items.write(PREFIX + "new-" + change, new byte[] {1});
+            cuts.incrementAndGet();
+
+            awaitKey(followers, PREFIX + "new-" + change);
+        }
+    }
+
     /** Guards against a VM that takes the silence of its peers for that of the store while all are turned away. */
     @Test
     void outageIsNoticedWhileTheStoreRejectsAllVms() throws Exception {
@@ -315,10 +335,14 @@
             watches.incrementAndGet();
             follower.direct.incrementAndGet();
             long deadline = System.nanoTime() + wait.toNanos();
+            int cutsBefore = cuts.get();
             if (follower.cuts.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
                 throw new StoreUnavailableException("the watch of " + follower.vm + " was cut");
             }
             while (true) {
+                if (cuts.get() != cutsBefore) {
+                    throw new StoreUnavailableException("the watch of " + follower.vm + " was cut");
+                }
                 if (rejected.contains(follower.vm)) {
                     throw new StoreUnavailableException("the store rejects " + follower.vm);
                 }
