Log kept entries and changes that peers relay instead of the store

An entry that is removed shortly after an outage stays in use without a line in the log, and a VM that the store turns away does not say which peer it believed. Without both, a request to an upstream that has left can't be traced to either.

upstream_missing names the time for which the entry is still used, watch_relayed the peer and what it returned. No change of behaviour.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
@@ -220,12 +220,24 @@
         }
         OptionalLong graceStart = lostByStore ? returnedAt : health.lastOutageEnd();
         if (!entries.get(key).draining() && isWithinGrace(graceStart)) {
-            missing.putIfAbsent(key, graceEnd(graceStart));
+            keepMissing(key, graceEnd(graceStart));
         } else {
             remove(key, "removed");
         }
     }
 
+    private void keepMissing(StoreKey key, long until) {
+        if (missing.putIfAbsent(key, until) == null) {
+            LOG.info(
+                    "upstream_missing",
+                    EventField.of("upstream", entries.get(key).id()),
+                    EventField.of(
+                            "used_for_ms",
+                            Duration.ofNanos(until - clock.nanoTime()).toMillis()),
+                    EventField.of("caught_up_ms_ago", sinceCaughtUp().toMillis()));
+        }
+    }
+
     private boolean isWithinGrace(OptionalLong start) {
         return start.isPresent() && clock.nanoTime() - graceEnd(start) < 0;
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
@@ -175,11 +175,26 @@
         Collections.shuffle(asked);
         return asked.stream()
                 .limit(MAXIMUM_PEERS)
-                .map(peer -> relay(peer.vm(), query))
+                .map(peer -> relayInsteadOfStore(peer.vm(), query))
                 .flatMap(Optional::stream)
                 .findFirst();
     }
 
+    private Optional<StoreChanges> relayInsteadOfStore(VmId peer, WatchQuery query) {
+        Optional<StoreChanges> changes = relay(peer, query);
+        LOG.info(
+                "watch_relayed",
+                EventField.of("prefix", query.prefix()),
+                EventField.of("peer", peer),
+                EventField.of("after", query.afterRevision()),
+                EventField.of(
+                        "changes",
+                        changes.map(answered ->
+                                        Integer.toString(answered.changes().size()))
+                                .orElse("no_answer")));
+        return changes;
+    }
+
     private Optional<StoreChanges> relay(VmId delegate, WatchQuery query) {
         try {
             Duration timeout = Duration.ofMillis(query.waitMillis()).plus(ANSWER_MARGIN);
