--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryTest.java
@@ -30,6 +30,9 @@
 
     private static final String PREFIX = "upstreams/";
 
+    /** The longest time after which a request may reach an upstream that has left. */
+    private static final Duration DRAIN_LIMIT = Duration.ofSeconds(2);
+
     private final ManualClock clock = new ManualClock();
     private final FakeCoordinationStore store = new FakeCoordinationStore(clock);
     private final StoreHealth health = new StoreHealth(clock);
@@ -184,6 +187,49 @@
         assertEquals(List.of(), accepting());
     }
 
+    /** Guards against work for an upstream that left between two outages, for as long as the second one lasts. */
+    @Test
+    void upstreamThatLeavesBetweenTwoOutagesIsDroppedInTime() throws StoreException {
+        write("a", "ready");
+        outage();
+        clock.advance(ReplicaRegistry.LAPSED_ENTRY_GRACE);
+        health.answered();
+        feed.deliver();
+        clock.advance(Duration.ofSeconds(1));
+        store.delete(PREFIX + "a");
+        feed.deliver();
+        clock.advance(Duration.ofMillis(500));
+        outage();
+
+        clock.advance(DRAIN_LIMIT.minusMillis(500));
+
+        assertEquals(List.of(), accepting());
+    }
+
+    /**
+     * Guards against work for an upstream that left shortly after an outage, because a call of another task fails when
+     * the grace period ends.
+     */
+    @Test
+    void failedCallDoesNotExtendTheTimeInUseOfAMissingUpstream() throws StoreException {
+        write("a", "ready");
+        outage();
+        clock.advance(ReplicaRegistry.LAPSED_ENTRY_GRACE);
+        store.delete(PREFIX + "a");
+        health.answered();
+        feed.deliver();
+        for (int watch = 0; watch < 3; watch++) {
+            clock.advance(DRAIN_LIMIT.dividedBy(4));
+            feed.deliver();
+        }
+        outage();
+
+        clock.advance(DRAIN_LIMIT.dividedBy(4));
+        registry.dropLapsed();
+
+        assertEquals(List.of(), accepting());
+    }
+
     /** Guards against dropping an upstream that registers again within its grace period. */
     @Test
     void upstreamThatReturnsAfterAnOutageStays() throws StoreException {
