End the use of a missing upstream in time while calls fail

Callers' requests reached an upstream that had left, for as long as the store was away: an entry that is removed shortly after an outage is kept for 1.8 s, as the outage may have ended it, and was kept beyond that while the last call to the store had failed. Any call counted, also a write of usage, and an entry that was removed after the outage, while the store was watched.

What is known of an upstream's end now has its own time. An entry whose removal was seen by a working watch lapses at the end of the grace period, whatever calls fail. One that ended unseen, in an outage, is used in the next outage only once the watch itself has been without an answer for longer than it ever waits.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
@@ -27,15 +27,19 @@
 
 /**
  * The upstreams that have an entry in the platform's store. While the store is unavailable, the last known entries stay
- * in use. An entry that is missing after an outage may have expired because of it, so it stays in use for a short time;
- * after a failed call without an outage, such as a watch that was cut, it is dropped at once. A store that
- * comes back from an older copy may lack entries until the upstreams write them again, as after an outage.
+ * in use. An entry that is missing after an outage may have expired because of it, so it stays in use for a short time,
+ * which a failed call does not extend; after a failed call without an outage, such as a watch that was cut, it is
+ * dropped at once. A store that comes back from an older copy may lack entries until the upstreams write them again, as
+ * after an outage.
  */
 public final class ReplicaRegistry implements PrefixListener {
 
     /** How long a missing entry is used after an outage; live upstreams register again within two seconds after it. */
     static final Duration LAPSED_ENTRY_GRACE = Duration.ofMillis(1800);
 
+    /** Longer than the time between two answers to a watch while the store is reachable. */
+    private static final Duration MAXIMUM_WATCH_GAP = PrefixWatcher.SHORT_WATCH.plusMillis(400);
+
     /** Unreadable entries beyond these are not logged one by one. */
     private static final int MAXIMUM_LOGGED_KEYS = 100;
 
@@ -46,8 +50,7 @@
     private final MonotonicClock clock;
     private final Map<StoreKey, ReplicaEntry> entries = new HashMap<>();
 
-    /** The monotonic times in nanoseconds until which missing entries are used. */
-    private final Map<StoreKey, Long> missing = new HashMap<>();
+    private final Map<StoreKey, Absence> missing = new HashMap<>();
 
     /** The entries that are logged as unreadable; each is logged once, however often another writer writes it. */
     private final Set<StoreKey> unreadableKeys = new HashSet<>();
@@ -57,7 +60,7 @@
     private Optional<StoreEra> era = Optional.empty();
     private OptionalLong returnedAt = OptionalLong.empty();
     private volatile long caughtUpAt;
-    private volatile Map<UpstreamId, Long> missingById = Map.of();
+    private volatile Map<UpstreamId, Absence> missingById = Map.of();
     private volatile Map<ServiceName, List<ReplicaEntry>> byService = Map.of();
 
     /** Creates an empty registry. */
@@ -80,13 +83,20 @@
 
     /** Returns whether a known upstream accepts new work. */
     public boolean isAccepting(ReplicaEntry entry) {
-        Long usableUntil = missingById.get(entry.id());
-        return !entry.draining() && (usableUntil == null || isUsable(usableUntil));
+        Absence absence = missingById.get(entry.id());
+        return !entry.draining() && (absence == null || isUsable(absence));
+    }
+
+    /** An entry that an outage may have ended is also used in the next outage, if there was no time to write it again. */
+    private boolean isUsable(Absence absence) {
+        return !hasLapsed(absence)
+                || (absence.endedUnseen()
+                        && !health.isReachable()
+                        && sinceCaughtUp().compareTo(MAXIMUM_WATCH_GAP) > 0);
     }
 
-    /** A missing entry is also used while the store is unreachable again, since an outage may have ended it. */
-    private boolean isUsable(long until) {
-        return clock.nanoTime() - until < 0 || !health.isReachable();
+    private boolean hasLapsed(Absence absence) {
+        return clock.nanoTime() - absence.until() >= 0;
     }
 
     /** Returns all known upstreams. */
@@ -149,7 +159,8 @@
             return;
         }
         List<StoreKey> expired = missing.entrySet().stream()
-                .filter(absence -> !isUsable(absence.getValue()))
+                .filter(absence ->
+                        hasLapsed(absence.getValue()) && (!absence.getValue().endedUnseen() || health.isReachable()))
                 .map(Map.Entry::getKey)
                 .toList();
         expired.forEach(key -> remove(key, "lapsed"));
@@ -220,20 +231,21 @@
         }
         OptionalLong graceStart = lostByStore ? returnedAt : health.lastOutageEnd();
         if (!entries.get(key).draining() && isWithinGrace(graceStart)) {
-            keepMissing(key, graceEnd(graceStart));
+            boolean endedUnseen = lostByStore || sinceCaughtUp().compareTo(MAXIMUM_WATCH_GAP) > 0;
+            keepMissing(key, new Absence(graceEnd(graceStart), endedUnseen));
         } else {
             remove(key, "removed");
         }
     }
 
-    private void keepMissing(StoreKey key, long until) {
-        if (missing.putIfAbsent(key, until) == null) {
+    private void keepMissing(StoreKey key, Absence absence) {
+        if (missing.putIfAbsent(key, absence) == null) {
             LOG.info(
                     "upstream_missing",
                     EventField.of("upstream", entries.get(key).id()),
                     EventField.of(
                             "used_for_ms",
-                            Duration.ofNanos(until - clock.nanoTime()).toMillis()),
+                            Duration.ofNanos(absence.until() - clock.nanoTime()).toMillis()),
                     EventField.of("caught_up_ms_ago", sinceCaughtUp().toMillis()));
         }
     }
@@ -263,4 +275,12 @@
                 .collect(Collectors.collectingAndThen(
                         Collectors.groupingBy(ReplicaEntry::service, Collectors.toUnmodifiableList()), Map::copyOf));
     }
+
+    /**
+     * A missing entry that is still used.
+     *
+     * @param until the monotonic time in nanoseconds until which it is used
+     * @param endedUnseen whether it was removed while the store was not watched, so that an outage may have ended it
+     */
+    private record Absence(long until, boolean endedUnseen) {}
 }
