Ask several peers at once for changes that the store withholds

Callers' requests could reach an upstream more than two seconds after it had said that it leaves, from a VM that the store had turned away with others: its watch fails up to 1.5 s after a silent store, and a peer vouches for its history if its own watch was answered within 1 s, or 1.8 s for a question that waits. A peer that was turned away at the same moment said that there were no changes, and the next question waited for it again.

Up to six peers are asked at the same time, and the first changes count; that there are none counts only once all have answered or failed. In a fleet of seven that is every peer. It costs questions to peers only while the store turns a VM away.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
@@ -25,7 +25,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
 
 /**
  * A store whose watches go through the delegate of the zone in a large fleet. The store charges every watch, and every
@@ -53,8 +55,8 @@
     /** How long a VM whose watch failed asks peers before it tries the store again; a silent store delays each try. */
     private static final Duration PEERS_FIRST_TIME = Duration.ofSeconds(2);
 
-    /** Peers that are asked for one watch. */
-    private static final int MAXIMUM_PEERS = 2;
+    /** Peers that are asked for one watch; enough that the store hardly turns all of them away unless it is away. */
+    private static final int MAXIMUM_PEERS = 6;
 
     private static final EventLog LOG = EventLog.of(RelayedStore.class);
     private static final Topic TOPIC = new Topic("gateway.watch");
@@ -98,6 +100,7 @@
             relayedChanges = askPeers(query);
         } else if (!wait.isZero()) {
             relayedChanges = delegates.ofOwnZone().flatMap(delegate -> relay(delegate, query));
+            relayedChanges.ifPresent(changes -> recordRelayed(query, changes));
         }
         if (relayedChanges.isEmpty()) {
             return watchStore(query);
@@ -169,44 +172,66 @@
         return changes.get();
     }
 
-    /** Asks peers in random order, so that no peer answers all VMs that the store turns away. */
+    /**
+     * Asks several peers at once and returns the first changes, or that there are none once all have answered. A peer
+     * may have been turned away too and not know yet that it misses changes, so no single peer is believed.
+     */
     private Optional<StoreChanges> askPeers(WatchQuery query) {
         List<Peer> asked = new ArrayList<>(peers.peers());
         Collections.shuffle(asked);
-        return asked.stream()
-                .limit(MAXIMUM_PEERS)
-                .map(peer -> relayInsteadOfStore(peer.vm(), query))
-                .flatMap(Optional::stream)
-                .findFirst();
-    }
-
-    private Optional<StoreChanges> relayInsteadOfStore(VmId peer, WatchQuery query) {
-        Optional<StoreChanges> changes = relay(peer, query);
+        asked = asked.subList(0, Math.min(MAXIMUM_PEERS, asked.size()));
+        BlockingQueue<Optional<StoreChanges>> answers = new LinkedBlockingQueue<>();
+        for (Peer peer : asked) {
+            Thread.ofVirtual().name("watch-relay").start(() -> {
+                Optional<StoreChanges> answer = Optional.empty();
+                try {
+                    answer = relay(peer.vm(), query);
+                } finally {
+                    answers.add(answer);
+                }
+            });
+        }
+        int answered = 0;
+        Optional<StoreChanges> best = Optional.empty();
+        try {
+            for (int ended = 0; ended < asked.size() && !hasChanges(best); ended++) {
+                Optional<StoreChanges> answer = answers.take();
+                if (answer.isPresent()) {
+                    answered++;
+                }
+                best = hasChanges(answer) ? answer : best.or(() -> answer);
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
         LOG.info(
                 "watch_relayed",
                 EventField.of("prefix", query.prefix()),
-                EventField.of("peer", peer),
                 EventField.of("after", query.afterRevision()),
+                EventField.of("asked", asked.size()),
+                EventField.of("answered", answered),
                 EventField.of(
-                        "changes",
-                        changes.map(answered ->
-                                        Integer.toString(answered.changes().size()))
-                                .orElse("no_answer")));
-        return changes;
+                        "changes", best.map(changes -> changes.changes().size()).orElse(0)));
+        best.ifPresent(changes -> recordRelayed(query, changes));
+        return best;
+    }
+
+    private static boolean hasChanges(Optional<StoreChanges> answer) {
+        return answer.isPresent() && !answer.get().changes().isEmpty();
+    }
+
+    private void recordRelayed(WatchQuery query, StoreChanges changes) {
+        relayed.inc();
+        history(query.prefix()).add(changes, false);
     }
 
     private Optional<StoreChanges> relay(VmId delegate, WatchQuery query) {
         try {
             Duration timeout = Duration.ofMillis(query.waitMillis()).plus(ANSWER_MARGIN);
             byte[] answer = peers.request(delegate, TOPIC, QUERIES.encode(query), timeout);
-            Optional<StoreChanges> changes = Optional.of(ANSWERS.decode(answer))
+            return Optional.of(ANSWERS.decode(answer))
                     .filter(decoded -> !decoded.readStore())
                     .map(WatchAnswer::toStoreChanges);
-            if (changes.isPresent()) {
-                relayed.inc();
-                history(query.prefix()).add(changes.get(), false);
-            }
-            return changes;
         } catch (PeerException unavailable) {
             delegates.recordFailure(delegate);
             return Optional.empty();
