Ask again whether an upstream has left before a request is sent

A request could reach an upstream later than two seconds after it had left: the choice is made before the connection, which takes up to 0.4 s, and on a VM under load longer. Only calls of duties asked for their permission when the connection was open, and none did on a pooled connection.

Requests to upstreams and prefills now ask the registry before the first byte, on new and on pooled connections, whether the upstream still accepts work in the same lifetime. If not, the request is sent to another one as if it had been refused; the upstream's health is not blamed (result left_before_send).

permissionIsAlsoAskedOnAPooledConnection failed before the change of HttpExchange: the request was sent.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpCall.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpCall.java
@@ -14,7 +14,7 @@
  * @param ownConnection whether a new connection is opened for this request alone; needed for requests that are not
  *     idempotent, because a pooled connection may be stale
  * @param timeLimit the longest duration of the request and its response; for a stream, the longest time without data
- * @param permission checked for a request with its own connection, after connecting and before anything is sent
+ * @param permission checked after connecting and before anything is sent
  * @param responseCheck rejects a response that belongs to another request; the connection is then closed
  */
 public record HttpCall(
--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -51,6 +51,10 @@
         this.request = request;
         // Runs before the first byte is written, so a request that fails earlier was certainly not sent.
         request.onRequestBegin(started -> {
+            if (!call.permission().isGranted()) {
+                abort(new NothingSentException(call + " was not sent: the send permission was denied"));
+                return;
+            }
             sendStarted.set(true);
             endPoint = ResetAwareEndPoint.of(started.getConnection());
             endPoint.ifPresent(connected -> earlierRequests = connected.beginRequest());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
@@ -23,6 +23,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /**
@@ -61,6 +62,7 @@
     private OptionalLong returnedAt = OptionalLong.empty();
     private volatile long caughtUpAt;
     private volatile Map<UpstreamId, Absence> missingById = Map.of();
+    private volatile Map<UpstreamId, ReplicaEntry> byId = Map.of();
     private volatile Map<ServiceName, List<ReplicaEntry>> byService = Map.of();
 
     /** Creates an empty registry. */
@@ -87,6 +89,16 @@
         return !entry.draining() && (absence == null || isUsable(absence));
     }
 
+    /**
+     * Returns whether an upstream that was chosen earlier still accepts new work, in the same lifetime.
+     *
+     * @param chosen its entry at the time of the choice
+     */
+    public boolean isStillAccepting(ReplicaEntry chosen) {
+        ReplicaEntry present = byId.get(chosen.id());
+        return present != null && present.startedAtMillis().equals(chosen.startedAtMillis()) && isAccepting(present);
+    }
+
     /** An entry that an outage may have ended is also used in the next outage, if there was no time to write it again. */
     private boolean isUsable(Absence absence) {
         return !hasLapsed(absence)
@@ -271,6 +283,7 @@
         missingById = missing.entrySet().stream()
                 .collect(Collectors.toUnmodifiableMap(
                         absence -> entries.get(absence.getKey()).id(), Map.Entry::getValue));
+        byId = entries.values().stream().collect(Collectors.toUnmodifiableMap(ReplicaEntry::id, Function.identity()));
         byService = entries.values().stream()
                 .collect(Collectors.collectingAndThen(
                         Collectors.groupingBy(ReplicaEntry::service, Collectors.toUnmodifiableList()), Map::copyOf));
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
@@ -1,6 +1,7 @@
 package io.banyantally.internal.forwarding;
 
 import com.codahale.metrics.MetricRegistry;
+import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.RequestDialect;
 import io.banyantally.internal.adapter.AdapterHttpClient;
 import io.banyantally.internal.crash.CrashLedger;
@@ -51,6 +52,17 @@
         MetricRegistry metrics,
         MonotonicClock clock) {
 
+    /** Why nothing was sent to an upstream that could not be reached. */
+    static final String NOT_CONNECTED = "not_connected";
+
+    /** Why nothing was sent to an upstream that left between its choice and the first byte. */
+    static final String LEFT_BEFORE_SEND = "left_before_send";
+
+    /** Returns why nothing was sent to an upstream that accepted work when it was chosen. */
+    String unsentReason(ReplicaEntry chosen) {
+        return replicas.isStillAccepting(chosen) ? NOT_CONNECTED : LEFT_BEFORE_SEND;
+    }
+
     /** Takes one retry from the allowance of a service; returns false if none is left. */
     boolean tryRetry(ServiceName service) {
         boolean granted = retries.tryRetry(service);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/PrefillSender.java
@@ -79,8 +79,12 @@
             }
             return PrefillOutcome.NOT_SENT;
         } catch (NothingSentException unsent) {
-            result = "not_connected";
-            services.recordFailure(track, result);
+            result = services.unsentReason(engine);
+            if (result.equals(ForwardingServices.NOT_CONNECTED)) {
+                services.recordFailure(track, result);
+            } else {
+                track.health().recordInconclusive();
+            }
             return PrefillOutcome.NOT_SENT;
         } catch (ForeignResponseException foreign) {
             result = foreign.reason();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamCallFactory.java
@@ -72,7 +72,7 @@
                 request.body(),
                 ownConnection,
                 remaining,
-                () -> true,
+                () -> services.replicas().isStillAccepting(upstream),
                 headers -> ResponseStatement.mismatch(
                         services.dialect().answeredAttempt(headers),
                         request.metadata().attempt(),
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -128,8 +128,11 @@
                 }
             }
             case SendOutcome.NotRun refused -> {
-                if (refused.reason().equals("not_connected") || refused.reason().equals("other_instance")) {
+                if (refused.reason().equals(ForwardingServices.NOT_CONNECTED)
+                        || refused.reason().equals("other_instance")) {
                     services.recordFailure(track, refused.reason());
+                } else if (refused.reason().equals(ForwardingServices.LEFT_BEFORE_SEND)) {
+                    track.health().recordInconclusive();
                 } else {
                     track.recordRefusal(startedAt, services.clock().nanoTime());
                     track.health().recordInconclusive();
@@ -177,7 +180,7 @@
         } catch (NothingSentException unsent) {
             return caller.isDisconnected()
                     ? new SendOutcome.CallerDisconnected("before_send")
-                    : new SendOutcome.NotRun("not_connected");
+                    : new SendOutcome.NotRun(services.unsentReason(upstream));
         } catch (ExchangeException failure) {
             return caller.isDisconnected()
                     ? new SendOutcome.CallerDisconnected("during_run")
--- a/modules/banyantally/src/test/java/io/banyantally/internal/adapter/CallWithPermissionTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/adapter/CallWithPermissionTest.java
@@ -146,6 +146,20 @@
         assertEquals(0, available.get(5, TimeUnit.SECONDS));
     }
 
+    /** Guards against a request to an upstream that has left while the request waited for a pooled connection. */
+    @Test
+    void permissionIsAlsoAskedOnAPooledConnection() throws Exception {
+        InetSocketAddress address = new InetSocketAddress(receiver.getInetAddress(), receiver.getLocalPort());
+        HttpCall denied = new HttpCall(address, "GET", "/", List.of(), new byte[0], false, TIME_LIMIT, () -> false);
+
+        assertThrows(NothingSentException.class, () -> client.send(denied, 1024));
+
+        try (Socket accepted = receiver.accept()) {
+            accepted.setSoTimeout(5000);
+            assertEquals(-1, accepted.getInputStream().read());
+        }
+    }
+
     /** Guards against a call that is sent although its sender stood still past the time limit after the check. */
     @Test
     void callIsNotSentAfterItsTimeLimit() throws Exception {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryTest.java
@@ -1,6 +1,8 @@
 package io.banyantally.internal.deployment;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.banyantally.deployment.DeploymentConfiguration;
 import io.banyantally.deployment.DocumentReader;
@@ -260,6 +262,24 @@
         assertEquals(0, registry.all().size());
     }
 
+    /** Guards against a request to an upstream that has left between its choice and the first byte. */
+    @ParameterizedTest
+    @ValueSource(strings = {"draining", ""})
+    void upstreamThatLeavesAfterItsChoiceIsNotStillAccepting(String state) throws StoreException {
+        write("a", "ready");
+        ReplicaEntry chosen = registry.accepting(Deployments.PLAIN).getFirst();
+        assertTrue(registry.isStillAccepting(chosen));
+
+        if (state.isEmpty()) {
+            store.delete(PREFIX + "a");
+            feed.deliver();
+        } else {
+            write("a", state);
+        }
+
+        assertFalse(registry.isStillAccepting(chosen));
+    }
+
     /** Guards against losing all upstreams to one unreadable entry that another program wrote. */
     @Test
     void unreadableEntryIsIgnoredAndTheOthersRemain() throws StoreException {
