Read and log the software versions of upstreams and taken-up attempts

An entry without a version names no upstream to use, as one without another of its fields. upstream_listed and the line of a streaming request name versions; the line also has resumes and after_event. Nothing is chosen by them yet.

--- a/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/NoticeCostCommand.java
+++ b/modules/banyantally-stand-ins/src/main/java/io/banyantally/standins/measure/NoticeCostCommand.java
@@ -21,6 +21,7 @@
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.ServiceName;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.model.VmId;
 import io.banyantally.platform.CoordinationStore.StoreItem;
@@ -134,7 +135,8 @@
                 EngineStage.NONE,
                 false,
                 OptionalLong.of(1),
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                new SoftwareVersion("v1"));
     }
 
     /** A state of the upstreams, and the cost of decisions in it. */
--- a/modules/banyantally/src/main/java/io/banyantally/deployment/ReplicaEntry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/deployment/ReplicaEntry.java
@@ -2,6 +2,7 @@
 
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.ServiceName;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.UpstreamId;
 import java.net.InetSocketAddress;
 import java.util.OptionalLong;
@@ -15,6 +16,7 @@
  * @param startedAtMillis when its process started, in wall-clock milliseconds; differs after a restart under the same
  *     id
  * @param sequence counts the entries that the upstream writes in one lifetime; empty if it does not count them
+ * @param version the version of its software; a stream goes on only at the version that began it
  */
 public record ReplicaEntry(
         UpstreamId id,
@@ -26,7 +28,8 @@
         EngineStage stage,
         boolean cheap,
         OptionalLong startedAtMillis,
-        OptionalLong sequence) {
+        OptionalLong sequence,
+        SoftwareVersion version) {
 
     /** Rejects upstreams without a slot. */
     public ReplicaEntry {
@@ -38,6 +41,6 @@
     /** Returns the same entry with another stage. */
     public ReplicaEntry withStage(EngineStage newStage) {
         return new ReplicaEntry(
-                id, service, address, zone, slots, draining, newStage, cheap, startedAtMillis, sequence);
+                id, service, address, zone, slots, draining, newStage, cheap, startedAtMillis, sequence, version);
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
@@ -218,6 +218,7 @@
                 && previous.get().draining() == entry.draining()
                 && previous.get().stage() == entry.stage()
                 && previous.get().address().equals(entry.address())
+                && previous.get().version().equals(entry.version())
                 && previous.get().startedAtMillis().equals(entry.startedAtMillis());
         if (!same) {
             LOG.info(
@@ -227,6 +228,7 @@
                     EventField.of("zone", entry.zone()),
                     EventField.of("draining", entry.draining()),
                     EventField.of("stage", entry.stage()),
+                    EventField.of("version", entry.version()),
                     EventField.of("cheap", entry.cheap()),
                     EventField.of("revision", item.versioned().revision()));
         }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -78,6 +78,8 @@
             metadata = Optional.of(services.dialect().readRequest(headers));
             log.add("request", metadata.get().attempt());
             caller.setAttemptId(metadata.get().attempt());
+            metadata.get().resumedAttempt().ifPresent(attempt -> log.add("resumes", attempt));
+            metadata.get().lastEventId().ifPresent(event -> log.add("after_event", event));
             forward(admit(metadata.get(), headers, bodyMemory));
         } catch (MalformedRequestException malformed) {
             log.add("detail", malformed.getMessage());
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -90,6 +90,9 @@
         recordOutcome(track, outcome, startedAt);
         recordPrompt(upstream, outcome);
         log.add("upstream" + sends, upstream.id());
+        if (request.route().kind() == RequestKind.STREAMING) {
+            log.add("version" + sends, upstream.version());
+        }
         log.addPlacement("placed" + sends, choice);
         log.addResult("result" + sends, outcome.reason(), startedAt);
         services.metrics().counter("sends." + outcome.reason()).inc();
--- a/modules/banyantally/src/test/java/io/banyantally/internal/crash/CrashReporterTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/crash/CrashReporterTest.java
@@ -7,6 +7,7 @@
 import io.banyantally.deployment.PromptPart;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.model.VmId;
 import io.banyantally.platform.StoreEra;
@@ -32,7 +33,8 @@
             EngineStage.NONE,
             false,
             OptionalLong.of(7),
-            OptionalLong.empty());
+            OptionalLong.empty(),
+            new SoftwareVersion("v1"));
 
     private static final PromptMetadata PROMPT =
             new PromptMetadata(200, 10, List.of(new PromptPart("first", 100), new PromptPart("request", 100)));
--- a/modules/banyantally/src/test/java/io/banyantally/internal/crash/CrashSimulation.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/crash/CrashSimulation.java
@@ -5,6 +5,7 @@
 import io.banyantally.deployment.PromptPart;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.model.VmId;
 import io.banyantally.platform.StoreEra;
@@ -179,7 +180,8 @@
                 EngineStage.NONE,
                 false,
                 OptionalLong.empty(),
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                new SoftwareVersion("v1"));
     }
 
     /** What became of the requests. */
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/LeavingUpstreamSearchTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/LeavingUpstreamSearchTest.java
@@ -8,6 +8,7 @@
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.UnreadableDocumentException;
 import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreKey;
@@ -319,7 +320,8 @@
                     EngineStage.NONE,
                     false,
                     OptionalLong.of(Long.parseLong(fields[0])),
-                    OptionalLong.of(Long.parseLong(fields[1])));
+                    OptionalLong.of(Long.parseLong(fields[1])),
+                    new SoftwareVersion("v1"));
         }
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/deployment/ReplicaRegistryTest.java
@@ -10,6 +10,7 @@
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.UnreadableDocumentException;
 import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreKey;
@@ -327,7 +328,8 @@
                     EngineStage.NONE,
                     false,
                     OptionalLong.empty(),
-                    OptionalLong.empty());
+                    OptionalLong.empty(),
+                    new SoftwareVersion("v1"));
         }
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/FleetReconcilerTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/FleetReconcilerTest.java
@@ -16,6 +16,7 @@
 import io.banyantally.internal.deployment.StoreHealth;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.FencingNumber;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.model.VmId;
 import io.banyantally.platform.CoordinationStore.StoreItem;
@@ -220,7 +221,8 @@
                     EngineStage.PREFILL,
                     id.contains("cheap"),
                     OptionalLong.empty(),
-                    OptionalLong.empty());
+                    OptionalLong.empty(),
+                    new SoftwareVersion("v1"));
         }
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/EngineRatesTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/EngineRatesTest.java
@@ -9,6 +9,7 @@
 import io.banyantally.deployment.PromptPart;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.internal.placement.PrefillCost.CacheExpectation;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.VmId;
 import io.banyantally.testing.Deployments;
 import io.banyantally.testing.ManualClock;
@@ -207,6 +208,7 @@
                 former.stage(),
                 former.cheap(),
                 OptionalLong.of(2),
-                former.sequence());
+                former.sequence(),
+                new SoftwareVersion("v1"));
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/LoadBoundTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/LoadBoundTest.java
@@ -11,6 +11,7 @@
 import io.banyantally.deployment.ResponseMetadata;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.ServiceName;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.model.VmId;
 import io.banyantally.testing.ManualClock;
@@ -229,7 +230,8 @@
                 EngineStage.NONE,
                 false,
                 OptionalLong.of(startedAtMillis),
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                new SoftwareVersion("v1"));
     }
 
     private record Running(UpstreamTrack track, long sentAt) {}
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/PlainLoadSimulation.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/PlainLoadSimulation.java
@@ -7,6 +7,7 @@
 import io.banyantally.deployment.ResponseMetadata;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.ServiceName;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.model.VmId;
 import io.banyantally.testing.ManualClock;
@@ -166,7 +167,8 @@
                 EngineStage.NONE,
                 false,
                 OptionalLong.empty(),
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                new SoftwareVersion("v1"));
     }
 
     /** How VMs choose upstreams. */
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/UpstreamLimitsTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/UpstreamLimitsTest.java
@@ -8,6 +8,7 @@
 import io.banyantally.deployment.ResponseMetadata;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.ServiceName;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.model.VmId;
 import io.banyantally.testing.ManualClock;
@@ -112,6 +113,7 @@
                 EngineStage.NONE,
                 false,
                 OptionalLong.of(startedAtMillis),
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                new SoftwareVersion("v1"));
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/UpstreamNoticesTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/UpstreamNoticesTest.java
@@ -8,6 +8,7 @@
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.deployment.ResponseMetadata;
 import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.testing.Deployments;
 import io.banyantally.testing.ManualClock;
@@ -146,6 +147,7 @@
                 EngineStage.NONE,
                 false,
                 OptionalLong.of(startedAtMillis),
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                new SoftwareVersion("v1"));
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/ZoneLoadSimulation.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/ZoneLoadSimulation.java
@@ -6,6 +6,7 @@
 import io.banyantally.deployment.ReportedLoad;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.ServiceName;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.model.VmId;
 import io.banyantally.testing.ManualClock;
@@ -165,7 +166,8 @@
                 EngineStage.NONE,
                 false,
                 OptionalLong.empty(),
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                new SoftwareVersion("v1"));
     }
 
     private static AvailabilityZone zoneName(int zone) {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/placement/ZoneSpillTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/placement/ZoneSpillTest.java
@@ -9,6 +9,7 @@
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.ServiceName;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.testing.ManualClock;
 import java.net.InetAddress;
@@ -139,6 +140,7 @@
                 EngineStage.NONE,
                 false,
                 OptionalLong.empty(),
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                new SoftwareVersion("v1"));
     }
 }
--- a/modules/banyantally/src/test/java/io/banyantally/testing/Deployments.java
+++ b/modules/banyantally/src/test/java/io/banyantally/testing/Deployments.java
@@ -13,6 +13,7 @@
 import io.banyantally.model.AvailabilityZone;
 import io.banyantally.model.ClientAccountId;
 import io.banyantally.model.ServiceName;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.UpstreamId;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -84,7 +85,8 @@
                 EngineStage.NONE,
                 false,
                 OptionalLong.empty(),
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                new SoftwareVersion("v1"));
     }
 
     /** Creates an engine for the prefill or decode stage. */
@@ -99,6 +101,7 @@
                 stage,
                 false,
                 OptionalLong.empty(),
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                new SoftwareVersion("v1"));
     }
 }
