Let streams go on only at the software version that began them

Callers whose streams had broken off got an answer of 200 that was joined from two software versions, with nothing in it to show this. A take-up was placed like a new request, and so was the gateway's own resume within one response; no VM knew versions, and none would have after a kill of all.

The store holds a default version for each service with resumable streams. Streams of other versions are recorded in the store under their attempt, asked for when the request is sent and confirmed before the first event is passed on. A take-up goes to an upstream of the version that began the stream, or is refused at once as not run. Within one response, only the version of the first event goes on.

--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -54,6 +54,10 @@
 import io.banyantally.internal.placement.UpstreamTracks;
 import io.banyantally.internal.placement.ZoneCost;
 import io.banyantally.internal.placement.ZoneSpill;
+import io.banyantally.internal.streams.DefaultVersionKeeper;
+import io.banyantally.internal.streams.DefaultVersions;
+import io.banyantally.internal.streams.StreamStoreKeys;
+import io.banyantally.internal.streams.StreamVersions;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.time.PeriodicTasks;
 import io.banyantally.internal.time.Sleeper;
@@ -132,6 +136,8 @@
     private final RelayedStore watchedStore;
     private final CrashLedger crashes = new CrashLedger(MonotonicClock.SYSTEM);
     private final CrashReporter crashReporter;
+    private final DefaultVersions defaultVersions = new DefaultVersions(MonotonicClock.SYSTEM);
+    private final StreamVersions streamVersions;
     private final PeriodicTasks tasks = new PeriodicTasks();
     private volatile boolean draining;
 
@@ -203,6 +209,12 @@
                 settings.retryLimit(),
                 () -> members.members().size());
         crashReporter = CrashReporter.create(store, this::storeEra, crashes, this::isInService, settings.vm());
+        streamVersions = StreamVersions.create(
+                store,
+                defaultVersions,
+                replicas::all,
+                () -> Math.max(1, members.members().size()),
+                metrics);
         long bufferBytes = Runtime.getRuntime().maxMemory() / BUFFER_HEAP_PARTS;
         ForwardingServices services = new ForwardingServices(
                 configuration,
@@ -216,6 +228,7 @@
                 retries,
                 crashes,
                 crashReporter,
+                streamVersions,
                 dialect,
                 client,
                 new BufferMemory(bufferBytes),
@@ -239,6 +252,7 @@
         follow(platform.keys().replicaPrefix(), PrefixWatcher.SHORT_WATCH, replicas, immediate);
         follow(GatewayStoreKeys.LIVE_PREFIX, PrefixWatcher.LONG_WATCH, members, this::longBatchingDelay);
         follow(CrashStoreKeys.PREFIX, PrefixWatcher.LONG_WATCH, crashes, immediate);
+        follow(StreamStoreKeys.DEFAULTS_PREFIX, PrefixWatcher.LONG_WATCH, defaultVersions, this::longBatchingDelay);
         try {
             peers.start();
             server.start();
@@ -285,6 +299,11 @@
                 platform.stageOrdering(),
                 (engine, time) -> tracks.of(engine).avoid(time, MonotonicClock.SYSTEM.nanoTime()),
                 MonotonicClock.SYSTEM);
+        DefaultVersionKeeper defaults = streamVersions.keeper();
+        tasks.start(
+                "stream-defaults",
+                DefaultVersionKeeper.INTERVAL,
+                () -> runIfHolder(holder -> runIfConfigured(defaults::run)));
         tasks.start("usage-reports", UsageReporter.INTERVAL, () -> {
             reporter.restoreSealed();
             runIfHolder(reporter::run);
@@ -330,6 +349,7 @@
 
     private void runMaintenance() {
         replicas.dropLapsed();
+        streamVersions.maintain();
         tracks.retain(replicas.all());
         listedPeers.connect();
     }
--- a/modules/banyantally/src/main/java/io/banyantally/deployment/RouteRule.java
+++ b/modules/banyantally/src/main/java/io/banyantally/deployment/RouteRule.java
@@ -42,6 +42,11 @@
 
     /** Returns whether a request that may have run may be sent again. */
     public boolean isRepeatable() {
-        return kind == RequestKind.IDEMPOTENT || (kind == RequestKind.STREAMING && resumable);
+        return kind == RequestKind.IDEMPOTENT || hasResumableStreams();
+    }
+
+    /** Returns whether its responses are streams that may go on at another upstream. */
+    public boolean hasResumableStreams() {
+        return kind == RequestKind.STREAMING && resumable;
     }
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/deployment/ReplicaRegistry.java
@@ -90,7 +90,7 @@
     }
 
     /**
-     * Returns whether an upstream that was chosen earlier still accepts new work, in the same lifetime.
+     * Returns whether an upstream that was chosen earlier still accepts new work, in the same lifetime and with the same software.
      *
      * @param chosen its entry at the time of the choice
      */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -11,7 +11,10 @@
 import io.banyantally.internal.deployment.ActiveConfiguration;
 import io.banyantally.internal.placement.AccountLimits;
 import io.banyantally.internal.placement.Placement;
+import io.banyantally.internal.streams.StreamStart;
+import io.banyantally.model.AttemptId;
 import io.banyantally.model.ServiceName;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.UpstreamId;
 import io.banyantally.upstream.HeaderField;
 import java.io.IOException;
@@ -47,6 +50,9 @@
     /** Retry-After for a prompt that crashes upstreams; it stays refused for minutes. */
     private static final Duration RETRY_AFTER_CRASHING_PROMPT = Duration.ofMinutes(1);
 
+    /** Retry-After for a stream whose version is not known; the store may answer again by then. */
+    private static final Duration RETRY_AFTER_UNKNOWN_VERSION = Duration.ofSeconds(1);
+
     /** Upstreams that may refuse a request before its caller is told to retry later. */
     private static final int MAXIMUM_REFUSALS = 2;
 
@@ -243,11 +249,13 @@
         checkPrompt(request, false);
         services.retries().recordRequest(request.service().name());
         UpstreamCallFactory calls = new UpstreamCallFactory(services, caller, request);
-        UpstreamSender sender = new UpstreamSender(services, caller, request, calls, log);
+        Optional<SoftwareVersion> takenUpVersion = takenUpVersion(request);
+        UpstreamSender sender = new UpstreamSender(services, caller, request, calls, log, streamStart(request));
         PrefillSender prefillSender = new PrefillSender(services, caller, calls, log);
         Set<UpstreamId> tried = new HashSet<>();
         Optional<UpstreamId> usableOnNewConnection = Optional.empty();
         UpstreamChooser chooser = new UpstreamChooser(services, request, log);
+        chooser.requireVersion(takenUpVersion.or(() -> versionWithoutRecord(request)));
         PrefillResult prefilled = prefill(request, chooser, prefillSender);
         Optional<PrefilledCache> prefilledCache = prefilled.prefilledCache();
         Optional<Placement.Decision.Send> chosen = prefilled.decoder();
@@ -263,6 +271,10 @@
                 }
                 checkCaller("before_send");
                 checkPrompt(request, mayHaveRun);
+                if (sends + refusals > 0) {
+                    chooser.requireVersion(
+                            sender.requiredVersion(takenUpVersion).or(() -> versionWithoutRecord(request)));
+                }
                 Placement.Decision.Send choice;
                 try {
                     choice = chosen.isPresent() ? chosen.get() : chooser.choose(tried, prefilledCache, mayHaveRun);
@@ -319,6 +331,40 @@
         }
     }
 
+    /**
+     * Returns the software version at which the stream goes on that the caller takes up; empty if it begins one.
+     *
+     * @throws RefusedException if the version is not known, so that the stream could go on at another one
+     */
+    private Optional<SoftwareVersion> takenUpVersion(AdmittedRequest request) throws RefusedException {
+        if (!request.route().hasResumableStreams() || !request.metadata().isTakeUp()) {
+            return Optional.empty();
+        }
+        Optional<SoftwareVersion> version = services.streamVersions()
+                .versionOf(request.service().name(), request.metadata().resumedAttempt());
+        log.add("stream_version", version.map(SoftwareVersion::toString).orElse("unknown"));
+        if (version.isEmpty()) {
+            throw new RefusedException(Refusal.notRun("stream_version_unknown", jittered(RETRY_AFTER_UNKNOWN_VERSION)));
+        }
+        return version;
+    }
+
+    private Optional<StreamStart> streamStart(AdmittedRequest request) {
+        return request.route().hasResumableStreams() && !request.metadata().isTakeUp()
+                ? Optional.of(services.streamVersions()
+                        .start(
+                                request.service().name(),
+                                new AttemptId(request.metadata().attempt())))
+                : Optional.empty();
+    }
+
+    private Optional<SoftwareVersion> versionWithoutRecord(AdmittedRequest request) {
+        return request.route().hasResumableStreams()
+                ? services.streamVersions()
+                        .versionWithoutRecord(request.service().name())
+                : Optional.empty();
+    }
+
     /**
      * Sends a long prompt to a prefill engine that meets its latency target, or chooses a decode engine with spare
      * capacity.
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardingServices.java
@@ -17,6 +17,7 @@
 import io.banyantally.internal.placement.UpstreamNotices;
 import io.banyantally.internal.placement.UpstreamTrack;
 import io.banyantally.internal.placement.UpstreamTracks;
+import io.banyantally.internal.streams.StreamVersions;
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.model.ServiceName;
 
@@ -29,6 +30,7 @@
  * @param engines chooses among engines
  * @param plain chooses among upstreams of plain services
  * @param crashes knows the prompts that crash upstreams
+ * @param streamVersions knows at which software version a stream goes on
  * @param requestMemory holds the bodies of callers' requests
  * @param responseMemory holds responses of upstreams that are not complete yet
  */
@@ -44,6 +46,7 @@
         RetryAllowance retries,
         CrashLedger crashes,
         CrashReporter crashReporter,
+        StreamVersions streamVersions,
         RequestDialect dialect,
         AdapterHttpClient client,
         BufferMemory requestMemory,
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamChooser.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamChooser.java
@@ -9,6 +9,7 @@
 import io.banyantally.internal.placement.Placement;
 import io.banyantally.internal.placement.PlainPlacement;
 import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.model.UpstreamId;
 import java.time.Duration;
 import java.util.List;
@@ -24,11 +25,15 @@
     /** Retry-After for a service without upstreams. */
     private static final Duration RETRY_AFTER_NO_UPSTREAM = Duration.ofMillis(400);
 
+    /** A crashed upstream starts again with its version within seconds; one that was replaced does not return. */
+    private static final Duration RETRY_AFTER_NO_VERSION = Duration.ofSeconds(1);
+
     private static final int MINIMUM_SPREAD_MILLIS = 100;
 
     private final ForwardingServices services;
     private final AdmittedRequest request;
     private final RequestLog log;
+    private Optional<SoftwareVersion> requiredVersion = Optional.empty();
 
     UpstreamChooser(ForwardingServices services, AdmittedRequest request, RequestLog log) {
         this.services = services;
@@ -36,6 +41,11 @@
         this.log = log;
     }
 
+    /** Chooses only upstreams of a software version from now on; any if it is empty. */
+    void requireVersion(Optional<SoftwareVersion> version) {
+        requiredVersion = version;
+    }
+
     /** Returns whether the prompt is long enough for a call to a prefill engine before the request is sent. */
     boolean needsPrefill() {
         return request.service().engine().isPresent() && EnginePlacement.isLongPrompt(demand(latencyTarget()));
@@ -96,6 +106,10 @@
         if (known.stream().anyMatch(UpstreamChooser::generates)) {
             throw limitReached(known, UpstreamChooser::generates);
         }
+        if (requiredVersion.isPresent() && untried.isEmpty()) {
+            throw new RefusedException(
+                    Refusal.notRun("no_upstream_of_version", ForwardedRequest.jittered(RETRY_AFTER_NO_VERSION)));
+        }
         Optional<Duration> firstReturn = services.notices().untilFirstReturn(untried);
         throw new RefusedException(
                 firstReturn.isPresent()
@@ -121,6 +135,7 @@
                         demand,
                         services.replicas().replicas(request.service().name()),
                         entry -> !tried.contains(entry.id())
+                                && hasRequiredVersion(entry)
                                 && services.replicas().isAccepting(entry));
     }
 
@@ -166,10 +181,14 @@
 
     private List<ReplicaEntry> untried(Set<UpstreamId> tried) {
         return services.replicas().accepting(request.service().name()).stream()
-                .filter(entry -> !tried.contains(entry.id()))
+                .filter(entry -> !tried.contains(entry.id()) && hasRequiredVersion(entry))
                 .toList();
     }
 
+    private boolean hasRequiredVersion(ReplicaEntry entry) {
+        return requiredVersion.isEmpty() || entry.version().equals(requiredVersion.get());
+    }
+
     private Duration latencyTarget() {
         return request.route().latencyTarget();
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -13,6 +13,8 @@
 import io.banyantally.internal.adapter.NothingSentException;
 import io.banyantally.internal.placement.Placement;
 import io.banyantally.internal.placement.UpstreamTrack;
+import io.banyantally.internal.streams.StreamStart;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.upstream.HeaderField;
 import java.io.IOException;
 import java.io.InputStream;
@@ -35,6 +37,9 @@
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final String NO_ANSWER = "no_answer";
 
+    /** The stream could not be recorded at the software version of the upstream, which did not fail. */
+    private static final String NOT_RECORDED = "version_not_recorded";
+
     /** Responses of plain services are buffered before they are forwarded, so that the caller gets no truncated one. */
     private static final int MAXIMUM_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024;
 
@@ -46,9 +51,14 @@
     private final AdmittedRequest request;
     private final UpstreamCallFactory calls;
     private final RequestLog log;
+
+    /** Empty if the stream began with an earlier attempt, or can't go on at another upstream. */
+    private final Optional<StreamStart> streamStart;
+
     private final List<BufferMemory.Reservation> responseMemory = new ArrayList<>();
     private Optional<OutputStream> callerStream = Optional.empty();
     private int startedStatus;
+    private Optional<SoftwareVersion> startedVersion = Optional.empty();
     private OptionalLong lastEventId;
     private boolean runCounted;
     private int sends;
@@ -58,12 +68,14 @@
             CallerExchange caller,
             AdmittedRequest request,
             UpstreamCallFactory calls,
-            RequestLog log) {
+            RequestLog log,
+            Optional<StreamStart> streamStart) {
         this.services = services;
         this.caller = caller;
         this.request = request;
         this.calls = calls;
         this.log = log;
+        this.streamStart = streamStart;
         this.lastEventId = request.metadata().lastEventId();
     }
 
@@ -72,6 +84,17 @@
         return callerStream.isPresent();
     }
 
+    /**
+     * Returns the software version to which the request may be sent again; empty if any may serve it.
+     *
+     * @param required the version at which the stream of an earlier attempt goes on
+     */
+    Optional<SoftwareVersion> requiredVersion(Optional<SoftwareVersion> required) {
+        return startedVersion
+                .or(() -> streamStart.flatMap(StreamStart::requiredVersion))
+                .or(() -> required);
+    }
+
     /** Sends the request to the chosen upstream and waits for the end of the response. */
     SendOutcome send(Placement.Decision.Send choice, Optional<PrefilledCache> prefilledCache)
             throws InterruptedException {
@@ -80,6 +103,9 @@
         sends++;
         long startedAt = services.clock().nanoTime();
         track.recordSent(choice.work(), startedAt);
+        if (!hasStartedResponse()) {
+            streamStart.ifPresent(start -> start.sendTo(upstream.version()));
+        }
         SendOutcome outcome;
         try {
             outcome = exchange(upstream, track, startedAt, prefilledCache);
@@ -123,6 +149,10 @@
                 }
             }
             case SendOutcome.Unknown unknown -> {
+                if (unknown.reason().equals(NOT_RECORDED)) {
+                    track.health().recordInconclusive();
+                    return;
+                }
                 // An upstream that is silent until the deadline may be down.
                 if (unknown.reason().equals(NO_ANSWER) || services.clock().nanoTime() < request.deadlineNanos()) {
                     services.recordFailure(track, unknown.reason());
@@ -153,7 +183,9 @@
         PromptMetadata prompt = request.metadata().prompt().get();
         if (outcome instanceof SendOutcome.Delivered) {
             services.crashes().recordServed(upstream.service(), prompt);
-        } else if (outcome instanceof SendOutcome.Unknown && services.clock().nanoTime() < request.deadlineNanos()) {
+        } else if (outcome instanceof SendOutcome.Unknown unknown
+                && !unknown.reason().equals(NOT_RECORDED)
+                && services.clock().nanoTime() < request.deadlineNanos()) {
             services.crashReporter().recordBrokenOff(upstream, prompt);
         }
     }
@@ -215,7 +247,7 @@
             return new SendOutcome.Unknown("other_status");
         }
         return success && request.route().kind() == RequestKind.STREAMING
-                ? receiveStream(exchange, status, headers, track, sentAt)
+                ? receiveStream(exchange, status, headers, track, upstream.version(), sentAt)
                 : receiveBuffered(exchange, status, headers);
     }
 
@@ -277,7 +309,12 @@
     }
 
     private SendOutcome receiveStream(
-            HttpExchange exchange, int status, List<HeaderField> headers, UpstreamTrack track, long sentAt)
+            HttpExchange exchange,
+            int status,
+            List<HeaderField> headers,
+            UpstreamTrack track,
+            SoftwareVersion version,
+            long sentAt)
             throws InterruptedException {
         EventAssembler events = new EventAssembler(lastEventId);
         BufferMemory.Reservation memory = reserveMemory();
@@ -292,6 +329,10 @@
                 }
                 Optional<byte[]> completeEvents = events.add(buffer, count);
                 if (completeEvents.isPresent()) {
+                    if (callerStream.isEmpty() && !mayBegin()) {
+                        return new SendOutcome.Unknown(NOT_RECORDED);
+                    }
+                    startedVersion = Optional.of(version);
                     deliver(status, headers, completeEvents.get());
                     lastEventId = events.lastEventId();
                     calls.resumeAfter(lastEventId);
@@ -325,6 +366,20 @@
         }
     }
 
+    /** Returns whether the first event may be passed on: a caller that takes the stream up gets no other version. */
+    private boolean mayBegin() throws InterruptedException {
+        if (streamStart.isEmpty()) {
+            return true;
+        }
+        long waitedFrom = services.clock().nanoTime();
+        boolean mayBegin = streamStart.get().awaitRecord(calls.remaining());
+        long waitedMillis = services.clock().since(waitedFrom).toMillis();
+        if (waitedMillis > 0) {
+            log.add("record_ms" + sends, waitedMillis);
+        }
+        return mayBegin;
+    }
+
     private static int read(InputStream body, byte[] buffer) throws UpstreamDisconnectedException {
         try {
             return body.read(buffer);
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamStart.java
@@ -0,0 +1,76 @@
+package io.banyantally.internal.streams;
+
+import io.banyantally.model.AttemptId;
+import io.banyantally.model.ServiceName;
+import io.banyantally.model.SoftwareVersion;
+import io.banyantally.platform.StoreKey;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** The beginning of one stream: its attempt is sent to upstreams, one of which brings the first event. */
+public final class StreamStart {
+
+    /** A write that has no answer by then has failed; the store's usual answer takes some milliseconds. */
+    private static final Duration CONFIRMATION_TIME = Duration.ofMillis(1200);
+
+    private final StreamVersions versions;
+    private final ServiceName service;
+    private final StoreKey key;
+    private Optional<SoftwareVersion> sentTo = Optional.empty();
+    private Optional<SoftwareVersion> recorded = Optional.empty();
+    private CompletableFuture<Boolean> confirmed = CompletableFuture.completedFuture(true);
+
+    StreamStart(StreamVersions versions, ServiceName service, AttemptId attempt) {
+        this.versions = versions;
+        this.service = service;
+        this.key = StreamStoreKeys.record(service, attempt);
+    }
+
+    /** Begins to record the version of an upstream to which the attempt is about to be sent, if it needs a record. */
+    public void sendTo(SoftwareVersion version) {
+        sentTo = Optional.of(version);
+        boolean needsRecord = recorded.isPresent() || !versions.isDefault(service, version);
+        if (needsRecord && !recorded.equals(sentTo)) {
+            recorded = sentTo;
+            confirmed = versions.recorder().record(key, version);
+        }
+    }
+
+    /**
+     * Returns the version to which the attempt has to be sent if it is sent again: a write that is not confirmed may be
+     * applied after the next one.
+     */
+    public Optional<SoftwareVersion> requiredVersion() {
+        return confirmed.getNow(false) ? Optional.empty() : recorded;
+    }
+
+    /**
+     * Waits until the first event may be passed on, and returns whether it may: the version is recorded or needs no
+     * record, or a caller that takes the stream up is sure to get no other version.
+     *
+     * @param remaining the time that the request has left
+     */
+    public boolean awaitRecord(Duration remaining) throws InterruptedException {
+        SoftwareVersion version = sentTo.orElseThrow();
+        boolean mayBegin = isConfirmed(remaining.compareTo(CONFIRMATION_TIME) < 0 ? remaining : CONFIRMATION_TIME)
+                || versions.mayBeginWithoutRecord(service, version);
+        if (mayBegin) {
+            versions.memory().add(key, version);
+        }
+        return mayBegin;
+    }
+
+    private boolean isConfirmed(Duration limit) throws InterruptedException {
+        try {
+            return confirmed.get(limit.toNanos(), TimeUnit.NANOSECONDS);
+        } catch (TimeoutException unanswered) {
+            return false;
+        } catch (ExecutionException failure) {
+            throw new IllegalStateException("a record of a stream failed", failure);
+        }
+    }
+}
--- /dev/null
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamVersions.java
@@ -0,0 +1,186 @@
+package io.banyantally.internal.streams;
+
+import com.codahale.metrics.MetricRegistry;
+import io.banyantally.deployment.ReplicaEntry;
+import io.banyantally.internal.logging.EventLog;
+import io.banyantally.internal.time.MonotonicClock;
+import io.banyantally.internal.time.Sleeper;
+import io.banyantally.internal.timeline.EventField;
+import io.banyantally.model.AttemptId;
+import io.banyantally.model.ServiceName;
+import io.banyantally.model.SoftwareVersion;
+import io.banyantally.platform.CoordinationStore;
+import io.banyantally.platform.StoreException;
+import io.banyantally.platform.StoreKey;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+
+/**
+ * Knows the software version at which a stream began. Streams of the default version of a service need no record;
+ * others are recorded in the store before their first event is passed on, so that a VM that has just started knows them.
+ */
+public final class StreamVersions {
+
+    /** Longer than a caller may take a stream up again after it began. */
+    static final Duration TAKE_UP_TIME = Duration.ofSeconds(20);
+
+    /** The part of each VM in the rate of writes that records may take. */
+    private static final Duration WRITE_INTERVAL_OF_A_VM = Duration.ofMillis(5);
+
+    private static final EventLog LOG = EventLog.of(StreamVersions.class);
+
+    private final CoordinationStore store;
+    private final DefaultVersions defaults;
+    private final PresentVersions present;
+    private final StreamRecorder recorder;
+    private final StreamMemory memory;
+
+    StreamVersions(
+            CoordinationStore store,
+            DefaultVersions defaults,
+            PresentVersions present,
+            StreamRecorder recorder,
+            MonotonicClock clock) {
+        this.store = store;
+        this.defaults = defaults;
+        this.present = present;
+        this.recorder = recorder;
+        this.memory = new StreamMemory(clock);
+    }
+
+    /**
+     * Creates the versions of streams.
+     *
+     * @param upstreams returns all known upstreams, leaving ones included
+     * @param vms returns the number of VMs that share the store's rate of writes
+     */
+    public static StreamVersions create(
+            CoordinationStore store,
+            DefaultVersions defaults,
+            Supplier<? extends Collection<ReplicaEntry>> upstreams,
+            Supplier<Integer> vms,
+            MetricRegistry metrics) {
+        StreamRecorder recorder = new StreamRecorder(
+                store,
+                () -> WRITE_INTERVAL_OF_A_VM.multipliedBy(vms.get()),
+                MonotonicClock.SYSTEM,
+                Sleeper.SYSTEM,
+                metrics);
+        return new StreamVersions(
+                store,
+                defaults,
+                new PresentVersions(upstreams, MonotonicClock.SYSTEM),
+                recorder,
+                MonotonicClock.SYSTEM);
+    }
+
+    /** Returns the task that writes the default versions. */
+    public DefaultVersionKeeper keeper() {
+        return new DefaultVersionKeeper(store, defaults, present);
+    }
+
+    /** Observes the versions of upstreams and forgets streams that have ended; call it several times a second. */
+    public void maintain() {
+        present.observe();
+        memory.dropOld();
+    }
+
+    /** Begins to follow at which version the stream of a new attempt begins. */
+    public StreamStart start(ServiceName service, AttemptId attempt) {
+        return new StreamStart(this, service, attempt);
+    }
+
+    /**
+     * Returns the version at which a stream goes on that a caller takes up; empty if it is not known. Reads the store
+     * unless the service has had one version only for as long as a stream can be taken up.
+     *
+     * @param attempt the attempt that brought the first event; empty if the caller does not name it
+     */
+    public Optional<SoftwareVersion> versionOf(ServiceName service, Optional<AttemptId> attempt) {
+        Optional<SoftwareVersion> remembered =
+                attempt.flatMap(begun -> memory.version(StreamStoreKeys.record(service, begun)));
+        if (remembered.isPresent()) {
+            return remembered;
+        }
+        Optional<SoftwareVersion> unrecorded = unrecordedVersion(service);
+        if (unrecorded.isPresent() && isNothingRecorded(service, unrecorded.get())) {
+            return unrecorded;
+        }
+        if (attempt.isEmpty()) {
+            return unrecorded.filter(version -> present.of(service).equals(Set.of(version)));
+        }
+        try {
+            Optional<SoftwareVersion> recorded = read(StreamStoreKeys.record(service, attempt.get()));
+            return recorded.isPresent() ? recorded : unrecorded;
+        } catch (StoreException failure) {
+            LOG.warn(
+                    "stream_version_not_read",
+                    EventField.of("attempt", attempt.get()),
+                    EventField.of("reason", failure.getMessage()));
+            return Optional.empty();
+        }
+    }
+
+    private Optional<SoftwareVersion> read(StoreKey key) throws StoreException {
+        return store.list(key.path()).items().stream()
+                .filter(item -> item.key().equals(key))
+                .map(item -> new SoftwareVersion(new String(item.value(), StandardCharsets.UTF_8)))
+                .findFirst();
+    }
+
+    /** Returns the version of streams without a record. */
+    private Optional<SoftwareVersion> unrecordedVersion(ServiceName service) {
+        Optional<DefaultVersion> current = defaults.of(service);
+        Optional<SoftwareVersion> version = current.flatMap(DefaultVersion::version);
+        return version.isPresent() || defaults.knownFor(service).compareTo(TAKE_UP_TIME) >= 0
+                ? version
+                : current.flatMap(DefaultVersion::former);
+    }
+
+    /** Returns whether no VM has recorded a stream that may still be taken up. */
+    private boolean isNothingRecorded(ServiceName service, SoftwareVersion version) {
+        return isDefault(service, version)
+                && defaults.knownFor(service).compareTo(TAKE_UP_TIME) >= 0
+                && present.isOnly(service, version, TAKE_UP_TIME);
+    }
+
+    /** Returns whether streams of a version need no record. */
+    boolean isDefault(ServiceName service, SoftwareVersion version) {
+        return defaults.of(service)
+                .flatMap(DefaultVersion::version)
+                .filter(version::equals)
+                .isPresent();
+    }
+
+    /**
+     * Returns the version to which new streams should go, if there is one that needs no record while records can't be
+     * written.
+     */
+    public Optional<SoftwareVersion> versionWithoutRecord(ServiceName service) {
+        return recorder.isFailing()
+                ? defaults.of(service).flatMap(DefaultVersion::version).filter(present.of(service)::contains)
+                : Optional.empty();
+    }
+
+    /**
+     * Returns whether no stream without a record would go on at another version: there is no other one, or no upstream of
+     * the default version.
+     */
+    boolean mayBeginWithoutRecord(ServiceName service, SoftwareVersion version) {
+        Set<SoftwareVersion> versions = present.of(service);
+        return versions.equals(Set.of(version))
+                || unrecordedVersion(service).filter(versions::contains).isEmpty();
+    }
+
+    StreamRecorder recorder() {
+        return recorder;
+    }
+
+    StreamMemory memory() {
+        return memory;
+    }
+}
