--- a/modules/banyantally/src/main/java/io/banyantally/Gateway.java
+++ b/modules/banyantally/src/main/java/io/banyantally/Gateway.java
@@ -56,6 +56,7 @@
 import io.banyantally.internal.placement.ZoneSpill;
 import io.banyantally.internal.streams.DefaultVersionKeeper;
 import io.banyantally.internal.streams.DefaultVersions;
+import io.banyantally.internal.streams.StreamRecordSweeper;
 import io.banyantally.internal.streams.StreamStoreKeys;
 import io.banyantally.internal.streams.StreamVersions;
 import io.banyantally.internal.time.MonotonicClock;
@@ -300,10 +301,13 @@
                 (engine, time) -> tracks.of(engine).avoid(time, MonotonicClock.SYSTEM.nanoTime()),
                 MonotonicClock.SYSTEM);
         DefaultVersionKeeper defaults = streamVersions.keeper();
-        tasks.start(
-                "stream-defaults",
-                DefaultVersionKeeper.INTERVAL,
-                () -> runIfHolder(holder -> runIfConfigured(defaults::run)));
+        tasks.startWithJitter("stream-defaults", DefaultVersionKeeper.INTERVAL, () -> {
+            runIfConfigured(defaults::endDefaults);
+            runIfHolder(holder -> runIfConfigured(defaults::nameDefaults));
+        });
+        StreamRecordSweeper streamRecords = streamVersions.sweeper();
+        tasks.startWithJitter(
+                "stream-records", StreamRecordSweeper.INTERVAL, () -> runIfHolder(holder -> streamRecords.run()));
         tasks.start("usage-reports", UsageReporter.INTERVAL, () -> {
             reporter.restoreSealed();
             runIfHolder(reporter::run);
--- a/modules/banyantally/src/main/java/io/banyantally/internal/streams/DefaultVersionKeeper.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/DefaultVersionKeeper.java
@@ -1,6 +1,7 @@
 package io.banyantally.internal.streams;
 
 import io.banyantally.deployment.RouteRule;
+import io.banyantally.deployment.ServiceShare;
 import io.banyantally.internal.adapter.WireFormat;
 import io.banyantally.internal.deployment.ActiveConfiguration;
 import io.banyantally.internal.logging.EventLog;
@@ -18,10 +19,10 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
-/** Writes the default versions of services with resumable streams, while this VM holds the duties. */
+/** Writes the default versions of services with resumable streams. */
 public final class DefaultVersionKeeper {
 
-    /** How often to call {@link #run}. */
+    /** How often to call {@link #endDefaults} and {@link #nameDefaults}. */
     public static final Duration INTERVAL = Duration.ofMillis(500);
 
     private static final EventLog LOG = EventLog.of(DefaultVersionKeeper.class);
@@ -36,39 +37,40 @@
         this.present = present;
     }
 
-    /** Writes the defaults that have to change. */
-    public void run(ActiveConfiguration configuration) {
-        if (!defaults.isRead()) {
-            return;
-        }
-        Set<ServiceName> services = configuration.document().routes().stream()
-                .filter(RouteRule::hasResumableStreams)
-                .flatMap(route -> route.services().stream())
-                .map(share -> share.service())
-                .collect(Collectors.toSet());
-        for (ServiceName service : services) {
-            next(service).ifPresent(version -> write(service, version));
+    /**
+     * Ends the defaults of which no upstream is left. Every VM does so, as streams can't be recorded in an outage that
+     * begins before.
+     */
+    public void endDefaults(ActiveConfiguration configuration) {
+        for (ServiceName service : services(configuration)) {
+            Optional<SoftwareVersion> version = defaults.of(service);
+            Set<SoftwareVersion> versions = present.of(service);
+            if (version.isPresent() && !versions.isEmpty() && !versions.contains(version.get())) {
+                write(service, DefaultVersion.none(service));
+            }
         }
     }
 
-    /** Returns the default that a service should get; empty if it keeps the present one. */
-    private Optional<DefaultVersion> next(ServiceName service) {
-        Set<SoftwareVersion> versions = present.of(service);
-        if (versions.isEmpty()) {
-            return Optional.empty();
-        }
-        Optional<DefaultVersion> current = defaults.of(service);
-        if (current.isPresent() && current.get().version().isPresent()) {
-            return versions.contains(current.get().version().get())
-                    ? Optional.empty()
-                    : Optional.of(current.get().ended());
+    /** Names defaults where one version has served for long enough, while this VM holds the duties. */
+    public void nameDefaults(ActiveConfiguration configuration) {
+        for (ServiceName service : services(configuration)) {
+            if (defaults.isRead() && defaults.of(service).isEmpty() && formerHasEnded(service)) {
+                present.onlyOne(service, StreamVersions.TAKE_UP_TIME)
+                        .ifPresent(version -> write(service, DefaultVersion.of(service, version)));
+            }
         }
-        SoftwareVersion version = versions.iterator().next();
-        // Until then, a stream that could not be recorded may have another version.
-        boolean othersHaveEnded = present.isOnly(service, version, StreamVersions.TAKE_UP_TIME);
-        boolean formerHasEnded =
-                current.isEmpty() || defaults.knownFor(service).compareTo(StreamVersions.TAKE_UP_TIME) >= 0;
-        return othersHaveEnded && formerHasEnded ? Optional.of(DefaultVersion.of(service, version)) : Optional.empty();
+    }
+
+    private boolean formerHasEnded(ServiceName service) {
+        return !defaults.isNamed(service) || defaults.knownFor(service).compareTo(StreamVersions.TAKE_UP_TIME) >= 0;
+    }
+
+    private static Set<ServiceName> services(ActiveConfiguration configuration) {
+        return configuration.document().routes().stream()
+                .filter(RouteRule::hasResumableStreams)
+                .flatMap(route -> route.services().stream())
+                .map(ServiceShare::service)
+                .collect(Collectors.toSet());
     }
 
     private void write(ServiceName service, DefaultVersion version) {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/streams/DefaultVersions.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/DefaultVersions.java
@@ -6,6 +6,7 @@
 import io.banyantally.internal.time.MonotonicClock;
 import io.banyantally.internal.timeline.EventField;
 import io.banyantally.model.ServiceName;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.platform.CoordinationStore.StoreChange;
 import io.banyantally.platform.CoordinationStore.StoreChanges;
 import io.banyantally.platform.CoordinationStore.StoreItem;
@@ -31,9 +32,15 @@
         this.clock = clock;
     }
 
-    /** Returns the default of a service; empty if there is none, or if the store has not been read. */
-    Optional<DefaultVersion> of(ServiceName service) {
-        return Optional.ofNullable(known.get(service)).map(Known::version);
+    /** Returns the default version of a service; empty while every stream is recorded, or the store has not been read. */
+    Optional<SoftwareVersion> of(ServiceName service) {
+        return Optional.ofNullable(known.get(service))
+                .flatMap(former -> former.version().version());
+    }
+
+    /** Returns whether a default has ever been named for a service. */
+    boolean isNamed(ServiceName service) {
+        return known.containsKey(service);
     }
 
     /** Returns the revision of the default of a service; {@link StoreRevision#ABSENT} if there is none. */
@@ -87,8 +94,6 @@
                         EventField.of(
                                 "version",
                                 version.version().map(Object::toString).orElse("none")),
-                        EventField.of(
-                                "former", version.former().map(Object::toString).orElse("none")),
                         EventField.of("revision", revision));
             }
             next.put(version.service(), new Known(version, revision, same ? former.readAt() : clock.nanoTime()));
--- a/modules/banyantally/src/main/java/io/banyantally/internal/streams/PresentVersions.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/PresentVersions.java
@@ -8,6 +8,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -46,13 +47,15 @@
                 .collect(Collectors.toSet());
     }
 
-    /** Returns whether a service has had this version and no other one for some time. */
-    boolean isOnly(ServiceName service, SoftwareVersion version, Duration time) {
+    /** Returns the only version that a service has had for some time; empty if it had several, or none. */
+    Optional<SoftwareVersion> onlyOne(ServiceName service, Duration time) {
         Observed last = observed.get(service);
         return last != null
-                && last.versions().equals(Set.of(version))
-                && clock.since(last.since()).compareTo(time) >= 0
-                && of(service).equals(last.versions());
+                        && last.versions().size() == 1
+                        && clock.since(last.since()).compareTo(time) >= 0
+                        && of(service).equals(last.versions())
+                ? last.versions().stream().findFirst()
+                : Optional.empty();
     }
 
     /** The versions of a service since a monotonic time in nanoseconds. */
--- a/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamRecorder.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamRecorder.java
@@ -8,8 +8,6 @@
 import io.banyantally.internal.timeline.EventField;
 import io.banyantally.model.SoftwareVersion;
 import io.banyantally.platform.CoordinationStore;
-import io.banyantally.platform.LeaseId;
-import io.banyantally.platform.LeaseLapsedException;
 import io.banyantally.platform.StoreException;
 import io.banyantally.platform.StoreKey;
 import io.banyantally.platform.StoreTransaction;
@@ -22,6 +20,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 
 /**
@@ -36,12 +35,6 @@
     /** So that a write without an answer does not hold up the next ones. */
     private static final int MAXIMUM_WRITERS = 3;
 
-    /** How long a lease takes new records, which last for the rest of its time. */
-    private static final Duration LEASE_USE = StreamVersions.TAKE_UP_TIME;
-
-    private static final Duration LEASE_TIME =
-            LEASE_USE.plus(StreamVersions.TAKE_UP_TIME).plusSeconds(5);
-
     /** How long a failed write keeps streams away from versions that need a record. */
     private static final Duration FAILURE_TIME = Duration.ofSeconds(2);
 
@@ -51,30 +44,32 @@
     private final Supplier<Duration> minimumInterval;
     private final MonotonicClock clock;
     private final Sleeper sleeper;
+    private final Executor executor;
     private final Counter records;
     private final Counter failures;
     private final Deque<Pending> waiting = new ArrayDeque<>();
     private int writers;
     private long nextWriteAt;
-    private Optional<LeaseId> lease = Optional.empty();
-    private long leaseEndsAt;
     private OptionalLong failedAt = OptionalLong.empty();
 
     /**
      * Creates a recorder.
      *
      * @param minimumInterval the time between two writes of this VM, so that those of all VMs stay within the store's rate
+     * @param executor runs tasks that block
      */
     StreamRecorder(
             CoordinationStore store,
             Supplier<Duration> minimumInterval,
             MonotonicClock clock,
             Sleeper sleeper,
+            Executor executor,
             MetricRegistry metrics) {
         this.store = store;
         this.minimumInterval = minimumInterval;
         this.clock = clock;
         this.sleeper = sleeper;
+        this.executor = executor;
         this.records = metrics.counter("stream_records.written");
         this.failures = metrics.counter("stream_records.failed");
         this.nextWriteAt = clock.nanoTime();
@@ -90,7 +85,7 @@
             }
             writers++;
         }
-        Thread.ofVirtual().name("stream-record").start(this::writeAll);
+        executor.execute(this::writeAll);
         return pending.confirmed();
     }
 
@@ -144,7 +139,7 @@
 
     private boolean write(List<Pending> batch) {
         try {
-            apply(batch);
+            store.apply(transaction(batch));
             records.inc(batch.size());
             recordResult(OptionalLong.empty());
             return true;
@@ -163,41 +158,14 @@
         failedAt = failure;
     }
 
-    private void apply(List<Pending> batch) throws StoreException {
-        try {
-            store.apply(transaction(batch, usableLease()));
-        } catch (LeaseLapsedException lapsed) {
-            dropLease();
-            store.apply(transaction(batch, usableLease()));
-        }
-    }
-
-    private static StoreTransaction transaction(List<Pending> batch, LeaseId held) {
+    private static StoreTransaction transaction(List<Pending> batch) {
+        // Not under a lease: an outage may end leases, and the streams would go on at the default version.
         List<StoreTransaction.Put> puts = batch.stream()
                 .map(pending -> new StoreTransaction.Put(
-                        pending.key(), pending.version().value().getBytes(StandardCharsets.UTF_8), Optional.of(held)))
+                        pending.key(), pending.version().value().getBytes(StandardCharsets.UTF_8), Optional.empty()))
                 .toList();
         return new StoreTransaction(List.of(), puts, List.of());
     }
 
-    private LeaseId usableLease() throws StoreException {
-        synchronized (this) {
-            if (lease.isPresent() && clock.nanoTime() - leaseEndsAt < 0) {
-                return lease.get();
-            }
-        }
-        long askedAt = clock.nanoTime();
-        LeaseId granted = store.grantLease(LEASE_TIME);
-        synchronized (this) {
-            lease = Optional.of(granted);
-            leaseEndsAt = askedAt + LEASE_USE.toNanos();
-        }
-        return granted;
-    }
-
-    private synchronized void dropLease() {
-        lease = Optional.empty();
-    }
-
     private record Pending(StoreKey key, SoftwareVersion version, CompletableFuture<Boolean> confirmed) {}
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamStart.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamStart.java
@@ -57,7 +57,7 @@
     public boolean awaitRecord(Duration remaining) throws InterruptedException {
         SoftwareVersion version = sentTo.orElseThrow();
         boolean mayBegin = isConfirmed(remaining.compareTo(CONFIRMATION_TIME) < 0 ? remaining : CONFIRMATION_TIME)
-                || versions.mayBeginWithoutRecord(service, version);
+                || versions.mayBeginWithoutRecord(service);
         if (mayBegin) {
             versions.memory().add(key, version);
         }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamStoreKeys.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamStoreKeys.java
@@ -12,7 +12,8 @@
     /** Prefix of the default versions, which all VMs watch. */
     public static final String DEFAULTS_PREFIX = "banyantally/stream-defaults/";
 
-    private static final String RECORDS_PREFIX = "banyantally/stream-records/";
+    /** Prefix of the records of streams. */
+    static final String RECORDS_PREFIX = "banyantally/stream-records/";
 
     private StreamStoreKeys() {}
 
--- a/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamVersions.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamVersions.java
@@ -16,7 +16,6 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Supplier;
 
 /**
@@ -69,6 +68,7 @@
                 () -> WRITE_INTERVAL_OF_A_VM.multipliedBy(vms.get()),
                 MonotonicClock.SYSTEM,
                 Sleeper.SYSTEM,
+                task -> Thread.ofVirtual().name("stream-record").start(task),
                 metrics);
         return new StreamVersions(
                 store,
@@ -78,6 +78,11 @@
                 MonotonicClock.SYSTEM);
     }
 
+    /** Returns the task that removes the records of streams that have ended. */
+    public StreamRecordSweeper sweeper() {
+        return new StreamRecordSweeper(store);
+    }
+
     /** Returns the task that writes the default versions. */
     public DefaultVersionKeeper keeper() {
         return new DefaultVersionKeeper(store, defaults, present);
@@ -106,12 +111,12 @@
         if (remembered.isPresent()) {
             return remembered;
         }
-        Optional<SoftwareVersion> unrecorded = unrecordedVersion(service);
+        Optional<SoftwareVersion> unrecorded = defaults.of(service);
         if (unrecorded.isPresent() && isNothingRecorded(service, unrecorded.get())) {
             return unrecorded;
         }
         if (attempt.isEmpty()) {
-            return unrecorded.filter(version -> present.of(service).equals(Set.of(version)));
+            return Optional.empty();
         }
         try {
             Optional<SoftwareVersion> recorded = read(StreamStoreKeys.record(service, attempt.get()));
@@ -132,28 +137,15 @@
                 .findFirst();
     }
 
-    /** Returns the version of streams without a record. */
-    private Optional<SoftwareVersion> unrecordedVersion(ServiceName service) {
-        Optional<DefaultVersion> current = defaults.of(service);
-        Optional<SoftwareVersion> version = current.flatMap(DefaultVersion::version);
-        return version.isPresent() || defaults.knownFor(service).compareTo(TAKE_UP_TIME) >= 0
-                ? version
-                : current.flatMap(DefaultVersion::former);
-    }
-
     /** Returns whether no VM has recorded a stream that may still be taken up. */
     private boolean isNothingRecorded(ServiceName service, SoftwareVersion version) {
-        return isDefault(service, version)
-                && defaults.knownFor(service).compareTo(TAKE_UP_TIME) >= 0
-                && present.isOnly(service, version, TAKE_UP_TIME);
+        return defaults.knownFor(service).compareTo(TAKE_UP_TIME) >= 0
+                && present.onlyOne(service, TAKE_UP_TIME).equals(Optional.of(version));
     }
 
     /** Returns whether streams of a version need no record. */
     boolean isDefault(ServiceName service, SoftwareVersion version) {
-        return defaults.of(service)
-                .flatMap(DefaultVersion::version)
-                .filter(version::equals)
-                .isPresent();
+        return defaults.of(service).equals(Optional.of(version));
     }
 
     /**
@@ -161,19 +153,12 @@
      * written.
      */
     public Optional<SoftwareVersion> versionWithoutRecord(ServiceName service) {
-        return recorder.isFailing()
-                ? defaults.of(service).flatMap(DefaultVersion::version).filter(present.of(service)::contains)
-                : Optional.empty();
+        return recorder.isFailing() ? defaults.of(service).filter(present.of(service)::contains) : Optional.empty();
     }
 
-    /**
-     * Returns whether no stream without a record would go on at another version: there is no other one, or no upstream of
-     * the default version.
-     */
-    boolean mayBeginWithoutRecord(ServiceName service, SoftwareVersion version) {
-        Set<SoftwareVersion> versions = present.of(service);
-        return versions.equals(Set.of(version))
-                || unrecordedVersion(service).filter(versions::contains).isEmpty();
+    /** Returns whether no stream without a record goes on, so that it can't go on at another version. */
+    boolean mayBeginWithoutRecord(ServiceName service) {
+        return defaults.isRead() && defaults.of(service).isEmpty();
     }
 
     StreamRecorder recorder() {
