Tell callers to wait longer for a version without upstreams

A stream whose version has no upstream can go on once a crashed one has started again, which takes seconds. A caller that comes back after one second would be refused again.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamChooser.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamChooser.java
@@ -26,7 +26,7 @@
     private static final Duration RETRY_AFTER_NO_UPSTREAM = Duration.ofMillis(400);
 
     /** A crashed upstream starts again with its version within seconds; one that was replaced does not return. */
-    private static final Duration RETRY_AFTER_NO_VERSION = Duration.ofSeconds(1);
+    private static final Duration RETRY_AFTER_NO_VERSION = Duration.ofSeconds(2);
 
     private static final int MINIMUM_SPREAD_MILLIS = 100;
 
