--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamChooser.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamChooser.java
@@ -106,7 +106,7 @@
         if (known.stream().anyMatch(UpstreamChooser::generates)) {
             throw limitReached(known, UpstreamChooser::generates);
         }
-        if (requiredVersion.isPresent() && untried.isEmpty()) {
+        if (requiredVersion.isPresent() && untried.stream().noneMatch(UpstreamChooser::generates)) {
             throw new RefusedException(
                     Refusal.notRun("no_upstream_of_version", ForwardedRequest.jittered(RETRY_AFTER_NO_VERSION)));
         }
