Keep a decode engine of each software version when stages change

A stream goes on only at a decode engine of its version. Where several versions serve, the engines that turn to prefill are now those of versions with a further decode engine in the zones concerned, if there are such.

lastDecodeEngineOfAVersionStays asks for it; with one version the choice is as before.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/duty/StageTargets.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/duty/StageTargets.java
@@ -3,6 +3,7 @@
 import io.banyantally.deployment.EngineStage;
 import io.banyantally.deployment.ReplicaEntry;
 import io.banyantally.model.AvailabilityZone;
+import io.banyantally.model.SoftwareVersion;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -60,16 +61,24 @@
         return Math.clamp(Math.round(engines * PREFILL_FRACTION), 1, engines - 1);
     }
 
-    /** Returns engines from the zones that have the most of them. */
+    /**
+     * Returns engines from the zones that have the most of them. The last engine of a software version in its stage stays
+     * there if possible, as a stream goes on only at a decode engine of its version.
+     */
     private static List<ReplicaEntry> fromLargestZones(List<ReplicaEntry> engines, int count) {
         List<ReplicaEntry> remaining = new ArrayList<>(engines);
         remaining.sort(Comparator.comparing(ReplicaEntry::id));
         List<ReplicaEntry> chosen = new ArrayList<>();
         while (chosen.size() < count && !remaining.isEmpty()) {
             Map<AvailabilityZone, Integer> byZone = new HashMap<>();
-            remaining.forEach(engine -> byZone.merge(engine.zone(), 1, Integer::sum));
+            Map<SoftwareVersion, Integer> byVersion = new HashMap<>();
+            remaining.forEach(engine -> {
+                byZone.merge(engine.zone(), 1, Integer::sum);
+                byVersion.merge(engine.version(), 1, Integer::sum);
+            });
             ReplicaEntry next = remaining.stream()
-                    .max(Comparator.comparingInt((ReplicaEntry engine) -> byZone.get(engine.zone()))
+                    .max(Comparator.comparing((ReplicaEntry engine) -> byVersion.get(engine.version()) > 1)
+                            .thenComparing(engine -> byZone.get(engine.zone()))
                             .thenComparing(ReplicaEntry::id))
                     .orElseThrow();
             remaining.remove(next);
--- a/modules/banyantally/src/test/java/io/banyantally/internal/duty/StageTargetsTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/duty/StageTargetsTest.java
@@ -5,6 +5,7 @@
 
 import io.banyantally.deployment.EngineStage;
 import io.banyantally.deployment.ReplicaEntry;
+import io.banyantally.model.SoftwareVersion;
 import io.banyantally.testing.Deployments;
 import java.util.ArrayList;
 import java.util.List;
@@ -75,7 +76,34 @@
         assertEquals(List.of("a7", "a6", "a5", "a4", "b3", "a3"), changes);
     }
 
+    /** Guards against a version without a decode engine, whose streams could not go on. */
+    @Test
+    void lastDecodeEngineOfAVersionStays() {
+        List<ReplicaEntry> engines = List.of(
+                engine("a1", "a", EngineStage.DECODE),
+                engine("a2", "a", EngineStage.DECODE),
+                withVersion(engine("a3", "a", EngineStage.DECODE), "v2"),
+                engine("b1", "b", EngineStage.PREFILL));
+
+        assertEquals(Map.of(engines.get(1), EngineStage.PREFILL), StageTargets.changes(engines, engine -> false));
+    }
+
     private static ReplicaEntry engine(String id, String zone, EngineStage stage) {
         return Deployments.engine(id, zone, stage);
     }
+
+    private static ReplicaEntry withVersion(ReplicaEntry engine, String version) {
+        return new ReplicaEntry(
+                engine.id(),
+                engine.service(),
+                engine.address(),
+                engine.zone(),
+                engine.slots(),
+                engine.draining(),
+                engine.stage(),
+                engine.cheap(),
+                engine.startedAtMillis(),
+                engine.sequence(),
+                new SoftwareVersion(version));
+    }
 }
