--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/RelayedStore.java
@@ -180,6 +180,9 @@
         List<Peer> asked = new ArrayList<>(peers.peers());
         Collections.shuffle(asked);
         asked = asked.subList(0, Math.min(MAXIMUM_PEERS, asked.size()));
+        if (asked.isEmpty()) {
+            return Optional.empty();
+        }
         BlockingQueue<Optional<StoreChanges>> answers = new LinkedBlockingQueue<>();
         for (Peer peer : asked) {
             Thread.ofVirtual().name("watch-relay").start(() -> {
