Do not hold first events for a record that they do not need

While the store did not answer and a service had no default version, each first event of a resumable stream waited 1.2 s for its record and was then passed on without it, as nobody goes on with such a stream at another version.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamStart.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamStart.java
@@ -17,6 +17,9 @@
     /** A write that has no answer by then has failed; the store's usual answer takes some milliseconds. */
     private static final Duration CONFIRMATION_TIME = Duration.ofMillis(1200);
 
+    /** How long a first event waits for a record without which it may be passed on. */
+    private static final Duration OPTIONAL_CONFIRMATION_TIME = Duration.ofMillis(50);
+
     private final StreamVersions versions;
     private final ServiceName service;
     private final StoreKey key;
@@ -56,14 +59,20 @@
      */
     public boolean awaitRecord(Duration remaining) throws InterruptedException {
         SoftwareVersion version = sentTo.orElseThrow();
-        boolean isConfirmed = isConfirmed(remaining.compareTo(CONFIRMATION_TIME) < 0 ? remaining : CONFIRMATION_TIME);
-        if (!isConfirmed && !versions.mayBeginWithoutRecord(service)) {
+        boolean isRequired = !versions.mayBeginWithoutRecord(service);
+        Duration limit = isRequired ? CONFIRMATION_TIME : optionalConfirmationTime();
+        boolean isConfirmed = isConfirmed(remaining.compareTo(limit) < 0 ? remaining : limit);
+        if (!isConfirmed && isRequired) {
             return false;
         }
         versions.memory().add(key, version, isConfirmed && recorded.isPresent());
         return true;
     }
 
+    private Duration optionalConfirmationTime() {
+        return versions.recorder().isFailing() ? Duration.ZERO : OPTIONAL_CONFIRMATION_TIME;
+    }
+
     private boolean isConfirmed(Duration limit) throws InterruptedException {
         try {
             return confirmed.get(limit.toNanos(), TimeUnit.NANOSECONDS);
