--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/UpstreamSender.java
@@ -104,7 +104,7 @@
         long startedAt = services.clock().nanoTime();
         track.recordSent(choice.work(), startedAt);
         if (!hasStartedResponse()) {
-            streamStart.ifPresent(start -> start.sendTo(upstream.version()));
+            streamStart.ifPresent(start -> start.recordVersion(upstream.version()));
         }
         SendOutcome outcome;
         try {
--- a/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamStart.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamStart.java
@@ -34,7 +34,7 @@
     }
 
     /** Begins to record the version of an upstream to which the attempt is about to be sent, if it needs a record. */
-    public void sendTo(SoftwareVersion version) {
+    public void recordVersion(SoftwareVersion version) {
         sentTo = Optional.of(version);
         boolean needsRecord = recorded.isPresent() || !versions.isDefault(service, version);
         if (needsRecord && !recorded.equals(sentTo)) {
--- a/modules/banyantally/src/test/java/io/banyantally/internal/streams/StreamStartTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/streams/StreamStartTest.java
@@ -58,7 +58,7 @@
     void firstEventDoesNotWaitLongWithoutADefault() throws Exception {
         feed.deliver();
         StreamStart start = versions.start(Deployments.ENGINES, new AttemptId("a"));
-        start.sendTo(PRESENT);
+        start.recordVersion(PRESENT);
 
         long startedAt = System.nanoTime();
         assertTrue(start.awaitRecord(LIMIT));
@@ -71,7 +71,7 @@
     void firstEventOfAnotherVersionIsNotPassedOnWithoutARecord() throws Exception {
         nameDefault();
         StreamStart start = versions.start(Deployments.ENGINES, new AttemptId("a"));
-        start.sendTo(OTHER);
+        start.recordVersion(OTHER);
 
         assertFalse(start.awaitRecord(LIMIT));
     }
@@ -81,7 +81,7 @@
     void firstEventOfTheDefaultVersionDoesNotWait() throws Exception {
         nameDefault();
         StreamStart start = versions.start(Deployments.ENGINES, new AttemptId("a"));
-        start.sendTo(PRESENT);
+        start.recordVersion(PRESENT);
 
         assertTrue(start.awaitRecord(Duration.ZERO));
     }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/streams/StreamVersionSearchTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/streams/StreamVersionSearchTest.java
@@ -202,7 +202,7 @@
             SoftwareVersion version = preferred.orElseGet(this::anyVersion);
             AttemptId attempt = new AttemptId("attempt-" + begun++);
             StreamStart start = vm.versions.start(Deployments.ENGINES, attempt);
-            start.sendTo(version);
+            start.recordVersion(version);
             if (isPassedOn(start)) {
                 streams.add(new Stream(attempt, version, vm, clock.nanoTime()));
                 events.add("begin " + attempt + " at " + version);
