Ask once for the permission of a call with its own connection

Since the permission is asked on pooled connections too, a call of a duty on its own connection asked twice: once when the connection was open, and once more as its first byte was due. Only calls on pooled connections ask at the second point.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/adapter/HttpExchange.java
@@ -51,7 +51,8 @@
         this.request = request;
         // Runs before the first byte is written, so a request that fails earlier was certainly not sent.
         request.onRequestBegin(started -> {
-            if (!call.permission().isGranted()) {
+            // A request with its own connection has asked once the connection was open.
+            if (!call.ownConnection() && !call.permission().isGranted()) {
                 abort(new NothingSentException(call + " was not sent: the send permission was denied"));
                 return;
             }
