--- a/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/forwarding/ForwardedRequest.java
@@ -341,7 +341,10 @@
             return Optional.empty();
         }
         Optional<SoftwareVersion> version = services.streamVersions()
-                .versionOf(request.service().name(), request.metadata().resumedAttempt());
+                .versionOf(
+                        request.service().name(),
+                        request.metadata().resumedAttempt(),
+                        request.remaining(services.clock()));
         log.add("stream_version", version.map(SoftwareVersion::toString).orElse("unknown"));
         if (version.isEmpty()) {
             throw new RefusedException(Refusal.notRun("stream_version_unknown", jittered(RETRY_AFTER_UNKNOWN_VERSION)));
--- a/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamVersions.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamVersions.java
@@ -18,6 +18,7 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /**
@@ -150,6 +151,24 @@
         }
     }
 
+    /**
+     * Returns the same as {@link #versionOf(ServiceName, Optional)}; empty if the store does not answer in time.
+     *
+     * @param limit the time that the request has left
+     */
+    public Optional<SoftwareVersion> versionOf(ServiceName service, Optional<AttemptId> attempt, Duration limit) {
+        CompletableFuture<Optional<SoftwareVersion>> version = new CompletableFuture<>();
+        Thread.ofVirtual().name("stream-version").start(() -> {
+            try {
+                version.complete(versionOf(service, attempt));
+            } finally {
+                version.complete(Optional.empty());
+            }
+        });
+        return version.completeOnTimeout(Optional.empty(), limit.toNanos(), TimeUnit.NANOSECONDS)
+                .join();
+    }
+
     private Optional<SoftwareVersion> read(StoreKey key) throws StoreException {
         return store.list(key.path()).items().stream()
                 .filter(item -> item.key().equals(key))
