Record streams that began in an outage of the store after it

Only records of an earlier era were written again. StreamMemory now keeps which records are missing, and maintain() writes up to 32 of them unless writes are failing. The late record can't contradict another version: until it is there, the stream is refused elsewhere. StreamVersionsTest: 2 of 2 failed before, 2 of 2 pass; StreamVersionSearchTest, StreamStartTest and StreamRecorderTest pass.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamMemory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamMemory.java
@@ -25,14 +25,10 @@
         return Optional.ofNullable(streams.get(stream)).map(Begun::version);
     }
 
-    /**
-     * Adds a stream.
-     *
-     * @param recorded whether the store has a record of it
-     */
-    synchronized void add(StoreKey stream, SoftwareVersion version, boolean recorded) {
+    /** Adds a stream. */
+    synchronized void add(StoreKey stream, SoftwareVersion version, RecordState state) {
         streams.remove(stream);
-        streams.put(stream, new Begun(version, recorded, clock.nanoTime()));
+        streams.put(stream, new Begun(version, state, clock.nanoTime()));
         if (streams.size() > MAXIMUM_STREAMS) {
             streams.remove(streams.keySet().iterator().next());
         }
@@ -42,13 +38,35 @@
         streams.values().removeIf(begun -> clock.since(begun.at()).compareTo(StreamVersions.TAKE_UP_TIME) >= 0);
     }
 
-    /** Returns the streams of which the store has a record, with their versions. */
-    synchronized Map<StoreKey, SoftwareVersion> recorded() {
-        return streams.entrySet().stream()
-                .filter(stream -> stream.getValue().recorded())
+    /** Sets the state of a stream's record, unless the stream is forgotten. */
+    synchronized void setState(StoreKey stream, RecordState state) {
+        streams.computeIfPresent(stream, (key, begun) -> new Begun(begun.version(), state, begun.at()));
+    }
+
+    /** Makes the records missing that the store may have lost. */
+    synchronized void loseRecords() {
+        streams.replaceAll((stream, begun) -> begun.state() == RecordState.NOT_NEEDED
+                ? begun
+                : new Begun(begun.version(), RecordState.MISSING, begun.at()));
+    }
+
+    /** Returns the oldest streams whose record is missing, with their versions, and takes their records for written. */
+    synchronized Map<StoreKey, SoftwareVersion> takeMissing(int limit) {
+        Map<StoreKey, SoftwareVersion> missing = streams.entrySet().stream()
+                .filter(stream -> stream.getValue().state() == RecordState.MISSING)
+                .limit(limit)
                 .collect(Collectors.toMap(
                         Map.Entry::getKey, stream -> stream.getValue().version()));
+        missing.keySet().forEach(stream -> setState(stream, RecordState.WRITTEN));
+        return missing;
+    }
+
+    /** What the store has of a stream. */
+    enum RecordState {
+        NOT_NEEDED,
+        MISSING,
+        WRITTEN
     }
 
-    private record Begun(SoftwareVersion version, boolean recorded, long at) {}
+    private record Begun(SoftwareVersion version, RecordState state, long at) {}
 }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamRecorder.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamRecorder.java
@@ -30,7 +30,7 @@
 final class StreamRecorder {
 
     /** The store takes at most 32 entries in one transaction. */
-    private static final int MAXIMUM_PUTS = 32;
+    static final int MAXIMUM_PUTS = 32;
 
     /** So that a write without an answer does not hold up the next ones. */
     private static final int MAXIMUM_WRITERS = 3;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamStart.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamStart.java
@@ -65,10 +65,26 @@
         if (!isConfirmed && isRequired) {
             return false;
         }
-        versions.memory().add(key, version, isConfirmed && recorded.isPresent());
+        remember(version, isConfirmed);
         return true;
     }
 
+    private void remember(SoftwareVersion version, boolean isConfirmed) {
+        StreamMemory memory = versions.memory();
+        if (recorded.isEmpty()) {
+            memory.add(key, version, StreamMemory.RecordState.NOT_NEEDED);
+        } else if (isConfirmed) {
+            memory.add(key, version, StreamMemory.RecordState.WRITTEN);
+        } else {
+            memory.add(key, version, StreamMemory.RecordState.MISSING);
+            CompletableFuture<Void> _ = confirmed.thenAccept(written -> {
+                if (written) {
+                    memory.setState(key, StreamMemory.RecordState.WRITTEN);
+                }
+            });
+        }
+    }
+
     private Duration optionalConfirmationTime() {
         return versions.recorder().isFailing() ? Duration.ZERO : OPTIONAL_CONFIRMATION_TIME;
     }
--- a/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamVersions.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamVersions.java
@@ -100,8 +100,8 @@
     }
 
     /**
-     * Observes the versions of upstreams, forgets streams that have ended, and records those again that the store has lost
-     * with its era; call it several times a second.
+     * Observes the versions of upstreams, forgets streams that have ended, and records those that began in an outage or that
+     * the store has lost with its era; call it several times a second.
      */
     public synchronized void maintain() {
         present.observe();
@@ -109,10 +109,19 @@
         StoreEra newest = era.get();
         if (newest.isAfter(restoredIn)) {
             restoredIn = newest;
-            memory.recorded().forEach((stream, version) -> {
-                CompletableFuture<Boolean> _ = recorder.record(stream, version);
-            });
+            memory.loseRecords();
         }
+        if (!recorder.isFailing()) {
+            memory.takeMissing(StreamRecorder.MAXIMUM_PUTS).forEach(this::recordMissing);
+        }
+    }
+
+    private void recordMissing(StoreKey stream, SoftwareVersion version) {
+        CompletableFuture<Void> _ = recorder.record(stream, version).thenAccept(written -> {
+            if (!written) {
+                memory.setState(stream, StreamMemory.RecordState.MISSING);
+            }
+        });
     }
 
     /** Begins to follow at which version the stream of a new attempt begins. */
