Do not rely on a peer that has compared its configuration with nobody

Cause: the first complete answer of any peer ended the comparison. Answers now say whether the peer has compared its own version: with a peer that had, with as many peers as the VM could expect, or in the exchange of work. Other answers end the comparison only as those of starting peers do, once all peers or five have answered; the limit of 1.5 s is the same.

--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ConfigurationAnswer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ConfigurationAnswer.java
@@ -14,13 +14,14 @@
  *
  * @param version the version in force; absent if the peer has none
  * @param compressed the document in zlib format; absent if the asker has it, or the peer can't send it now
+ * @param compared whether the peer has compared its version with those of other VMs
  */
-record ConfigurationAnswer(Optional<Long> version, Optional<byte[]> compressed) {
+record ConfigurationAnswer(Optional<Long> version, Optional<byte[]> compressed, boolean compared) {
 
     /** Twice what the store accepts; protects the memory of the asker. */
     static final int MAXIMUM_DOCUMENT_BYTES = 2 * 1024 * 1024;
 
-    static final ConfigurationAnswer NONE = new ConfigurationAnswer(Optional.empty(), Optional.empty());
+    static final ConfigurationAnswer NONE = new ConfigurationAnswer(Optional.empty(), Optional.empty(), false);
 
     static byte[] compress(byte[] document) {
         ByteArrayOutputStream compressed = new ByteArrayOutputStream();
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ConfigurationExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ConfigurationExchange.java
@@ -46,7 +46,7 @@
     /** How long a newer version of a peer is left to the store, which shows a change to all VMs; up to twice this. */
     static final Duration STORE_TIME = Duration.ofMillis(400);
 
-    /** Peers without a configuration that are asked at the start; more of them mean that the fleet starts. */
+    /** Peers without a compared configuration that are asked at the start; more of them mean that the fleet starts. */
     static final int MAXIMUM_STARTING_PEERS = 5;
 
     /** Peers that are asked in one round. */
@@ -77,6 +77,10 @@
     private final Counter fetched;
     private Optional<Heard> newest = Optional.empty();
     private boolean compared;
+
+    /** Whether peers may rely on the version in force: it is as new as that of a peer, or as all that could be asked. */
+    private boolean reliable;
+
     private Optional<Compressed> compressed = Optional.empty();
     private long sendingUntil;
 
@@ -123,58 +127,62 @@
     }
 
     /**
-     * Waits until a peer has told its version, and its document if that is newer; not for longer than the limit, and
-     * not if this VM is alone or its peers are starting as well.
+     * Waits until a peer has told a version that it has compared, and its document if that is newer; not for longer than
+     * the limit, and not if this VM is alone or its peers have compared with nobody either.
      */
     private void compareWithPeers(OptionalLong read) throws InterruptedException {
         Optional<Long> known = read.isPresent() ? Optional.of(read.getAsLong()) : Optional.empty();
         long startedAt = clock.nanoTime();
-        Set<VmId> starting = new HashSet<>();
+        Set<VmId> unsure = new HashSet<>();
         Optional<VmId> peer = Optional.empty();
-        while (peer.isEmpty() && isComparing(startedAt, starting)) {
+        while (peer.isEmpty() && isComparing(startedAt, unsure)) {
             listed.connect();
-            peer = compareOnce(known, starting, startedAt);
-            if (peer.isEmpty() && isComparing(startedAt, starting)) {
+            peer = compareOnce(known, unsure, startedAt);
+            if (peer.isEmpty() && isComparing(startedAt, unsure)) {
                 sleeper.sleep(peers.peers().isEmpty() ? CONNECT_INTERVAL : INTERVAL);
             }
         }
+        if (peer.isPresent() || (!unsure.isEmpty() && unsure.size() >= expectedPeers())) {
+            recordReliable();
+        }
         LOG.info(
                 "configuration_compared",
                 EventField.of("version", known.map(String::valueOf).orElse("none")),
                 EventField.of("peer", peer.map(VmId::value).orElse("none")),
-                EventField.of("starting_peers", starting.size()),
+                EventField.of("unsure_peers", unsure.size()),
                 EventField.of("waited_ms", clock.since(startedAt).toMillis()));
     }
 
-    private boolean isComparing(long startedAt, Set<VmId> starting) {
-        return clock.since(startedAt).compareTo(START_LIMIT) < 0 && starting.size() < expectedPeers();
+    private boolean isComparing(long startedAt, Set<VmId> unsure) {
+        return clock.since(startedAt).compareTo(START_LIMIT) < 0 && unsure.size() < expectedPeers();
     }
 
     /**
-     * Asks some connected peers in turn until the limit; returns one that has told its version, and adds those without
-     * one.
+     * Asks some connected peers in turn until the limit; returns one that has told a version that it has compared, and adds
+     * those that have none, or have told one that they have compared with nobody.
      */
-    private Optional<VmId> compareOnce(Optional<Long> known, Set<VmId> starting, long startedAt) {
+    private Optional<VmId> compareOnce(Optional<Long> known, Set<VmId> unsure, long startedAt) {
         List<VmId> asked = shuffledPeers().stream()
                 .map(Peer::vm)
-                .filter(vm -> !starting.contains(vm))
+                .filter(vm -> !unsure.contains(vm))
                 .limit(PEERS_OF_A_ROUND)
                 .toList();
         for (VmId vm : asked) {
-            if (!isComparing(startedAt, starting)) {
+            if (!isComparing(startedAt, unsure)) {
                 break;
             }
             Optional<ConfigurationAnswer> answer = ask(vm, known);
-            if (answer.isPresent() && answer.get().version().isEmpty()) {
-                starting.add(vm);
-            } else if (answer.isPresent() && isComplete(answer.get(), known)) {
-                return Optional.of(vm);
+            if (answer.isPresent() && isComplete(answer.get(), known)) {
+                if (answer.get().compared()) {
+                    return Optional.of(vm);
+                }
+                unsure.add(vm);
             }
         }
         return Optional.empty();
     }
 
-    /** Returns how many peers without a configuration end the wait; unlimited until the VMs are listed. */
+    /** Returns how many peers without a compared configuration end the wait; unlimited until the VMs are listed. */
     private int expectedPeers() {
         OptionalLong others = listed.count();
         return others.isEmpty() ? Integer.MAX_VALUE : (int) Math.min(others.getAsLong(), MAXIMUM_STARTING_PEERS);
@@ -182,11 +190,15 @@
 
     private static boolean isComplete(ConfigurationAnswer answer, Optional<Long> known) {
         return answer.compressed().isPresent()
+                || answer.version().isEmpty()
                 || !new ConfigurationQuery(known).isBefore(answer.version().get());
     }
 
     /** Records the version that a peer has in force. */
     synchronized void recordHeard(VmId peer, long version) {
+        if (!isNewer(version)) {
+            reliable = true;
+        }
         Optional<Heard> behind = newest.filter(heard -> isNewer(heard.version()));
         if (isNewer(version) && behind.map(Heard::version).orElse(Long.MIN_VALUE) <= version) {
             long fetchAt = behind.map(Heard::fetchAt).orElseGet(this::firstFetch);
@@ -272,6 +284,14 @@
         compared = true;
     }
 
+    private synchronized void recordReliable() {
+        reliable = true;
+    }
+
+    private synchronized boolean isReliable() {
+        return reliable;
+    }
+
     private ConfigurationAnswer answer(ConfigurationQuery query) {
         Optional<Adopted> own = holder.adopted();
         if (own.isEmpty()) {
@@ -279,7 +299,7 @@
         }
         long version = own.get().configuration().version();
         return new ConfigurationAnswer(
-                Optional.of(version), query.isBefore(version) ? take(own.get()) : Optional.empty());
+                Optional.of(version), query.isBefore(version) ? take(own.get()) : Optional.empty(), isReliable());
     }
 
     /** Returns the document to send; empty if it is too large, or if others are being sent. */
