--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ConfigurationAnswer.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ConfigurationAnswer.java
@@ -14,9 +14,9 @@
  *
  * @param version the version in force; absent if the peer has none
  * @param compressed the document in zlib format; absent if the asker has it, or the peer can't send it now
- * @param compared whether the peer has compared its version with those of other VMs
+ * @param reliable whether the peer has compared its version with those of other VMs, so that the asker may rely on it
  */
-record ConfigurationAnswer(Optional<Long> version, Optional<byte[]> compressed, boolean compared) {
+record ConfigurationAnswer(Optional<Long> version, Optional<byte[]> compressed, boolean reliable) {
 
     /** Twice what the store accepts; protects the memory of the asker. */
     static final int MAXIMUM_DOCUMENT_BYTES = 2 * 1024 * 1024;
--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ConfigurationExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ConfigurationExchange.java
@@ -76,9 +76,11 @@
     private final Counter sent;
     private final Counter fetched;
     private Optional<Heard> newest = Optional.empty();
+
+    /** Whether a peer has told its version, reliable or not. */
     private boolean compared;
 
-    /** Whether peers may rely on the version in force: it is as new as that of a peer, or as all that could be asked. */
+    /** Whether peers may rely on the version in force: a reliable one is not newer, or all expected peers have answered. */
     private boolean reliable;
 
     private Optional<Compressed> compressed = Optional.empty();
@@ -127,8 +129,8 @@
     }
 
     /**
-     * Waits until a peer has told a version that it has compared, and its document if that is newer; not for longer than
-     * the limit, and not if this VM is alone or its peers have compared with nobody either.
+     * Waits until a peer has told a reliable version, and its document if that is newer; not for longer than the
+     * limit, and not if this VM is alone or its peers have compared with nobody either.
      */
     private void compareWithPeers(OptionalLong read) throws InterruptedException {
         Optional<Long> known = read.isPresent() ? Optional.of(read.getAsLong()) : Optional.empty();
@@ -158,8 +160,8 @@
     }
 
     /**
-     * Asks some connected peers in turn until the limit; returns one that has told a version that it has compared, and adds
-     * those that have none, or have told one that they have compared with nobody.
+     * Asks some connected peers in turn until the limit; returns one whose version is reliable, and adds those that
+     * have none, or one that they have compared with nobody.
      */
     private Optional<VmId> compareOnce(Optional<Long> known, Set<VmId> unsure, long startedAt) {
         List<VmId> asked = shuffledPeers().stream()
@@ -173,7 +175,7 @@
             }
             Optional<ConfigurationAnswer> answer = ask(vm, known);
             if (answer.isPresent() && isComplete(answer.get(), known)) {
-                if (answer.get().compared()) {
+                if (answer.get().reliable()) {
                     return Optional.of(vm);
                 }
                 unsure.add(vm);
