Write lost records of streams at once after the store's return

Since a VM wrote the records that the store had lost with its era only while no write had failed in the last 2 s, and 32 every 200 ms. Until a record is back, its stream goes on at the default version if that is another one (ORDER); an outage before the return makes both limits apply. Found by reading the change. All lost records are now handed to the recorder as soon as the new era is heard of, as before; a write that fails is repeated under the two limits, which was not so before. Result: recordsThatTheStoreHasLostAreWrittenAtOnceAfterItsReturn fails without the fix (1 of 3 tests of its class) and passes with it, as do the other stream tests (11).

--- a/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamMemory.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamMemory.java
@@ -50,7 +50,7 @@
                 : new Begun(begun.version(), RecordState.MISSING, begun.at()));
     }
 
-    /** Returns the oldest streams whose record is missing, with their versions, and takes their records for written. */
+    /** Returns the oldest streams whose record is missing, with their versions, and marks their records as written. */
     synchronized Map<StoreKey, SoftwareVersion> takeMissing(int limit) {
         Map<StoreKey, SoftwareVersion> missing = streams.entrySet().stream()
                 .filter(stream -> stream.getValue().state() == RecordState.MISSING)
--- a/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamVersions.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/streams/StreamVersions.java
@@ -110,8 +110,9 @@
         if (newest.isAfter(restoredIn)) {
             restoredIn = newest;
             memory.loseRecords();
-        }
-        if (!recorder.isFailing()) {
+            // Without their records, these streams would go on at the default version.
+            memory.takeMissing(Integer.MAX_VALUE).forEach(this::recordMissing);
+        } else if (!recorder.isFailing()) {
             memory.takeMissing(StreamRecorder.MAXIMUM_PUTS).forEach(this::recordMissing);
         }
     }
--- a/modules/banyantally/src/test/java/io/banyantally/internal/streams/StreamVersionsTest.java
+++ b/modules/banyantally/src/test/java/io/banyantally/internal/streams/StreamVersionsTest.java
@@ -28,8 +28,12 @@
     /** The time after an outage in which callers may be refused. */
     private static final Duration STABILITY = Duration.ofSeconds(3);
 
+    /** More than one transaction can hold. */
+    private static final int STREAMS_OF_A_VM = 100;
+
     private final ManualClock clock = new ManualClock();
     private final FakeCoordinationStore store = new FakeCoordinationStore(clock);
+    private StoreEra era = StoreEra.UNKNOWN;
     private final List<ReplicaEntry> upstreams = List.of(Deployments.engine("u1", "zone-a", EngineStage.DECODE));
 
     /** Guards against refusing streams that began in an outage of the store long after its end. */
@@ -68,12 +72,37 @@
         assertEquals(Optional.of(VERSION), second.versionOf(Deployments.ENGINES, Optional.of(ATTEMPT)));
     }
 
+    /** Guards against streams that go on at the default version while their lost records are written again. */
+    @Test
+    void recordsThatTheStoreHasLostAreWrittenAtOnceAfterItsReturn() throws Exception {
+        StreamVersions vm = vm();
+        FakeCoordinationStore.Copy copy = store.copy();
+        for (int stream = 0; stream < STREAMS_OF_A_VM; stream++) {
+            StreamStart start = vm.start(Deployments.ENGINES, new AttemptId("a" + stream));
+            start.recordVersion(VERSION);
+            assertTrue(start.awaitRecord(LIMIT));
+        }
+        store.setDown(true);
+        vm.start(Deployments.ENGINES, ATTEMPT).recordVersion(VERSION);
+        store.setDown(false);
+        store.returnOlder(copy);
+        era = store.list(StreamStoreKeys.DEFAULTS_PREFIX).revision().era();
+
+        vm.maintain();
+
+        StreamVersions other = vm();
+        for (int stream = 0; stream < STREAMS_OF_A_VM; stream++) {
+            AttemptId attempt = new AttemptId("a" + stream);
+            assertEquals(Optional.of(VERSION), other.versionOf(Deployments.ENGINES, Optional.of(attempt)));
+        }
+    }
+
     private StreamVersions vm() throws StoreException {
         DefaultVersions defaults = new DefaultVersions(clock);
         new StoreFeed(store, StreamStoreKeys.DEFAULTS_PREFIX, defaults).deliver();
         return new StreamVersions(
                 store,
-                () -> StoreEra.UNKNOWN,
+                () -> era,
                 defaults,
                 new PresentVersions(() -> upstreams, clock),
                 new StreamRecorder(
