--- a/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ConfigurationExchange.java
+++ b/modules/banyantally/src/main/java/io/banyantally/internal/exchange/ConfigurationExchange.java
@@ -46,7 +46,7 @@
     /** How long a newer version of a peer is left to the store, which shows a change to all VMs; up to twice this. */
     static final Duration STORE_TIME = Duration.ofMillis(400);
 
-    /** Peers without a compared configuration that are asked at the start; more of them mean that the fleet starts. */
+    /** Peers without a reliable version that are asked at the start; more of them mean that the fleet starts. */
     static final int MAXIMUM_STARTING_PEERS = 5;
 
     /** Peers that are asked in one round. */
@@ -80,7 +80,7 @@
     /** Whether a peer has told its version, reliable or not. */
     private boolean compared;
 
-    /** Whether peers may rely on the version in force: a reliable one is not newer, or all expected peers have answered. */
+    /** Whether peers may rely on the version in force: it was compared with a reliable one, or with all that could be. */
     private boolean reliable;
 
     private Optional<Compressed> compressed = Optional.empty();
@@ -184,7 +184,7 @@
         return Optional.empty();
     }
 
-    /** Returns how many peers without a compared configuration end the wait; unlimited until the VMs are listed. */
+    /** Returns how many peers without a reliable version end the wait; unlimited until the VMs are listed. */
     private int expectedPeers() {
         OptionalLong others = listed.count();
         return others.isEmpty() ? Integer.MAX_VALUE : (int) Math.min(others.getAsLong(), MAXIMUM_STARTING_PEERS);
